Add the design page, wire types and RPC transport

Cause: nothing existed. The design page is the contract between modules; the wire schema, the clock, rings, supervisor tree and RPC transport are what all of them build on. Ruled out: gossip membership and per-key leases, see docs/design.md 17.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+GO ?= go
+SEED ?= 1
+
+.PHONY: build test check unit demo generate fmt fuzz bench capacity
+
+# The same checks as .ci/run.
+test: check build unit
+
+build:
+	CGO_ENABLED=1 $(GO) build -o bin/ ./cmd/...
+
+# Formatter, vet and linter; each fails on any finding.
+check:
+	@out=$$(gofmt -l $$(git ls-files --cached --others --exclude-standard '*.go')); test -z "$$out" || { echo "not formatted:"; echo "$$out"; exit 1; }
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+# Packages whose tests take the flags of rapid, and all others.
+RAPID = $(shell $(GO) list -f '{{$$p := .ImportPath}}{{range .TestImports}}{{if eq . "pgregory.net/rapid"}}{{$$p}}{{end}}{{end}}' ./...)
+OTHER = $(filter-out $(RAPID),$(shell $(GO) list ./...))
+
+# Unit, property-based and integration tests. A fixed seed gives the same
+# verdict on each run. Integration tests use the binaries of the build target.
+unit: build
+	$(GO) test -race -count=1 $(OTHER)
+	@if [ -n "$(RAPID)" ]; then echo "$(GO) test -race -count=1 $(RAPID) -rapid.seed=$(SEED)"; $(GO) test -race -count=1 $(RAPID) -rapid.seed=$(SEED); fi
+
+demo: build
+	$(GO) run ./internal/integration/demo
+
+generate:
+	$(GO) generate ./...
+
+fmt:
+	gofmt -w $$(git ls-files '*.go')
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,76 @@
+// Package process holds what every gentiansail daemon has in common: its
+// logger, its signal handling, and the listener for metrics and health.
+//
+// # Usage
+//
+//	log := process.NewLogger(os.Stderr, "node", name)
+//	ctx, stop := process.SignalContext(context.Background())
+//	defer stop()
+//	err := process.ServeMetrics(ctx, listener, registry, health)
+package process
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-chi/chi/v5"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+)
+
+// ErrListener is the error of an HTTP listener that failed.
+var ErrListener = merry.Sentinel("HTTP listener failed")
+
+// metricsStopTimeout bounds how long a stop waits for a scrape in progress.
+const metricsStopTimeout = time.Second
+
+// NewLogger returns a logger of JSON lines with the fields that each line of a
+// process carries.
+func NewLogger(w io.Writer, role, name string) zerolog.Logger {
+	return zerolog.New(w).With().Timestamp().Str("Role", role).Str("Name", name).Logger()
+}
+
+// SignalContext returns a context that ends on SIGTERM or SIGINT.
+func SignalContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+}
+
+// ServeMetrics serves /metrics and /healthz on l until ctx ends. health returns
+// nil while the process can do its work.
+func ServeMetrics(ctx context.Context, l net.Listener, g prometheus.Gatherer, health func() error) error {
+	r := chi.NewRouter()
+	r.Method(http.MethodGet, "/metrics", promhttp.HandlerFor(g, promhttp.HandlerOpts{}))
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := health(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, "ok\n")
+	})
+	return ServeHTTP(ctx, l, &http.Server{Handler: r, ReadHeaderTimeout: 5 * time.Second}, metricsStopTimeout)
+}
+
+// ServeHTTP serves s on l until ctx ends, then shuts it down gracefully: it
+// stops accepting and waits up to stopTimeout for requests in flight.
+func ServeHTTP(ctx context.Context, l net.Listener, s *http.Server, stopTimeout time.Duration) error {
+	ends := make(chan error, 1)
+	go func() { ends <- s.Serve(l) }()
+	select {
+	case err := <-ends:
+		return merry.Wrap(ErrListener, merry.WithCause(err), merry.AppendMessagef("%s: %v", l.Addr(), err))
+	case <-ctx.Done():
+	}
+	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer cancel()
+	err := s.Shutdown(stopping)
+	<-ends
+	return err
+}
--- /dev/null
+++ b/internal/rpc/client.go
@@ -0,0 +1,151 @@
+package rpc
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+// Client calls one server over one connection, which it dials when first
+// needed and again after a loss. It is safe for concurrent use.
+type Client struct {
+	address string
+	dial    func(ctx context.Context, address string) (net.Conn, error)
+
+	mu     sync.Mutex
+	conn   *jsonrpc2.Conn
+	closed bool
+}
+
+// NewClient returns a client of the server at address. It does not connect yet.
+func NewClient(address string) *Client {
+	return &Client{address: address, dial: dialTCP}
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout.Duration()}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// Address returns the server's address.
+func (c *Client) Address() string { return c.address }
+
+// Close closes the connection. Calls in progress end with ErrLost.
+func (c *Client) Close() {
+	c.mu.Lock()
+	conn := c.conn
+	c.conn, c.closed = nil, true
+	c.mu.Unlock()
+	if conn != nil {
+		_ = conn.Close()
+	}
+}
+
+// Call sends a request and waits for the response. The error is ErrConnect when
+// the request did not reach the server, an *Error when the server answered with
+// one, and ErrLost when it may or may not have taken effect.
+func Call[Response any](ctx context.Context, c *Client, method string, request any) (Response, error) {
+	var out Response
+	conn, err := c.connection(ctx)
+	if err != nil {
+		return out, err
+	}
+	err = conn.Call(ctx, method, request, &out)
+	return out, c.translate(ctx, conn, err)
+}
+
+// Notify sends a message that has no response. A nil error does not mean that
+// it arrived.
+func (c *Client) Notify(ctx context.Context, method string, message any) error {
+	conn, err := c.connection(ctx)
+	if err != nil {
+		return err
+	}
+	return c.translate(ctx, conn, conn.Notify(ctx, method, message))
+}
+
+func (c *Client) translate(ctx context.Context, conn *jsonrpc2.Conn, err error) error {
+	if err == nil {
+		return nil
+	}
+	var e *jsonrpc2.Error
+	if errors.As(err, &e) {
+		return fromWire(e)
+	}
+	// A caller that gives up says nothing about the connection; a missed
+	// deadline does.
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		c.discard(conn)
+	}
+	return merry.Wrap(ErrLost, merry.WithCause(err), merry.AppendMessagef("%s: %v", c.address, err))
+}
+
+func (c *Client) discard(conn *jsonrpc2.Conn) {
+	c.mu.Lock()
+	if c.conn == conn {
+		c.conn = nil
+	}
+	c.mu.Unlock()
+	_ = conn.Close()
+}
+
+func (c *Client) connection(ctx context.Context) (*jsonrpc2.Conn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, merry.Wrap(ErrConnect, merry.AppendMessage("client is closed"))
+	}
+	if c.conn != nil {
+		select {
+		case <-c.conn.DisconnectNotify():
+			c.conn = nil
+		default:
+			return c.conn, nil
+		}
+	}
+	raw, err := c.dial(ctx, c.address)
+	if err != nil {
+		return nil, merry.Wrap(ErrConnect, merry.WithCause(err), merry.AppendMessage(err.Error()))
+	}
+	stream := jsonrpc2.NewBufferedStream(&liveConn{Conn: raw, silence: clientSilence}, frameCodec{})
+	// The connection outlives the call that dialled it.
+	c.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, refuseAll{}, quiet)
+	go c.keepAlive(c.conn)
+	return c.conn, nil
+}
+
+// keepAlive pings until the connection ends. The read deadline of liveConn
+// closes a connection whose pings go unanswered.
+func (c *Client) keepAlive(conn *jsonrpc2.Conn) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-conn.DisconnectNotify()
+		cancel()
+	}()
+	for clock.System().Sleep(ctx, pingEvery) == nil {
+		var pong struct{}
+		if conn.Call(ctx, methodPing, struct{}{}, &pong) != nil {
+			c.discard(conn)
+			return
+		}
+	}
+}
+
+// refuseAll answers requests that a server sends to a client; there are none in
+// this protocol.
+type refuseAll struct{}
+
+// Handle implements jsonrpc2.Handler.
+func (refuseAll) Handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	if r.Notif {
+		return
+	}
+	_ = conn.ReplyWithError(ctx, r.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "clients serve no methods"})
+}
