Share one dial among the calls that wait for it

Cause: calls to a host that does not answer dialled one after the other under the client's mutex, each for up to 300 ms, so that the tenth waiting heartbeat would have failed after three seconds. Ruled out: a shorter dial timeout, which would fail on a busy host. Change: calls wait for one shared attempt or their own deadline.

--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -12,15 +12,27 @@
 	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
+var errClosed = merry.Wrap(ErrConnect, merry.AppendMessage("client is closed"))
+
 // Client calls one server over one connection, which it dials when first
 // needed and again after a loss. It is safe for concurrent use.
 type Client struct {
 	address string
 	dial    func(ctx context.Context, address string) (net.Conn, error)
 
-	mu     sync.Mutex
-	conn   *jsonrpc2.Conn
-	closed bool
+	mu      sync.Mutex
+	conn    *jsonrpc2.Conn
+	dialing *dialAttempt
+	closed  bool
+}
+
+// dialAttempt is shared by all calls that wait for the same connection, so that
+// calls to a host that does not answer time out together and not one after the
+// other.
+type dialAttempt struct {
+	done chan struct{}
+	conn *jsonrpc2.Conn
+	err  error
 }
 
 // NewClient returns a client of the server at address. It does not connect yet.
@@ -97,27 +109,59 @@
 
 func (c *Client) connection(ctx context.Context) (*jsonrpc2.Conn, error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.closed {
-		return nil, merry.Wrap(ErrConnect, merry.AppendMessage("client is closed"))
-	}
-	if c.conn != nil {
-		select {
-		case <-c.conn.DisconnectNotify():
-			c.conn = nil
-		default:
-			return c.conn, nil
-		}
+		c.mu.Unlock()
+		return nil, errClosed
+	}
+	if c.conn != nil && !isDisconnected(c.conn) {
+		defer c.mu.Unlock()
+		return c.conn, nil
+	}
+	a := c.dialing
+	if a == nil {
+		a = &dialAttempt{done: make(chan struct{})}
+		c.dialing = a
+		// The connection outlives the call that dialled it.
+		go c.connect(context.WithoutCancel(ctx), a)
+	}
+	c.mu.Unlock()
+	select {
+	case <-a.done:
+		return a.conn, a.err
+	case <-ctx.Done():
+		return nil, merry.Wrap(ErrConnect, merry.WithCause(ctx.Err()), merry.AppendMessage(c.address))
+	}
+}
+
+func isDisconnected(conn *jsonrpc2.Conn) bool {
+	select {
+	case <-conn.DisconnectNotify():
+		return true
+	default:
+		return false
 	}
+}
+
+// connect dials once, bounded by dialTimeout, and reports by closing a.done.
+func (c *Client) connect(ctx context.Context, a *dialAttempt) {
+	defer close(a.done)
 	raw, err := c.dial(ctx, c.address)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dialing = nil
 	if err != nil {
-		return nil, merry.Wrap(ErrConnect, merry.WithCause(err), merry.AppendMessage(err.Error()))
+		a.err = merry.Wrap(ErrConnect, merry.WithCause(err), merry.AppendMessage(err.Error()))
+		return
+	}
+	if c.closed {
+		_ = raw.Close()
+		a.err = errClosed
+		return
 	}
 	stream := jsonrpc2.NewBufferedStream(&liveConn{Conn: raw, silence: clientSilence}, frameCodec{})
-	// The connection outlives the call that dialled it.
-	c.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, refuseAll{}, quiet)
+	c.conn = jsonrpc2.NewConn(ctx, stream, refuseAll{}, quiet)
+	a.conn = c.conn
 	go c.keepAlive(c.conn)
-	return c.conn, nil
 }
 
 // keepAlive pings until the connection ends. The read deadline of liveConn
