Count the bytes of RPC connections

Cause: the budget of 5 KB/s of control traffic a node cannot be checked without a count at the connection. Change: clients count bytes sent and received, pings included.

--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -19,6 +19,7 @@
 type Client struct {
 	address string
 	dial    func(ctx context.Context, address string) (net.Conn, error)
+	traffic traffic
 
 	mu      sync.Mutex
 	conn    *jsonrpc2.Conn
@@ -48,6 +49,12 @@
 // Address returns the server's address.
 func (c *Client) Address() string { return c.address }
 
+// Traffic returns the bytes sent and received over all connections so far,
+// framing and pings included, IP and TCP headers not.
+func (c *Client) Traffic() (sent, received uint64) {
+	return c.traffic.sent.Load(), c.traffic.received.Load()
+}
+
 // Close closes the connection. Calls in progress end with ErrLost.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -158,7 +165,7 @@
 		a.err = errClosed
 		return
 	}
-	stream := jsonrpc2.NewBufferedStream(&liveConn{Conn: raw, silence: clientSilence}, frameCodec{})
+	stream := jsonrpc2.NewBufferedStream(&liveConn{Conn: raw, silence: clientSilence, traffic: &c.traffic}, frameCodec{})
 	c.conn = jsonrpc2.NewConn(ctx, stream, refuseAll{}, quiet)
 	a.conn = c.conn
 	go c.keepAlive(c.conn)
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -28,6 +28,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -128,18 +129,33 @@
 type liveConn struct {
 	net.Conn
 	silence clock.Millis
+	// traffic, if set, counts the bytes of the connection.
+	traffic *traffic
+}
+
+type traffic struct {
+	sent     atomic.Uint64
+	received atomic.Uint64
 }
 
 func (c *liveConn) Read(b []byte) (int, error) {
 	if err := c.SetReadDeadline(time.Now().Add(c.silence.Duration())); err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(b)
+	n, err := c.Conn.Read(b)
+	if c.traffic != nil {
+		c.traffic.received.Add(uint64(n))
+	}
+	return n, err
 }
 
 func (c *liveConn) Write(b []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout.Duration())); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	if c.traffic != nil {
+		c.traffic.sent.Add(uint64(n))
+	}
+	return n, err
 }
