Add concurrency limits, retry budget, target choice and hot-key sketch

pkg/limit admits requests to one target within a learned limit (additive increase, multiplicative decrease), queues by class with reserved shares and refuses at once what cannot end by its deadline. CallerBudget divides each caller's rate among nodes by reported demand, with bounded memory. pkg/retry holds the retry budget and full-jitter backoff, pkg/balance two weighted random choices by cost, pkg/hotkey a decayed space-saving sketch.

--- /dev/null
+++ b/pkg/balance/balance_test.go
@@ -0,0 +1,119 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+// Guards against a cost that prefers a target which is worse in one respect and
+// equal in the others, and against costs that do not compare (NaN, zero).
+func TestCostGrowsWithLoadLatencyAndErrors(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := observation{
+			latency:  rapid.Float64Range(0, 1e5).Draw(t, "latency"),
+			errors:   rapid.Float64Range(0, 1).Draw(t, "errors"),
+			reported: rapid.Float64Range(0, 1e4).Draw(t, "reported"),
+		}
+		now := clock.Millis(rapid.IntRange(0, 1e6).Draw(t, "now"))
+		inFlight := float64(rapid.IntRange(0, 1000).Draw(t, "inFlight"))
+		capacity := rapid.Float64Range(0.1, 1000).Draw(t, "capacity")
+		worse := o
+		worse.latency *= 2
+		worse.errors = min(1, worse.errors+0.1)
+		c := o.cost(now, inFlight, capacity)
+		if !(c > 0) || worse.cost(now, inFlight, capacity) < c || o.cost(now, inFlight+1, capacity) < c || o.cost(now, inFlight, capacity*2) > c {
+			t.Fatalf("cost %v of %+v is not monotonic", c, o)
+		}
+	})
+}
+
+// Guards against picking an excluded or removed target, and against finding none
+// while one is usable.
+func TestPickHonoursExclusion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "random"), 1))
+		p := New(Options{Clock: clock.NewManual(0).Clock(), Random: random.Float64})
+		usable := map[string]bool{}
+		var targets []Target
+		for i := range rapid.IntRange(0, 8).Draw(t, "targets") {
+			id := strconv.Itoa(i)
+			targets = append(targets, Target{ID: id, Capacity: rapid.Float64Range(-1, 20).Draw(t, "capacity"), Cold: rapid.Bool().Draw(t, "cold")})
+			if rapid.Bool().Draw(t, "usable") {
+				usable[id] = true
+			}
+		}
+		p.Update([]Target{{ID: "removed", Capacity: 100}})
+		p.Update(targets)
+		id, ok := p.Pick(func(id string) bool { return !usable[id] })
+		if ok != (len(usable) > 0) || (ok && !usable[id]) {
+			t.Fatalf("picked %q, %v of %v", id, ok, usable)
+		}
+	})
+}
+
+// Guards against a straggler, a failing target or a cold one receiving its full
+// share of requests.
+func TestWorseTargetReceivesLess(t *testing.T) {
+	tests := map[string]struct {
+		result Result
+		cold   bool
+	}{
+		"straggler": {result: Result{Latency: 100}},
+		"failing":   {result: Result{Latency: 1, Failed: true}},
+		"shedding":  {result: Result{Latency: 1, Shed: true}},
+		"loaded":    {result: Result{Latency: 10, InFlight: 50, Limit: 10}},
+		"cold":      {result: Result{Latency: 10}, cold: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, 2))
+			p := New(Options{Clock: clock.NewManual(0).Clock(), Random: random.Float64})
+			p.Update([]Target{{ID: "good", Capacity: 10}, {ID: "fair", Capacity: 10}, {ID: "worse", Capacity: 10, Cold: tt.cold}})
+			count := map[string]int{}
+			for range 3000 {
+				id, _ := p.Pick(nil)
+				count[id]++
+				p.Begin(id)
+				r := Result{Latency: 10}
+				if id == "worse" {
+					r = tt.result
+				}
+				p.End(id, r)
+			}
+			qt.Assert(t, count["worse"] < 500, qt.IsTrue, qt.Commentf("%v", count))
+		})
+	}
+}
+
+func BenchmarkPickBeginEnd(b *testing.B) {
+	p := New(Options{Clock: clock.System()})
+	var targets []Target
+	for i := range 100 {
+		targets = append(targets, Target{ID: strconv.Itoa(i), Capacity: float64(10 + i%3)})
+	}
+	p.Update(targets)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			id, _ := p.Pick(nil)
+			p.Begin(id)
+			p.End(id, Result{Latency: 10})
+		}
+	})
+}
+
+func ExamplePicker() {
+	p := New(Options{Clock: clock.System()})
+	p.Update([]Target{{ID: "refunds-1", Capacity: 20}, {ID: "refunds-2", Capacity: 20}})
+	id, ok := p.Pick(func(id string) bool { return id == "refunds-1" })
+	p.Begin(id)
+	p.End(id, Result{Latency: 7})
+	fmt.Println(id, ok)
+	// Output: refunds-2 true
+}
--- /dev/null
+++ b/pkg/limit/adjuster.go
@@ -0,0 +1,117 @@
+package limit
+
+import (
+	"math"
+
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+// Constants of the control loop.
+const (
+	// decreaseFactor is applied to the limit on a shed request or when latency
+	// has risen.
+	decreaseFactor = 0.9
+	// increaseStep is added when the limit was in use and latency has not risen.
+	increaseStep = 1.0
+	// latencyTolerance is how far a window's mean latency may exceed the base
+	// before the limit decreases.
+	latencyTolerance = 2.0
+	// latencySlack keeps the 1 ms resolution of the clock from looking like load.
+	latencySlack = 2.0
+	// baseDrift lets the base follow a target that has become slower for good.
+	baseDrift = 0.02
+	// minimumWindow is the least number of samples that a window holds.
+	minimumWindow = 10
+)
+
+// adjuster learns a concurrency limit by additive increase and multiplicative
+// decrease over windows of samples.
+type adjuster struct {
+	limit   float64
+	ceiling float64
+	// base is the latency of the target without queueing, in milliseconds.
+	base   float64
+	window window
+	// quietUntil ends the time after a decrease in which sheds are the result of
+	// requests sent before it.
+	quietUntil clock.Millis
+}
+
+// window collects the samples between two adjustments.
+type window struct {
+	samples int
+	sum     float64
+	peak    int
+}
+
+func newAdjuster(slots int) adjuster {
+	return adjuster{limit: float64(slots), ceiling: float64(slots)}
+}
+
+// whole returns the limit as a number of requests.
+func (a *adjuster) whole() int { return int(a.limit) }
+
+func (a *adjuster) setCeiling(n int) {
+	a.ceiling = float64(n)
+	a.limit = clamp(a.limit, a.ceiling)
+}
+
+func (a *adjuster) sawInFlight(n int) { a.window.peak = max(a.window.peak, n) }
+
+func (a *adjuster) observe(now clock.Millis, r Result) {
+	switch {
+	case r.Shed:
+		a.shed(now)
+	case !r.Failed:
+		a.sample(float64(r.Latency))
+	}
+}
+
+// shed decreases the limit at once, but only once for the requests that were in
+// flight together.
+func (a *adjuster) shed(now clock.Millis) {
+	if now < a.quietUntil {
+		return
+	}
+	a.limit = clamp(a.limit*decreaseFactor, a.ceiling)
+	a.quietUntil = now + clock.Millis(math.Ceil(a.base)) + 1
+	a.window = window{}
+}
+
+func (a *adjuster) sample(latency float64) {
+	a.window.samples++
+	a.window.sum += latency
+	if a.window.samples < max(minimumWindow, 2*a.whole()) {
+		return
+	}
+	mean := a.window.sum / float64(a.window.samples)
+	a.base = nextBase(a.base, mean)
+	a.limit = nextLimit(a.limit, a.ceiling, a.base, mean, a.window.peak)
+	a.window = window{}
+}
+
+// nextBase returns the base latency after a window with the given mean. It falls
+// at once and rises slowly.
+func nextBase(base, mean float64) float64 {
+	if base == 0 || mean < base {
+		return mean
+	}
+	return base + baseDrift*(mean-base)
+}
+
+// nextLimit returns the limit after a window without sheds. peak is the highest
+// number in flight in the window: a limit that was not reached is not raised,
+// because nothing was learned about it.
+func nextLimit(limit, ceiling, base, mean float64, peak int) float64 {
+	if mean > base*latencyTolerance+latencySlack {
+		return clamp(limit*decreaseFactor, ceiling)
+	}
+	if float64(peak) >= math.Floor(limit) {
+		return clamp(limit+increaseStep, ceiling)
+	}
+	return limit
+}
+
+func clamp(limit, ceiling float64) float64 {
+	return math.Max(1, math.Min(limit, ceiling))
+}
--- /dev/null
+++ b/pkg/limit/caller.go
@@ -0,0 +1,230 @@
+package limit
+
+import (
+	"hash/maphash"
+	"math"
+	"sync"
+
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+const (
+	// budgetShards spreads callers over locks.
+	budgetShards = 16
+	// defaultCallers bounds the memory of a budget to about 1 MB.
+	defaultCallers = 8192
+	// burstSeconds is how much of its rate a caller may use at once.
+	burstSeconds = 1.0
+	// evictionTries bounds the search for a caller whose state can be dropped.
+	evictionTries = 4
+	// equalPart is the part of the rate that is divided equally among nodes, so
+	// that a caller who moves to another node is served there before the next
+	// report. The rest follows demand.
+	equalPart = 0.2
+)
+
+// BudgetOptions are the settings of a CallerBudget.
+type BudgetOptions struct {
+	// Clock measures time. Required.
+	Clock clock.Clock
+	// PerSecond is the rate of each caller over all nodes, by class. Zero means
+	// no limit.
+	PerSecond PerClass
+	// Callers is the number of callers that are tracked one by one. Zero means
+	// 8,192. Callers beyond it share one bucket of a single caller's size, so
+	// the limit of each holds.
+	Callers int
+}
+
+// CallerBudget limits the rate of each caller over all nodes without a round
+// trip for each request. Each node holds a share of every caller's rate, equal
+// shares at first. The shares of all nodes add up to at most 1, so the rates add
+// up to at most the limit. It is safe for concurrent use.
+type CallerBudget struct {
+	clock    clock.Clock
+	seed     maphash.Seed
+	perShard int
+
+	mu     sync.RWMutex
+	rates  PerClass
+	nodes  float64
+	shards [budgetShards]budgetShard
+}
+
+type budgetShard struct {
+	mu       sync.Mutex
+	callers  map[callerClass]*callerState
+	overflow [classCount]*callerState
+}
+
+type callerClass struct {
+	caller string
+	class  Class
+}
+
+type callerState struct {
+	bucket bucket
+	share  float64 // 0 means an equal share
+	demand float64 // requests since the last report
+}
+
+// Demand is the use of one caller that a node reports.
+type Demand struct {
+	Caller string
+	Class  Class
+	// Requests is the number of requests since the last report, with those that
+	// were refused.
+	Requests float64
+}
+
+// NewCallerBudget returns a budget for a system of one node.
+func NewCallerBudget(o BudgetOptions) *CallerBudget {
+	if o.Callers <= 0 {
+		o.Callers = defaultCallers
+	}
+	b := &CallerBudget{
+		clock:    o.Clock,
+		seed:     maphash.MakeSeed(),
+		perShard: max(o.Callers/budgetShards, 1),
+		rates:    o.PerSecond,
+		nodes:    1,
+	}
+	for i := range b.shards {
+		b.shards[i].callers = make(map[callerClass]*callerState)
+	}
+	return b
+}
+
+// SetRates changes the rate of each caller, for a new configuration.
+func (b *CallerBudget) SetRates(perSecond PerClass) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.rates = perSecond
+}
+
+// SetNodes sets the number of nodes that share the rates equally.
+func (b *CallerBudget) SetNodes(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.nodes = float64(max(n, 1))
+}
+
+// SetShare sets this node's share of one caller's rate, from 0 to 1. The shares
+// of all nodes must come from one call of Shares. Zero restores the equal share.
+func (b *CallerBudget) SetShare(caller string, c Class, share float64) {
+	s := b.shard(caller)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if v, ok := s.callers[callerClass{caller, c}]; ok {
+		v.share = math.Min(math.Max(share, 0), 1)
+	}
+}
+
+// Allow reports whether the caller may send one more request now.
+func (b *CallerBudget) Allow(caller string, c Class) bool {
+	b.mu.RLock()
+	rate, nodes := b.rates[c], b.nodes
+	b.mu.RUnlock()
+	if rate <= 0 {
+		return true
+	}
+	now := b.clock.Now()
+	s := b.shard(caller)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.state(callerClass{caller, c}, now, rate, nodes, b.perShard)
+	v.demand++
+	local, burst := localRate(rate, v.share, nodes)
+	next, ok := v.bucket.take(now, local, burst)
+	v.bucket = next
+	return ok
+}
+
+// TakeDemand returns the use of each caller since the last call.
+func (b *CallerBudget) TakeDemand() []Demand {
+	var all []Demand
+	for i := range b.shards {
+		all = append(all, b.shards[i].takeDemand()...)
+	}
+	return all
+}
+
+func (b *CallerBudget) shard(caller string) *budgetShard {
+	return &b.shards[maphash.String(b.seed, caller)%budgetShards]
+}
+
+// localRate returns a node's part of a caller's rate, and its burst. A burst of
+// one request is always kept, since a smaller bucket could never be used.
+func localRate(rate, share, nodes float64) (local, burst float64) {
+	if share == 0 {
+		share = 1 / nodes
+	}
+	local = rate * share
+	return local, math.Max(1, local*burstSeconds)
+}
+
+func (s *budgetShard) state(k callerClass, now clock.Millis, rate, nodes float64, capacity int) *callerState {
+	if v, ok := s.callers[k]; ok {
+		return v
+	}
+	_, burst := localRate(rate, 0, nodes)
+	if len(s.callers) >= capacity && !s.evict(now, rate, nodes) {
+		if s.overflow[k.class] == nil {
+			s.overflow[k.class] = &callerState{bucket: bucket{tokens: burst, at: now}}
+		}
+		return s.overflow[k.class]
+	}
+	v := &callerState{bucket: bucket{tokens: burst, at: now}}
+	s.callers[k] = v
+	return v
+}
+
+// evict drops a caller whose bucket is full again: a new bucket would be the
+// same, so dropping it cannot raise the caller's rate.
+func (s *budgetShard) evict(now clock.Millis, rate, nodes float64) bool {
+	tries := 0
+	for k, v := range s.callers {
+		local, burst := localRate(rate, v.share, nodes)
+		if v.bucket.filled(now, local, burst).tokens >= burst {
+			delete(s.callers, k)
+			return true
+		}
+		if tries++; tries == evictionTries {
+			return false
+		}
+	}
+	return false
+}
+
+func (s *budgetShard) takeDemand() []Demand {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []Demand
+	for k, v := range s.callers {
+		if v.demand == 0 {
+			continue
+		}
+		all = append(all, Demand{Caller: k.caller, Class: k.class, Requests: v.demand})
+		v.demand = 0
+	}
+	return all
+}
+
+// Shares divides one caller's rate among nodes by the demand that each reported.
+// The result adds up to 1. Without any demand the shares are equal.
+func Shares(demand []float64) []float64 {
+	shares := make([]float64, len(demand))
+	n := float64(len(demand))
+	var sum float64
+	for _, d := range demand {
+		sum += math.Max(d, 0)
+	}
+	for i, d := range demand {
+		if sum <= 0 || math.IsInf(sum, 1) {
+			shares[i] = 1 / n
+			continue
+		}
+		shares[i] = equalPart/n + (1-equalPart)*math.Max(d, 0)/sum
+	}
+	return shares
+}
