exchange: send one request on one connection

http.Transport replays requests on failed pooled connections and does not say whether bytes were written, so not-run and at-most-once could not be promised on top of it. TestNeverReplays shows the transport running a POST with an Idempotency-Key header twice where this package runs it once.

Responses whose end is marked only by close are refused: a cut cannot be told from their end.

--- /dev/null
+++ b/internal/exchange/conn.go
@@ -0,0 +1,114 @@
+package exchange
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+// maxHeaderBytes bounds a response header; it is the default of http.Transport
+// divided by ten.
+const maxHeaderBytes = 1 << 20
+
+// unlimited is a read budget that no response exhausts.
+const unlimited = int64(1) << 62
+
+var errHeaderTooLong = merry.Sentinel("response header is too long")
+
+// conn is one connection. Its reader lives as long as the connection, so that
+// bytes that arrive after a response are noticed.
+type conn struct {
+	raw       net.Conn
+	address   *addressPool
+	reader    *bufio.Reader
+	writer    *bufio.Writer
+	idleSince clock.Millis
+
+	wrote    atomic.Bool
+	silence  clock.Millis
+	waitOn   func() bool
+	remained int64 // bytes that may still be read
+}
+
+func newConn(raw net.Conn, a *addressPool) *conn {
+	c := &conn{raw: raw, address: a}
+	c.reader = bufio.NewReader(connReader{c})
+	c.writer = bufio.NewWriter(connWriter{c})
+	return c
+}
+
+// prepare resets what belongs to one request.
+func (c *conn) prepare(silence clock.Millis, waitOn func() bool) error {
+	c.wrote.Store(false)
+	c.silence = silence
+	c.waitOn = waitOn
+	c.remained = maxHeaderBytes
+	return c.raw.SetDeadline(time.Time{})
+}
+
+// open reports whether an idle connection is still open and silent, by a read
+// that neither waits nor consumes. A server that closed the connection while it
+// was idle is noticed here, before any byte is written.
+func (c *conn) open() bool {
+	s, ok := c.raw.(syscall.Conn)
+	if !ok || c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = e == syscall.EAGAIN || e == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && open
+}
+
+type connReader struct{ c *conn }
+
+// Read implements io.Reader. It ends with ErrSilent when the limit passes
+// without a byte and nobody asks to wait on.
+func (r connReader) Read(b []byte) (int, error) {
+	c := r.c
+	if c.remained <= 0 {
+		return 0, errHeaderTooLong
+	}
+	for {
+		if c.silence > 0 {
+			if err := c.raw.SetReadDeadline(time.Now().Add(c.silence.Duration())); err != nil {
+				return 0, err
+			}
+		}
+		n, err := c.raw.Read(b)
+		c.remained -= int64(n)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if c.waitOn == nil || !c.waitOn() {
+			return 0, merry.Wrap(ErrSilent, merry.AppendMessagef("no byte for %d ms", c.silence))
+		}
+	}
+}
+
+type connWriter struct{ c *conn }
+
+// Write implements io.Writer and notes that bytes may have reached the server.
+func (w connWriter) Write(b []byte) (int, error) {
+	n, err := w.c.raw.Write(b)
+	if n > 0 {
+		w.c.wrote.Store(true)
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/exchange/exchange_test.go
@@ -0,0 +1,224 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"github.com/gentiansail/gentiansail/internal/header"
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nGentiansail-Request-Id: r1\r\n\r\nok"
+
+// server answers the n-th request of each connection with answers[n] and closes
+// the connection when there is none, or an empty one. It counts requests read.
+type server struct {
+	address string
+	runs    atomic.Int64
+	conns   atomic.Int64
+	ended   chan struct{} // one value for each connection closed
+}
+
+func serve(t *testing.T, answers ...string) *server {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { l.Close() })
+	s := &server{address: l.Addr().String(), ended: make(chan struct{}, 100)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go s.answer(c, answers)
+		}
+	}()
+	return s
+}
+
+func (s *server) answer(c net.Conn, answers []string) {
+	defer func() { s.ended <- struct{}{} }()
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for _, a := range answers {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		s.runs.Add(1)
+		if a == "silence" {
+			_, _ = br.ReadByte() // until the client closes
+			return
+		}
+		_, _ = io.WriteString(c, a)
+		if !strings.HasSuffix(a, "ok") {
+			return
+		}
+	}
+}
+
+func post(t *testing.T, address string) *http.Request {
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/pledges/1", Body([]byte("batch")))
+	qt.Assert(t, err, qt.IsNil)
+	r.ContentLength = 5
+	r.Header.Set(header.IdempotencyKey, "k1")
+	r.GetBody = func() (io.ReadCloser, error) { return Body([]byte("batch")), nil }
+	return r
+}
+
+func pool(t *testing.T) *Pool {
+	p := NewPool(Options{MaxPerAddress: 2})
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = p.Run(ctx)
+	})
+	return p
+}
+
+func send(t *testing.T, p *Pool, r Request) (string, error) {
+	r.HTTP = post(t, r.Address)
+	r.RequestID = "r1"
+	response, err := p.Do(context.Background(), r)
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	b, err := io.ReadAll(response.Body)
+	return string(b), err
+}
+
+// Guards against a pledge that runs twice because the client replays it when a
+// pooled connection fails. http.Transport does replay it.
+func TestNeverReplays(t *testing.T) {
+	c := qt.New(t)
+	s := serve(t, okResponse, "")
+	tr := &http.Transport{}
+	defer tr.CloseIdleConnections()
+	for range 2 {
+		response, err := tr.RoundTrip(post(t, s.address))
+		c.Assert(err, qt.IsNil)
+		_, _ = io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+	}
+	c.Assert(s.runs.Load(), qt.Equals, int64(3), qt.Commentf("the second request ran twice"))
+
+	s = serve(t, okResponse, "")
+	p := pool(t)
+	_, err := send(t, p, Request{Address: s.address})
+	c.Assert(err, qt.IsNil)
+	_, err = send(t, p, Request{Address: s.address})
+	c.Assert(ProgressOf(err), qt.Equals, Unknown)
+	c.Assert(s.runs.Load(), qt.Equals, int64(2))
+	c.Assert(s.conns.Load(), qt.Equals, int64(1))
+}
+
+// Guards against writing to a connection that the server closed while it was
+// idle, which would turn a plain request into an unknown outcome.
+func TestClosedIdleConnection(t *testing.T) {
+	c := qt.New(t)
+	s := serve(t, okResponse)
+	p := pool(t)
+	for n := range 2 {
+		body, err := send(t, p, Request{Address: s.address})
+		c.Assert(err, qt.IsNil)
+		c.Assert(body, qt.Equals, "ok")
+		<-s.ended
+		c.Assert(s.conns.Load(), qt.Equals, int64(n+1))
+	}
+}
+
+// Guards against a response that is cut, foreign or malformed and reaches the
+// caller as complete, and against reuse of its connection.
+func TestDamagedResponses(t *testing.T) {
+	tests := map[string]struct {
+		answer   string
+		request  Request
+		progress Progress
+		cause    error
+	}{
+		"short body":         {answer: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart", progress: Cut, cause: ErrCut},
+		"no last chunk":      {answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", progress: Cut, cause: ErrCut},
+		"ended by close":     {answer: "HTTP/1.1 200 OK\r\n\r\npart", progress: Unknown, cause: ErrResponse},
+		"foreign id":         {answer: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nGentiansail-Request-Id: r2\r\n\r\nok", progress: Unknown, cause: ErrMismatch},
+		"no id":              {answer: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", request: Request{EchoRequired: true}, progress: Unknown, cause: ErrMismatch},
+		"none":               {answer: "", progress: Unknown, cause: ErrResponse},
+		"switches protocols": {answer: "HTTP/1.1 101 Switching Protocols\r\n\r\n", progress: Unknown, cause: ErrResponse},
+		"silent":             {answer: "silence", request: Request{Silence: 1}, progress: Unknown, cause: ErrSilent},
+		"long header":        {answer: "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("a", 2*maxHeaderBytes), progress: Unknown, cause: ErrResponse},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := serve(t, tt.answer, okResponse)
+			p := pool(t)
+			tt.request.Address = s.address
+			_, err := send(t, p, tt.request)
+			c.Assert(err, qt.ErrorIs, tt.cause)
+			c.Assert(ProgressOf(err), qt.Equals, tt.progress)
+			<-s.ended
+			c.Assert(p.address(s.address).idle, qt.HasLen, 0)
+		})
+	}
+}
+
+// Guards against taking an informational response for the final one.
+func TestInformationalResponse(t *testing.T) {
+	c := qt.New(t)
+	s := serve(t, "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n"+okResponse)
+	seen := 0
+	body, err := send(t, pool(t), Request{Address: s.address, OnInformation: func(int, http.Header) { seen++ }})
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, "ok")
+	c.Assert(seen, qt.Equals, 2)
+}
+
+// Guards against a request reported as unknown although nothing was sent, and
+// against a wait for a connection that outlives the request.
+func TestNotSent(t *testing.T) {
+	c := qt.New(t)
+	s := serve(t, "silence")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	l.Close()
+	p := pool(t)
+	_, err = send(t, p, Request{Address: l.Addr().String()})
+	c.Assert(err, qt.ErrorIs, ErrRefusedConnection)
+	c.Assert(ProgressOf(err), qt.Equals, NotSent)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	ends := make(chan error, 3)
+	for range 3 {
+		go func() {
+			_, err := p.Do(ctx, Request{Address: s.address, HTTP: post(t, s.address)})
+			ends <- err
+		}()
+	}
+	for s.runs.Load() < 2 {
+		_ = clock.System().Sleep(context.Background(), 1)
+	}
+	cancel()
+	got := map[Progress]int{}
+	for range 3 {
+		err := <-ends
+		c.Assert(errors.Is(err, context.Canceled), qt.IsTrue)
+		got[ProgressOf(err)]++
+	}
+	c.Assert(got, qt.DeepEquals, map[Progress]int{NotSent: 1, Unknown: 2})
+	<-s.ended // cancellation closed the connections
+	<-s.ended
+}
