standin: add the stand-in target

Tests and the demo need a target that speaks the target protocol, misbehaves on request and records each run, so that second runs and owners per key can be counted.

--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,68 @@
+// Command standin is a stand-in target for tests and demonstrations.
+//
+// # Usage
+//
+//	standin --node 127.0.0.1:7003 --service catalogue --slots 10 --checks-grants
+//
+// It prints its address as one line of JSON and ends on SIGTERM after it has
+// withdrawn from its node.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/gentiansail/gentiansail/internal/process"
+	"github.com/gentiansail/gentiansail/internal/standin"
+	"github.com/gentiansail/gentiansail/internal/wire"
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	listen := "127.0.0.1:0"
+	var service, node string
+	work, cold := int64(1), int64(0)
+	o := standin.Options{Slots: 10, Connections: 130, ColdFactor: 1, Exit: os.Exit}
+	flaggy.SetName("standin")
+	flaggy.SetDescription("stand-in target")
+	flaggy.String(&listen, "", "listen", "address to listen on")
+	flaggy.String(&node, "", "node", "target listener of the node beside it")
+	flaggy.String(&service, "", "service", "service to announce")
+	flaggy.Int(&o.Slots, "", "slots", "requests worked on at a time")
+	flaggy.Int(&o.Connections, "", "connections", "connections to announce")
+	flaggy.Int64(&work, "", "service-millis", "time one request takes")
+	flaggy.Bool(&o.ChecksGrants, "", "checks-grants", "refuse requests that no grant covers")
+	flaggy.Float64(&o.ColdFactor, "", "cold-factor", "factor of the service time at the start")
+	flaggy.Int64(&cold, "", "cold-millis", "length of the cold start")
+	flaggy.Bool(&o.Sheds, "", "sheds", "refuse requests when all slots are taken")
+	flaggy.Bool(&o.Stuck, "", "stuck", "let requests wait without a response; /health stays well")
+	flaggy.Bool(&o.Sick, "", "sick", "let /health report a failure; requests are served")
+	flaggy.Parse()
+	o.Service = wire.ServiceName(service)
+	o.Node = wire.Address(node)
+	o.ServiceMillis = clock.Millis(work)
+	o.ColdMillis = clock.Millis(cold)
+
+	ctx, stop := process.SignalContext(context.Background())
+	defer stop()
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		return err
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(struct{ Address string }{l.Addr().String()}); err != nil {
+		return err
+	}
+	return standin.New(o).Run(ctx, l)
+}
--- /dev/null
+++ b/internal/standin/runs.go
@@ -0,0 +1,59 @@
+package standin
+
+import (
+	"sync"
+
+	"github.com/gentiansail/gentiansail/internal/wire"
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+// maxRuns bounds the record of runs; the oldest are dropped.
+const maxRuns = 1 << 20
+
+// Run is one request that the target worked on.
+type Run struct {
+	RequestID      string
+	IdempotencyKey string
+	Method         string
+	Path           string
+	Caller         string
+	Partition      wire.PartitionID
+	Epoch          wire.Epoch
+	Instance       string
+	Start          clock.UnixMillis
+	// End is 0 while the request is running.
+	End clock.UnixMillis
+}
+
+// record holds the runs in the order of their start.
+type record struct {
+	mu    sync.Mutex
+	first int // number of runs dropped
+	runs  []Run
+}
+
+func (r *record) start(n Run) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.runs) >= maxRuns {
+		half := len(r.runs) / 2
+		r.runs = append([]Run(nil), r.runs[half:]...)
+		r.first += half
+	}
+	r.runs = append(r.runs, n)
+	return r.first + len(r.runs) - 1
+}
+
+func (r *record) end(n int, at clock.UnixMillis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n >= r.first {
+		r.runs[n-r.first].End = at
+	}
+}
+
+func (r *record) all() []Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Run{}, r.runs...)
+}
