standin: keep the record of runs in a file

Cause: a run inside a target that is killed was lost with its memory, so a second run elsewhere could not have been noticed.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -32,7 +32,7 @@
 
 func run() error {
 	listen := "127.0.0.1:0"
-	var service, node string
+	var service, node, record string
 	work, cold := int64(1), int64(0)
 	o := standin.Options{Slots: 10, Connections: 130, ColdFactor: 1, Exit: os.Exit}
 	flaggy.SetName("standin")
@@ -49,7 +49,16 @@
 	flaggy.Bool(&o.Sheds, "", "sheds", "refuse requests when all slots are taken")
 	flaggy.Bool(&o.Stuck, "", "stuck", "let requests wait without a response; /health stays well")
 	flaggy.Bool(&o.Sick, "", "sick", "let /health report a failure; requests are served")
+	flaggy.String(&record, "", "record", "file to which each run is appended as JSON")
 	flaggy.Parse()
+	if record != "" {
+		f, err := os.OpenFile(record, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = f.Close() }()
+		o.Record = f
+	}
 	o.Service = wire.ServiceName(service)
 	o.Node = wire.Address(node)
 	o.ServiceMillis = clock.Millis(work)
--- a/internal/standin/runs.go
+++ b/internal/standin/runs.go
@@ -1,6 +1,8 @@
 package standin
 
 import (
+	"encoding/json"
+	"io"
 	"sync"
 
 	"github.com/gentiansail/gentiansail/internal/wire"
@@ -30,6 +32,15 @@
 	mu    sync.Mutex
 	first int // number of runs dropped
 	runs  []Run
+	// file, if set, receives a line of JSON at the start and at the end of each
+	// run, so that the record survives a killed process.
+	file io.Writer
+}
+
+func (r *record) write(n Run) {
+	if r.file != nil {
+		_ = json.NewEncoder(r.file).Encode(n)
+	}
 }
 
 func (r *record) start(n Run) int {
@@ -41,6 +52,7 @@
 		r.first += half
 	}
 	r.runs = append(r.runs, n)
+	r.write(n)
 	return r.first + len(r.runs) - 1
 }
 
@@ -49,6 +61,7 @@
 	defer r.mu.Unlock()
 	if n >= r.first {
 		r.runs[n-r.first].End = at
+		r.write(r.runs[n-r.first])
 	}
 }
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -23,6 +23,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -69,6 +70,9 @@
 	Stuck bool
 	// Sick lets /health report a failure while requests are served.
 	Sick bool
+	// Record, if set, receives each run as lines of JSON: one when it starts and
+	// one when it ends.
+	Record io.Writer
 	// Exit ends the process on a request with the crash marker.
 	Exit func(code int)
 }
@@ -97,6 +101,7 @@
 		options: o, instance: uuid.NewString(), clock: c, started: c.Now(),
 		slots: make(chan struct{}, max(o.Slots, 1)),
 	}
+	s.runs.file = o.Record
 	s.stuck.Store(o.Stuck)
 	s.sick.Store(o.Sick)
 	s.work.Store(int64(o.ServiceMillis))
