--- /dev/null
+++ b/internal/integration/history/history_test.go
@@ -0,0 +1,59 @@
+package history
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/gentiansail/gentiansail/internal/standin"
+	"github.com/gentiansail/gentiansail/internal/wire"
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+// Guards against a checker that accepts everything: each history here breaks
+// one promise and must be reported, and the last one must not.
+func TestCheckFindsEachViolation(t *testing.T) {
+	keyed := func(instance string, epoch wire.Epoch, start int) standin.Run {
+		return standin.Run{Path: "/c/" + instance, Partition: "catalogue/1", Epoch: epoch, Instance: instance, Start: clock.UnixMillis(100 + start)}
+	}
+	tests := map[string]struct {
+		runs      []standin.Run
+		responses []Response
+		want      []Kind
+	}{
+		"same idempotency key twice": {
+			runs: []standin.Run{{IdempotencyKey: "k", Instance: "a"}, {IdempotencyKey: "k", Instance: "b"}},
+			want: []Kind{SecondRun},
+		},
+		"two targets under one epoch": {
+			runs: []standin.Run{keyed("a", 4, 0), keyed("b", 4, 0)},
+			want: []Kind{SecondOwner},
+		},
+		"old owner works after the new one": {
+			runs: []standin.Run{keyed("a", 4, 0), keyed("b", 9, 5), keyed("a", 4, 6)},
+			want: []Kind{StaleOwner},
+		},
+		"not-run that ran": {
+			runs:      []standin.Run{{Path: "/pledges/7", Instance: "a"}},
+			responses: []Response{{Sent: "/pledges/7", Outcome: wire.OutcomeNotRun}},
+			want:      []Kind{FalseNotRun},
+		},
+		"response of another request": {
+			responses: []Response{{Sent: "/catalogue/1", Outcome: wire.OutcomeComplete, Whole: true}},
+			want:      []Kind{WrongResponse},
+		},
+		"clean handover": {
+			runs:      []standin.Run{keyed("a", 4, 0), keyed("b", 9, 5), {IdempotencyKey: "k", Path: "/pledges/7"}},
+			responses: []Response{{Sent: "/pledges/7", Outcome: wire.OutcomeComplete, Whole: true, Own: true}},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var got []Kind
+			for _, v := range Check(tt.runs, tt.responses) {
+				got = append(got, v.Kind)
+			}
+			qt.Assert(t, got, qt.DeepEquals, tt.want)
+		})
+	}
+}
