Add pkg/replog: core, store and driver of the replicated log

Ruled out: a library for consensus, which the project does not use; writing term and vote to their own file, which costs a second fsync per election and per batch; one log record per entry, because a crash may then persist a later record of an unacknowledged write but not an earlier one, which could not be told from corruption. One frame is written per fsync instead. Change: pure core, store with injected file operations, and the Replica.

--- /dev/null
+++ b/pkg/replog/core.go
@@ -0,0 +1,262 @@
+package replog
+
+import (
+	"math/rand/v2"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+// core is the protocol without files, sockets, goroutines or clocks. Inputs are
+// step, tick and the requests of the leader's clients; take returns the outputs.
+type core struct {
+	group           GroupID
+	self            Member
+	heartbeatEvery  clock.Millis
+	electionTimeout clock.Millis
+	random          *rand.Rand
+	now             clock.Millis
+
+	// state must be durable before any message of the same batch is sent.
+	state      hardState
+	stateDirty bool
+	log        entryLog
+	// stable is the last index known to be on disk.
+	stable Index
+	commit Index
+	// handed is the last index given out in a batch's Committed.
+	handed   Index
+	snapshot *Snapshot
+	members  []memberAt
+	initial  []Member
+
+	role             Role
+	reported         roleChange
+	leader           Member
+	leaderHeard      clock.Millis
+	electionDeadline clock.Millis
+	votes            map[Identity]bool
+	lead             *leadership
+	incoming         incoming
+
+	out   batch
+	fault error
+}
+
+// hardState is what a replica must remember besides the log.
+type hardState struct {
+	Term Term
+	Vote Identity
+}
+
+// memberAt is a membership and the index of the entry that set it.
+type memberAt struct {
+	index      Index
+	membership Membership
+}
+
+// roleChange is reported to Options.OnRole.
+type roleChange struct {
+	role Role
+	term Term
+}
+
+// batch is what the core wants done, in this order: send Early, make State,
+// Install and Entries durable together, send Messages, then the rest.
+type batch struct {
+	// State is nil when term and vote are unchanged.
+	State   *hardState
+	Install *Snapshot
+	// Entries replace everything in the log from the first one's index.
+	Entries   []Entry
+	Early     []Message
+	Messages  []Message
+	Committed []Entry
+	Confirmed []confirmation
+	Roles     []roleChange
+}
+
+func (b *batch) empty() bool {
+	return b.State == nil && b.Install == nil && len(b.Entries)+len(b.Early)+len(b.Messages)+len(b.Committed)+len(b.Confirmed)+len(b.Roles) == 0
+}
+
+// newCore returns a follower with what the store has loaded.
+func newCore(group GroupID, self Member, l loaded, heartbeat, timeout clock.Millis, random *rand.Rand, now clock.Millis) *core {
+	c := &core{
+		group: group, self: self, heartbeatEvery: heartbeat, electionTimeout: timeout,
+		random: random, now: now, state: l.state, log: l.log, snapshot: l.snapshot,
+		members: []memberAt{{}},
+	}
+	c.stable = c.log.last()
+	if s := l.snapshot; s != nil {
+		c.commit, c.handed, c.initial = s.Index, s.Index, s.Initial
+		c.members = []memberAt{{s.Index, s.Membership}}
+	}
+	for _, n := range c.log.entries {
+		c.noteMembership(n)
+	}
+	c.resetElection()
+	return c
+}
+
+// take returns the outputs collected since the last call. The caller makes them
+// durable and calls persisted before it gives the core anything else.
+func (c *core) take() batch {
+	if c.lead != nil {
+		c.startConfirmation()
+		c.continueTransfer()
+		c.replicate()
+	}
+	b := c.out
+	c.out = batch{}
+	if c.stateDirty {
+		s := c.state
+		b.State, c.stateDirty = &s, false
+		// A term must be durable before it is used, or a restarted leader could
+		// win the same term twice.
+		b.Messages, b.Early = append(b.Early, b.Messages...), nil
+	}
+	b.Entries = c.log.slice(c.stable, c.log.last())
+	if c.handed < c.commit {
+		b.Committed = c.log.slice(c.handed, c.commit)
+		c.handed = c.commit
+	}
+	return b
+}
+
+// persisted says that everything in the last batch is durable.
+func (c *core) persisted() {
+	c.stable = c.log.last()
+	if c.lead != nil {
+		c.advanceCommit()
+		c.advanceConfirmation()
+	}
+}
+
+func (c *core) membership() Membership { return c.members[len(c.members)-1].membership }
+
+func (c *core) membershipIndex() Index { return c.members[len(c.members)-1].index }
+
+func (c *core) isVoter() bool { return c.membership().isVoter(c.self.Identity) }
+
+func (c *core) noteMembership(n Entry) {
+	if n.Kind != EntryMembership {
+		return
+	}
+	m, err := decodeMembership(n.Data)
+	if err != nil {
+		c.fail("membership entry %d: %v", n.Index, err)
+		return
+	}
+	if n.Index == 1 {
+		c.initial = m.Voters
+	}
+	c.members = append(c.members, memberAt{n.Index, m})
+}
+
+func (c *core) fail(format string, args ...any) {
+	if c.fault == nil {
+		c.fault = merry.Wrap(ErrState, merry.AppendMessagef(format, args...))
+	}
+}
+
+// appendEntries adds entries that follow the last one.
+func (c *core) appendEntries(es ...Entry) {
+	c.log.append(es...)
+	for _, n := range es {
+		c.noteMembership(n)
+	}
+}
+
+// truncate removes the entries after i, and with them the memberships they set.
+func (c *core) truncate(i Index) {
+	if i < c.commit {
+		c.fail("entry %d conflicts with a committed one", i+1)
+		return
+	}
+	c.log.truncate(i)
+	c.stable = min(c.stable, i)
+	for c.membershipIndex() > i {
+		c.members = c.members[:len(c.members)-1]
+	}
+}
+
+// compact records a snapshot of this replica's own state and forgets entries up
+// to keepAfter.
+func (c *core) compact(s *Snapshot, keepAfter Index) {
+	if c.snapshot != nil && s.Index <= c.snapshot.Index {
+		return
+	}
+	c.snapshot = s
+	if keepAfter = min(keepAfter, s.Index); keepAfter <= c.log.base {
+		return
+	}
+	c.log.compact(keepAfter)
+	for len(c.members) > 1 && c.members[1].index <= c.log.base {
+		c.members = c.members[1:]
+	}
+}
+
+// bootstrap writes the initial membership to an empty replica. It accepts a
+// replica that was started with the same members.
+func (c *core) bootstrap(members []Member) error {
+	m := Membership{Voters: sorted(append([]Member(nil), members...))}
+	if err := m.validate(); err != nil {
+		return err
+	}
+	if !m.isVoter(c.self.Identity) {
+		return merry.Wrap(ErrInvalidMember, merry.AppendMessagef("%s with identity %s is not among the members", c.self.Name, c.self.Identity))
+	}
+	if c.log.last() > 0 {
+		if sameMembers(m.Voters, c.initial) {
+			return nil
+		}
+		return merry.Wrap(ErrNotEmpty, merry.AppendMessagef("log ends at entry %d", c.log.last()))
+	}
+	c.appendEntries(Entry{Index: 1, Term: 1, Kind: EntryMembership, Data: encodeMembership(m)})
+	if c.state.Term == 0 {
+		c.enterTerm(1)
+		c.setRole(Follower)
+	}
+	return nil
+}
+
+func sameMembers(a, b []Member) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *core) send(m Message) {
+	c.out.Messages = append(c.out.Messages, c.stamp(m))
+}
+
+// stamp fills in the fields that all messages have.
+func (c *core) stamp(m Message) Message {
+	m.Group, m.From, m.Term = c.group, c.self, c.state.Term
+	return m
+}
+
+func (c *core) enterTerm(t Term) {
+	c.state = hardState{Term: t}
+	c.stateDirty = true
+}
+
+func (c *core) setRole(r Role) {
+	c.role = r
+	if n := (roleChange{r, c.state.Term}); n != c.reported {
+		c.reported = n
+		c.out.Roles = append(c.out.Roles, n)
+	}
+}
+
+func randomBelow(r *rand.Rand, m clock.Millis) clock.Millis {
+	return clock.Millis(r.Int64N(int64(m)))
+}
--- /dev/null
+++ b/pkg/replog/engine.go
@@ -0,0 +1,80 @@
+package replog
+
+// engine joins core and store: it makes the core's outputs durable in the order
+// that the protocol needs. It has no goroutines; the replica's loop and the
+// property test both drive it.
+type engine struct {
+	core  *core
+	store *store
+	send  func(Message)
+}
+
+// effects are a batch's outputs for the replica's clients and state machine.
+type effects struct {
+	// Work is in the order of the log.
+	Work      []work
+	Confirmed []confirmation
+	Roles     []roleChange
+}
+
+// work is one thing for the state machine: a snapshot to restore, or an entry.
+type work struct {
+	Restore *Snapshot
+	Entry   Entry
+}
+
+// flush carries out the core's outputs until there are none. After an error
+// nothing more may be sent or acknowledged.
+func (e *engine) flush() (effects, error) {
+	var all effects
+	for {
+		b := e.core.take()
+		if e.core.fault != nil {
+			return all, e.core.fault
+		}
+		if b.empty() {
+			return all, nil
+		}
+		if err := e.carryOut(b); err != nil {
+			return all, err
+		}
+		all.add(b)
+	}
+}
+
+func (e *engine) carryOut(b batch) error {
+	for _, m := range b.Early {
+		e.send(m)
+	}
+	if b.Install != nil {
+		if err := e.store.saveSnapshot(b.Install); err != nil {
+			return err
+		}
+	}
+	if err := e.store.write(b.State, b.Install, b.Entries); err != nil {
+		return err
+	}
+	e.core.persisted()
+	for _, m := range b.Messages {
+		e.send(m)
+	}
+	return nil
+}
+
+func (f *effects) add(b batch) {
+	if b.Install != nil {
+		f.Work = append(f.Work, work{Restore: b.Install})
+	}
+	for _, n := range b.Committed {
+		f.Work = append(f.Work, work{Entry: n})
+	}
+	f.Confirmed = append(f.Confirmed, b.Confirmed...)
+	f.Roles = append(f.Roles, b.Roles...)
+}
+
+// compact takes over a snapshot of this replica's state that is durable, and
+// keeps the given number of entries before it.
+func (e *engine) compact(s *Snapshot, keep Index) error {
+	e.core.compact(s, s.Index-min(keep, s.Index))
+	return e.store.compact(e.core.snapshot.Index, e.core.log.base)
+}
--- /dev/null
+++ b/pkg/replog/files.go
@@ -0,0 +1,110 @@
+package replog
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+// files are the file operations of a store. Tests replace them with a simulated
+// disk and with operations that fail.
+type files struct {
+	MakeFolder func(path string) error
+	Names      func(folder string) ([]string, error)
+	// Read returns fs.ErrNotExist for a file that does not exist.
+	Read       func(path string) ([]byte, error)
+	Create     func(path string) (file, error)
+	Append     func(path string) (file, error)
+	Truncate   func(path string, size int64) error
+	Rename     func(from, to string) error
+	Remove     func(path string) error
+	SyncFolder func(path string) error
+	// Lock keeps other processes out of the folder until the returned function
+	// is called.
+	Lock func(path string) (func(), error)
+}
+
+// file is an open file.
+type file struct {
+	Write func([]byte) (int, error)
+	Sync  func() error
+	Close func() error
+}
+
+// osFiles returns the file operations of the host.
+func osFiles() files {
+	open := func(path string, flags int) (file, error) {
+		f, err := os.OpenFile(path, flags, 0o600)
+		if err != nil {
+			return file{}, err
+		}
+		return file{Write: f.Write, Sync: f.Sync, Close: f.Close}, nil
+	}
+	return files{
+		MakeFolder: func(p string) error { return os.MkdirAll(p, 0o700) },
+		Names:      osNames,
+		Read:       os.ReadFile,
+		Create:     func(p string) (file, error) { return open(p, os.O_WRONLY|os.O_CREATE|os.O_TRUNC) },
+		Append:     func(p string) (file, error) { return open(p, os.O_WRONLY|os.O_APPEND) },
+		Truncate:   os.Truncate,
+		Rename:     os.Rename,
+		Remove:     os.Remove,
+		SyncFolder: osSyncFolder,
+		Lock:       osLock,
+	}
+}
+
+func osNames(folder string) ([]string, error) {
+	es, err := os.ReadDir(folder)
+	var names []string
+	for _, e := range es {
+		names = append(names, e.Name())
+	}
+	return names, err
+}
+
+func osSyncFolder(path string) error {
+	d, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(d.Sync(), d.Close())
+}
+
+func osLock(path string) (func(), error) {
+	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = f.Close()
+		return nil, &fs.PathError{Op: "lock", Path: path, Err: err}
+	}
+	return func() { _ = f.Close() }, nil
+}
+
+// writeWhole replaces a file so that a crash leaves the old or the new content.
+func (f files) writeWhole(path string, content []byte) error {
+	temporary := path + temporarySuffix
+	if err := f.writeNew(temporary, content); err != nil {
+		return err
+	}
+	if err := f.Rename(temporary, path); err != nil {
+		return err
+	}
+	return f.SyncFolder(filepath.Dir(path))
+}
+
+func (f files) writeNew(path string, content []byte) error {
+	w, err := f.Create(path)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(content)
+	if err == nil {
+		err = w.Sync()
+	}
+	return errors.Join(err, w.Close())
+}
--- /dev/null
+++ b/pkg/replog/follow.go
@@ -0,0 +1,141 @@
+package replog
+
+// maxSnapshotBytes bounds the memory that an incoming snapshot may take.
+const maxSnapshotBytes = 1 << 30
+
+// incoming is a snapshot that arrives in chunks. Chunks of another leader or
+// term are not combined, because replicas may encode equal state differently.
+type incoming struct {
+	from  Identity
+	term  Term
+	index Index
+	total uint64
+	data  []byte
+}
+
+// followLeader notes a message from the leader of the current term. It returns
+// false if this replica is itself the leader.
+func (c *core) followLeader(m Message) bool {
+	if c.lead != nil {
+		c.fail("%s leads term %d as well", m.From.Identity, m.Term)
+		return false
+	}
+	if c.role != Follower {
+		c.becomeFollower(m.Term)
+	}
+	c.leader = m.From
+	c.leaderHeard = c.now
+	c.resetElection()
+	return true
+}
+
+func (c *core) stepAppend(m Message) {
+	if !c.followLeader(m) {
+		return
+	}
+	reply := Message{Kind: KindAppendReply, To: m.From, Index: m.Index, Round: m.Round}
+	prev, prevTerm, entries := c.skipCommitted(m)
+	if t, ok := c.log.term(prev); !ok || t != prevTerm {
+		reply.Reject, reply.Hint = true, c.conflictHint(prev)
+		c.send(reply)
+		return
+	}
+	c.merge(entries)
+	reply.Match = prev + Index(len(entries))
+	if to := min(m.Commit, reply.Match); to > c.commit {
+		c.commit = to
+	}
+	c.send(reply)
+}
+
+// skipCommitted leaves out the part of the message up to the commit index, which
+// is equal in all logs and may be compacted away in this one.
+func (c *core) skipCommitted(m Message) (Index, Term, []Entry) {
+	if m.Index >= c.commit {
+		return m.Index, m.LogTerm, m.Entries
+	}
+	known := min(c.commit-m.Index, Index(len(m.Entries)))
+	t, _ := c.log.term(c.commit)
+	return c.commit, t, m.Entries[known:]
+}
+
+// conflictHint returns an index at or below which the logs may agree. It skips a
+// whole term at a time, so a long divergent tail costs few round trips.
+func (c *core) conflictHint(prev Index) Index {
+	if prev > c.log.last() {
+		return c.log.last()
+	}
+	return max(c.log.firstOfTerm(prev)-1, c.commit)
+}
+
+// merge appends the entries, and replaces a suffix that conflicts with them.
+func (c *core) merge(entries []Entry) {
+	for i, n := range entries {
+		t, ok := c.log.term(n.Index)
+		if ok && t == n.Term {
+			continue
+		}
+		if ok {
+			c.truncate(n.Index - 1)
+		}
+		if c.fault == nil {
+			c.appendEntries(entries[i:]...)
+		}
+		return
+	}
+}
+
+func (c *core) stepSnapshot(m Message) {
+	if !c.followLeader(m) {
+		return
+	}
+	reply := Message{Kind: KindSnapshotReply, To: m.From, Index: m.Index, Round: m.Round}
+	switch {
+	case c.coveredBy(m):
+		reply.Match = m.Index
+	case c.collect(m):
+		c.install(m)
+		reply.Match = m.Index
+	default:
+		reply.Offset = uint64(len(c.incoming.data))
+	}
+	c.send(reply)
+}
+
+// coveredBy says whether this log already holds all that the snapshot stands
+// for. Entries after the snapshot may have been acknowledged, so a matching log
+// is kept and only its commit index moves.
+func (c *core) coveredBy(m Message) bool {
+	if m.Index <= c.commit {
+		return true
+	}
+	t, ok := c.log.term(m.Index)
+	if !ok || t != m.LogTerm {
+		return false
+	}
+	c.commit = m.Index
+	c.incoming = incoming{}
+	return true
+}
+
+// collect adds a chunk and reports whether the snapshot is complete.
+func (c *core) collect(m Message) bool {
+	n := &c.incoming
+	if n.from != m.From.Identity || n.term != m.Term || n.index != m.Index || n.total != m.Total {
+		*n = incoming{from: m.From.Identity, term: m.Term, index: m.Index, total: m.Total}
+	}
+	if m.Offset == uint64(len(n.data)) {
+		n.data = append(n.data, m.Chunk...)
+	}
+	return uint64(len(n.data)) == n.total
+}
+
+func (c *core) install(m Message) {
+	s := &Snapshot{Index: m.Index, Term: m.LogTerm, Membership: m.Membership, Initial: m.Initial, Data: c.incoming.data}
+	c.incoming = incoming{}
+	c.log.reset(s.Index, s.Term)
+	c.stable, c.commit, c.handed = s.Index, s.Index, s.Index
+	c.snapshot, c.initial = s, s.Initial
+	c.members = []memberAt{{s.Index, s.Membership}}
+	c.out.Install = s
+}
--- /dev/null
+++ b/pkg/replog/leader.go
@@ -0,0 +1,289 @@
+package replog
+
+import (
+	"slices"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+// Limits on what a leader sends to one replica before it gets a reply.
+const (
+	// maxAppendBytes keeps a message small enough that it does not delay the
+	// heartbeats behind it.
+	maxAppendBytes   = 256 << 10
+	maxAppendEntries = 1024
+	// maxUnanswered is the number of entries sent without a reply.
+	maxUnanswered Index = 8192
+	// snapshotChunkBytes is sent at a time; the reply asks for the next chunk.
+	snapshotChunkBytes = 256 << 10
+)
+
+// leadership is the state of a leader, which ends with its term.
+type leadership struct {
+	since clock.Millis
+	// firstIndex is the no-op entry that starts the term. Once it is committed,
+	// so are all entries of earlier terms.
+	firstIndex    Index
+	peers         map[Identity]*peer
+	nextHeartbeat clock.Millis
+	// mark is the commit index of one heartbeat ago: a replica that holds it is
+	// caught up, however busy the log is.
+	mark, nextMark Index
+
+	confirm  confirmations
+	transfer transfer
+}
+
+// peer is what a leader knows about another replica.
+type peer struct {
+	match, next Index
+	// probing sends no entries until a reply shows where the logs agree.
+	probing bool
+	// waiting is set while a probe or chunk is unanswered; a heartbeat repeats it.
+	waiting      bool
+	heartbeatDue bool
+	answered     bool
+	heard        clock.Millis
+	round        uint64
+	sending      *Snapshot
+	offset       uint64
+	chunkSent    clock.Millis
+}
+
+func (c *core) becomeLeader() {
+	c.votes = nil
+	c.leader = c.self
+	last := c.log.last()
+	c.lead = &leadership{since: c.now, firstIndex: last + 1, peers: map[Identity]*peer{}, mark: last + 1, nextMark: last + 1}
+	c.setRole(Leader)
+	c.syncPeers()
+	c.appendEntries(Entry{Index: last + 1, Term: c.state.Term, Kind: EntryNoop})
+	c.heartbeat()
+}
+
+// syncPeers makes the peers match the membership in force.
+func (c *core) syncPeers() {
+	l := c.lead
+	for id := range l.peers {
+		if !slices.ContainsFunc(c.membership().all(), func(m Member) bool { return m.Identity == id }) {
+			delete(l.peers, id)
+		}
+	}
+	for _, m := range c.membership().all() {
+		if m.Identity != c.self.Identity && l.peers[m.Identity] == nil {
+			l.peers[m.Identity] = &peer{next: c.log.last() + 1, probing: true, heartbeatDue: true}
+		}
+	}
+}
+
+// dropLeadership ends a leader's term. Requests that wait for it fail.
+func (c *core) dropLeadership() {
+	if c.lead == nil {
+		return
+	}
+	c.failConfirmations()
+	c.lead = nil
+}
+
+func (c *core) tickLeader() {
+	if !c.hearsQuorum() {
+		c.becomeFollower(c.state.Term)
+		return
+	}
+	c.expireTransfer()
+	if c.now >= c.lead.nextHeartbeat {
+		c.heartbeat()
+	}
+}
+
+func (c *core) heartbeat() {
+	l := c.lead
+	l.nextHeartbeat = c.now + c.heartbeatEvery
+	l.mark, l.nextMark = max(l.mark, l.nextMark), c.commit
+	for _, p := range l.peers {
+		p.heartbeatDue = true
+	}
+}
+
+// hearsQuorum says whether a majority has been heard within the election
+// timeout. A new leader has that long to hear from the others.
+func (c *core) hearsQuorum() bool {
+	n := 0
+	for _, v := range c.membership().Voters {
+		if v.Identity == c.self.Identity || c.now-max(c.lead.peers[v.Identity].heard, c.lead.since) < c.electionTimeout {
+			n++
+		}
+	}
+	return n >= c.membership().quorum()
+}
+
+// hears says whether the peer has answered within the election timeout.
+func (c *core) hears(p *peer) bool { return p.answered && c.now-p.heard < c.electionTimeout }
+
+// propose appends a command and returns its place in the log.
+func (c *core) propose(data []byte) (Index, Term, error) {
+	if c.lead == nil || c.lead.transfer.target != "" {
+		return 0, 0, merry.Wrap(ErrNotLeader)
+	}
+	n := Entry{Index: c.log.last() + 1, Term: c.state.Term, Kind: EntryCommand, Data: data}
+	c.appendEntries(n)
+	return n.Index, n.Term, nil
+}
+
+// proposeMembership appends a membership, which is in force from then on. The
+// caller has checked that the last one is committed.
+func (c *core) proposeMembership(m Membership) {
+	c.appendEntries(Entry{Index: c.log.last() + 1, Term: c.state.Term, Kind: EntryMembership, Data: encodeMembership(m)})
+	c.syncPeers()
+}
+
+// replicate sends each peer what it lacks, in the order of the membership.
+func (c *core) replicate() {
+	for _, m := range c.membership().all() {
+		p := c.lead.peers[m.Identity]
+		if p == nil {
+			continue
+		}
+		if p.sending == nil && p.next <= c.log.base {
+			p.sending, p.offset, p.waiting = c.snapshot, 0, false
+		}
+		if p.sending != nil {
+			c.sendChunk(m, p)
+		} else {
+			c.sendAppend(m, p)
+		}
+		p.heartbeatDue = false
+	}
+}
+
+func (c *core) sendAppend(to Member, p *peer) {
+	var es []Entry
+	if !p.probing && p.next-p.match <= maxUnanswered {
+		es = c.log.batch(p.next-1, maxAppendEntries, maxAppendBytes)
+	}
+	probe := p.probing && !p.waiting
+	if len(es) == 0 && !probe && !p.heartbeatDue {
+		return
+	}
+	t, _ := c.log.term(p.next - 1)
+	m := Message{Kind: KindAppend, To: to, Index: p.next - 1, LogTerm: t, Entries: es, Commit: c.commit, Round: c.lead.confirm.round}
+	c.out.Early = append(c.out.Early, c.stamp(m))
+	p.next += Index(len(es))
+	p.waiting = p.probing
+}
+
+// sendChunk sends the next chunk, or an empty one as a heartbeat while the last
+// one is unanswered; its reply says what to send next.
+func (c *core) sendChunk(to Member, p *peer) {
+	if p.waiting && !p.heartbeatDue {
+		return
+	}
+	s := p.sending
+	m := Message{
+		Kind: KindSnapshot, To: to, Index: s.Index, LogTerm: s.Term, Membership: s.Membership, Initial: s.Initial,
+		Offset: p.offset, Total: uint64(len(s.Data)), Round: c.lead.confirm.round,
+	}
+	if !p.waiting {
+		m.Chunk = s.Data[p.offset:min(p.offset+snapshotChunkBytes, m.Total)]
+		p.chunkSent = c.now
+	}
+	c.out.Early = append(c.out.Early, c.stamp(m))
+	p.waiting = true
+}
+
+// noteReply records that a replica follows this leader, and returns it.
+func (c *core) noteReply(m Message) *peer {
+	if c.lead == nil {
+		return nil
+	}
+	p := c.lead.peers[m.From.Identity]
+	if p == nil || m.Match > c.log.last() {
+		return nil
+	}
+	p.answered, p.heard = true, c.now
+	p.round = max(p.round, m.Round)
+	c.advanceConfirmation()
+	return p
+}
+
+func (c *core) stepAppendReply(m Message) {
+	p := c.noteReply(m)
+	if p == nil || p.sending != nil {
+		return
+	}
+	if m.Reject {
+		p.retreat(m)
+		return
+	}
+	c.advancePeer(p, m.Match)
+}
+
+// retreat moves next back after a refused append. Late refusals are ignored.
+func (p *peer) retreat(m Message) {
+	late := m.Index <= p.match || m.Index >= p.next || (p.probing && m.Index != p.next-1)
+	if late {
+		return
+	}
+	p.next = max(p.match, min(m.Hint, m.Index-1)) + 1
+	p.probing, p.waiting = true, false
+}
+
+func (c *core) advancePeer(p *peer, match Index) {
+	if p.probing && match >= p.next-1 {
+		p.probing, p.waiting = false, false
+	}
+	if match <= p.match {
+		return
+	}
+	p.match = match
+	p.next = max(p.next, match+1)
+	c.advanceCommit()
+}
+
+func (c *core) stepSnapshotReply(m Message) {
+	p := c.noteReply(m)
+	if p == nil || p.sending == nil || m.Index != p.sending.Index {
+		return
+	}
+	if m.Match > 0 {
+		p.sending, p.probing, p.waiting = nil, true, false
+		p.next = m.Match + 1
+		c.advancePeer(p, m.Match)
+		return
+	}
+	// The answer to a heartbeat repeats the offset of a chunk that may still be
+	// on its way; sending it again at once would multiply the chunks in flight.
+	if m.Offset <= p.offset && c.now-p.chunkSent < 2*c.heartbeatEvery {
+		return
+	}
+	if m.Offset <= uint64(len(p.sending.Data)) {
+		p.offset, p.waiting = m.Offset, false
+	}
+}
+
+// advanceCommit commits what a majority holds, once that includes an entry of
+// this term: counting copies of older entries alone does not make them safe.
+func (c *core) advanceCommit() {
+	m := c.membership()
+	held := make([]Index, 0, len(m.Voters))
+	for _, v := range m.Voters {
+		held = append(held, c.matchOf(v.Identity))
+	}
+	slices.Sort(held)
+	n := held[len(held)-m.quorum()]
+	if t, ok := c.log.term(n); ok && t == c.state.Term && n > c.commit {
+		c.commit = n
+	}
+}
+
+func (c *core) matchOf(id Identity) Index {
+	if id == c.self.Identity {
+		return c.stable
+	}
+	return c.lead.peers[id].match
+}
+
+// leadsWithCommit says whether an entry of this leader's term is committed.
+func (c *core) leadsWithCommit() bool { return c.lead != nil && c.commit >= c.lead.firstIndex }
--- /dev/null
+++ b/pkg/replog/log.go
@@ -0,0 +1,81 @@
+package replog
+
+import "slices"
+
+// entryLog holds the entries after base. The entry at base is only known by its
+// term.
+type entryLog struct {
+	base     Index
+	baseTerm Term
+	entries  []Entry
+}
+
+func (l *entryLog) last() Index { return l.base + Index(len(l.entries)) }
+
+func (l *entryLog) lastTerm() Term {
+	t, _ := l.term(l.last())
+	return t
+}
+
+// term returns the term of the entry at i, if it is known.
+func (l *entryLog) term(i Index) (Term, bool) {
+	if i < l.base || i > l.last() {
+		return 0, false
+	}
+	if i == l.base {
+		return l.baseTerm, true
+	}
+	return l.entries[i-l.base-1].Term, true
+}
+
+// slice returns a copy of the entries in (after, upTo], since the log may later
+// overwrite its own.
+func (l *entryLog) slice(after, upTo Index) []Entry {
+	return slices.Clone(l.entries[after-l.base : upTo-l.base])
+}
+
+// batch returns entries after the index up to maxEntries and about maxBytes, at
+// least one if there is one.
+func (l *entryLog) batch(after Index, maxEntries, maxBytes int) []Entry {
+	size, end := 0, after
+	for end < l.last() && int(end-after) < maxEntries {
+		size += len(l.entries[end-l.base].Data)
+		if size > maxBytes && end > after {
+			break
+		}
+		end++
+	}
+	return l.slice(after, end)
+}
+
+func (l *entryLog) append(es ...Entry) { l.entries = append(l.entries, es...) }
+
+// truncate removes all entries after i.
+func (l *entryLog) truncate(i Index) { l.entries = l.entries[:i-l.base] }
+
+// compact forgets the entries up to i. It copies the rest, so that the memory of
+// the forgotten ones is released.
+func (l *entryLog) compact(i Index) {
+	t, ok := l.term(i)
+	if !ok {
+		return
+	}
+	l.entries = slices.Clone(l.entries[i-l.base:])
+	l.base, l.baseTerm = i, t
+}
+
+// reset empties the log, to continue after a snapshot.
+func (l *entryLog) reset(i Index, t Term) { *l = entryLog{base: i, baseTerm: t} }
+
+// firstOfTerm returns the lowest index in the log from which all entries up to i
+// have the term of i.
+func (l *entryLog) firstOfTerm(i Index) Index {
+	t, _ := l.term(i)
+	for i > l.base+1 {
+		if p, _ := l.term(i - 1); p != t {
+			break
+		}
+		i--
+	}
+	return i
+}
--- /dev/null
+++ b/pkg/replog/membership.go
@@ -0,0 +1,85 @@
+package replog
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Membership is the set of identities that form a group. Learners receive the
+// log and do not vote.
+type Membership struct {
+	Voters   []Member
+	Learners []Member
+}
+
+// all returns voters and learners in a fixed order.
+func (m Membership) all() []Member {
+	return slices.Concat(m.Voters, m.Learners)
+}
+
+func (m Membership) quorum() int { return len(m.Voters)/2 + 1 }
+
+func (m Membership) isVoter(id Identity) bool { return find(m.Voters, id) >= 0 }
+
+func (m Membership) isLearner(id Identity) bool { return find(m.Learners, id) >= 0 }
+
+// without returns the membership with the identity removed.
+func (m Membership) without(id Identity) Membership {
+	drop := func(x Member) bool { return x.Identity == id }
+	return Membership{
+		Voters:   slices.DeleteFunc(slices.Clone(m.Voters), drop),
+		Learners: slices.DeleteFunc(slices.Clone(m.Learners), drop),
+	}
+}
+
+// withLearner returns the membership with a learner added.
+func (m Membership) withLearner(x Member) Membership {
+	return Membership{Voters: m.Voters, Learners: sorted(append(slices.Clone(m.Learners), x))}
+}
+
+// withVoter returns the membership with a learner made a voter.
+func (m Membership) withVoter(x Member) Membership {
+	n := m.without(x.Identity)
+	n.Voters = sorted(append(n.Voters, x))
+	return n
+}
+
+func (m Membership) validate() error {
+	if len(m.Voters) == 0 || len(m.Voters)+len(m.Learners) > maxMembers {
+		return merry.Wrap(ErrInvalidMember, merry.AppendMessagef("%d voters, %d learners", len(m.Voters), len(m.Learners)))
+	}
+	seen := map[string]bool{}
+	for _, x := range m.all() {
+		if err := x.validate(); err != nil {
+			return err
+		}
+		name, id := "name "+string(x.Name), "identity "+string(x.Identity)
+		if seen[name] || seen[id] {
+			return merry.Wrap(ErrInvalidMember, merry.AppendMessagef("%s or its identity is named twice", x.Name))
+		}
+		seen[name], seen[id] = true, true
+	}
+	return nil
+}
+
+func (x Member) validate() error {
+	if x.Name == "" || x.Identity == "" {
+		return merry.Wrap(ErrInvalidMember, merry.AppendMessage("name or identity is empty"))
+	}
+	if max(len(x.Name), len(x.Identity), len(x.Address)) > maxNameBytes {
+		return merry.Wrap(ErrInvalidMember, merry.AppendMessage("a field is too long"))
+	}
+	return nil
+}
+
+func find(ms []Member, id Identity) int {
+	return slices.IndexFunc(ms, func(m Member) bool { return m.Identity == id })
+}
+
+// sorted orders members by identity, so that equal sets encode to equal bytes.
+func sorted(ms []Member) []Member {
+	slices.SortFunc(ms, func(a, b Member) int { return strings.Compare(string(a.Identity), string(b.Identity)) })
+	return ms
+}
--- /dev/null
+++ b/pkg/replog/status.go
@@ -0,0 +1,117 @@
+package replog
+
+import "github.com/gentiansail/gentiansail/pkg/clock"
+
+// Status describes a replica. On one that does not lead, the members carry no
+// figures and CanLoseOne is false.
+type Status struct {
+	Group GroupID
+	Self  Member
+	Role  Role
+	Term  Term
+	// Leader is empty while no leader is known.
+	Leader   Member
+	Commit   Index
+	Applied  Index
+	Last     Index
+	Snapshot Index
+	Voters   []MemberStatus
+	Learners []MemberStatus
+	// CanLoseOne is true only if a majority of caught-up voters, heard within one
+	// election timeout, would remain after the loss of any one voter.
+	CanLoseOne bool
+}
+
+// MemberStatus is what a leader knows about a member.
+type MemberStatus struct {
+	Member
+	// CaughtUp says that the member answers and holds the membership in force and
+	// all that was committed one heartbeat ago.
+	CaughtUp bool
+	// LastHeard is the time since the member's last answer, 0 for the leader
+	// itself and NeverHeard if it has not answered in this term.
+	LastHeard clock.Millis
+	// Match is the last index that the member is known to hold.
+	Match Index
+}
+
+// NeverHeard is the LastHeard of a member that has not answered.
+const NeverHeard clock.Millis = -1
+
+// statusRecord is published by the loop. Ages are computed when it is read, so
+// that it tells the truth while the loop waits for a slow disk.
+type statusRecord struct {
+	status  Status
+	heard   map[Identity]clock.Millis
+	timeout clock.Millis
+}
+
+// Status returns the replica's state after the last input it handled.
+func (r *Replica) Status() Status {
+	p := r.status.Load()
+	return p.at(r.o.Clock.Now())
+}
+
+func (p *statusRecord) at(now clock.Millis) Status {
+	s := p.status
+	s.Voters = p.age(s.Voters, now)
+	s.Learners = p.age(s.Learners, now)
+	healthy := 0
+	for _, v := range s.Voters {
+		if v.CaughtUp {
+			healthy++
+		}
+	}
+	s.CanLoseOne = s.Role == Leader && healthy-1 >= len(s.Voters)/2+1
+	return s
+}
+
+func (p *statusRecord) age(ms []MemberStatus, now clock.Millis) []MemberStatus {
+	out := make([]MemberStatus, 0, len(ms))
+	for _, m := range ms {
+		if at, ok := p.heard[m.Identity]; ok {
+			m.LastHeard = now - at
+			m.CaughtUp = m.CaughtUp && m.LastHeard < p.timeout
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+// publish makes the loop's state visible to Status.
+func (n *loop) publish() {
+	c := n.engine.core
+	p := &statusRecord{timeout: c.electionTimeout, heard: map[Identity]clock.Millis{}}
+	p.status = Status{
+		Group: c.group, Self: c.self, Role: c.role, Term: c.state.Term, Leader: c.leader,
+		Commit: c.commit, Applied: n.applied, Last: c.log.last(),
+	}
+	if c.snapshot != nil {
+		p.status.Snapshot = c.snapshot.Index
+	}
+	for _, m := range c.membership().Voters {
+		p.status.Voters = append(p.status.Voters, c.memberStatus(m, p))
+	}
+	for _, m := range c.membership().Learners {
+		p.status.Learners = append(p.status.Learners, c.memberStatus(m, p))
+	}
+	n.replica.status.Store(p)
+}
+
+func (c *core) memberStatus(m Member, p *statusRecord) MemberStatus {
+	s := MemberStatus{Member: m, LastHeard: NeverHeard}
+	if c.lead == nil {
+		return s
+	}
+	if m.Identity == c.self.Identity {
+		s.CaughtUp, s.LastHeard, s.Match = true, 0, c.stable
+		return s
+	}
+	if q := c.lead.peers[m.Identity]; q != nil {
+		s.Match, s.CaughtUp = q.match, c.caughtUp(q)
+		if q.answered {
+			p.heard[m.Identity] = q.heard
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/pkg/replog/types.go
@@ -0,0 +1,167 @@
+package replog
+
+import (
+	"math/rand/v2"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+// GroupID names a group of replicas.
+type GroupID string
+
+// ReplicaID is the name of a replica from its settings.
+type ReplicaID string
+
+// Identity is the random id of a replica's data folder.
+type Identity string
+
+// Term numbers the periods of leadership; each has at most one leader.
+type Term uint64
+
+// Index is the position of an entry in the log, from 1.
+type Index uint64
+
+// Errors of the package.
+var (
+	// ErrNotLeader says that the request was not carried out, because this
+	// replica is not the leader or is handing over leadership.
+	ErrNotLeader = merry.Sentinel("replica is not the leader")
+	// ErrUnknown says that a proposed entry may or may not be committed.
+	ErrUnknown = merry.Sentinel("outcome of the proposal is unknown")
+	// ErrTooLarge refuses a proposal over MaxEntryBytes.
+	ErrTooLarge = merry.Sentinel("entry is too large")
+	// ErrNotEmpty refuses a bootstrap of a replica that holds another group.
+	ErrNotEmpty = merry.Sentinel("replica is not empty")
+	// ErrInvalidMember refuses members without name or identity, or duplicates.
+	ErrInvalidMember = merry.Sentinel("invalid member")
+	// ErrStillAnswers refuses to replace an identity that the leader still hears.
+	ErrStillAnswers = merry.Sentinel("the identity to be replaced still answers")
+	// ErrTransfer says that no other replica took over leadership in time.
+	ErrTransfer = merry.Sentinel("leadership was not transferred")
+	// ErrStorage says that a file operation failed. The process must stop.
+	ErrStorage = merry.Sentinel("storage failed")
+	// ErrCorrupt says that a file of the data folder is damaged.
+	ErrCorrupt = merry.Sentinel("data folder is corrupt")
+	// ErrMessage refuses an encoded message.
+	ErrMessage = merry.Sentinel("invalid message")
+	// ErrOptions refuses options that cannot work.
+	ErrOptions = merry.Sentinel("invalid options")
+	// ErrState says that Snapshot or Restore failed, or that the log holds an
+	// entry that contradicts the protocol. The process must stop.
+	ErrState = merry.Sentinel("replica state is inconsistent")
+)
+
+// MaxEntryBytes is the largest proposal. It bounds a message and a log frame.
+const MaxEntryBytes = 8 << 20
+
+// Member is one replica of a group.
+type Member struct {
+	Name     ReplicaID
+	Identity Identity
+	Address  string
+}
+
+// EntryKind says what an entry is for.
+type EntryKind uint8
+
+const (
+	// EntryNoop starts a term.
+	EntryNoop EntryKind = iota + 1
+	// EntryCommand carries proposed data.
+	EntryCommand
+	// EntryMembership carries an encoded Membership.
+	EntryMembership
+)
+
+// Entry is one entry of the log.
+type Entry struct {
+	Index Index
+	Term  Term
+	Kind  EntryKind
+	Data  []byte
+}
+
+// Role is what a replica does in its current term.
+type Role int
+
+const (
+	// Follower accepts entries from a leader.
+	Follower Role = iota
+	// PreCandidate asks whether an election could succeed.
+	PreCandidate
+	// Candidate asks for votes.
+	Candidate
+	// Leader appends entries and replicates them.
+	Leader
+)
+
+var roleNames = [...]string{"follower", "pre-candidate", "candidate", "leader"}
+
+// String returns the role in lower case.
+func (r Role) String() string {
+	if r < 0 || int(r) >= len(roleNames) {
+		return "unknown"
+	}
+	return roleNames[r]
+}
+
+// Snapshot is the state of the machine after the entry at Index.
+type Snapshot struct {
+	Index      Index
+	Term       Term
+	Membership Membership
+	// Initial holds the members that Bootstrap was called with.
+	Initial []Member
+	Data    []byte
+}
+
+// Options configure a Replica. All fields but OnRole are required.
+type Options struct {
+	// Folder holds the replica's files; it is created if it does not exist.
+	Folder  string
+	Group   GroupID
+	Name    ReplicaID
+	Address string
+	Clock   clock.Clock
+	// Random draws election timeouts. The replica uses it from one goroutine.
+	Random *rand.Rand
+	// HeartbeatEvery is the interval between a leader's messages to each replica.
+	HeartbeatEvery clock.Millis
+	// ElectionTimeout is T; each wait for a leader is drawn from [T, 2T).
+	ElectionTimeout clock.Millis
+	// SnapshotEvery is the number of applied entries between snapshots. As many
+	// older entries are kept, so that a replica that restarts catches up from
+	// the log.
+	SnapshotEvery int
+	// Send sends a message to m.To. It must not block and may lose the message.
+	Send func(m Message)
+	// Apply is called in order, once for each committed EntryCommand, from the
+	// goroutine that also calls Snapshot and Restore.
+	Apply    func(e Entry) any
+	Snapshot func() ([]byte, error)
+	Restore  func([]byte) error
+	// OnRole is told about each change of role or term. It must not block.
+	OnRole func(Role, Term)
+}
+
+func (o Options) validate() error {
+	problems := map[string]bool{
+		"Folder is empty":                       o.Folder == "",
+		"Group is empty":                        o.Group == "",
+		"Name is empty":                         o.Name == "",
+		"Clock is not set":                      o.Clock.Now == nil || o.Clock.Sleep == nil,
+		"Random is nil":                         o.Random == nil,
+		"HeartbeatEvery is not positive":        o.HeartbeatEvery <= 0,
+		"ElectionTimeout is below 2 heartbeats": o.ElectionTimeout < 2*o.HeartbeatEvery,
+		"SnapshotEvery is not positive":         o.SnapshotEvery <= 0,
+		"a function field is nil":               o.Send == nil || o.Apply == nil || o.Snapshot == nil || o.Restore == nil,
+	}
+	for text, bad := range problems {
+		if bad {
+			return merry.Wrap(ErrOptions, merry.AppendMessage(text))
+		}
+	}
+	return nil
+}
