--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -34,6 +34,10 @@
 	// Incarnation corresponds to the JSON schema field "Incarnation".
 	Incarnation Incarnation `json:"Incarnation"`
 
+	// Number of the announcement within its node process. A higher number means that
+	// the process has ended all earlier incarnations.
+	Sequence int `json:"Sequence"`
+
 	// Service corresponds to the JSON schema field "Service".
 	Service ServiceName `json:"Service"`
 
@@ -74,8 +78,8 @@
 	Revision Revision `json:"Revision"`
 }
 
-// Assign gives partitions to owners; each applies only if the partition is
-// unowned, or is owned under the stated epoch by an owner that released it.
+// Assign gives partitions to owners; each move applies only if the partition is
+// unowned and was last owned under the stated epoch.
 type Assign struct {
 	// Moves corresponds to the JSON schema field "Moves".
 	Moves []Move `json:"Moves"`
@@ -193,8 +197,8 @@
 	Incarnation Incarnation `json:"Incarnation"`
 }
 
-// Command is the content of a log entry: exactly one field besides ProposedAt is
-// present.
+// Command is the content of a log entry: exactly one field besides ProposedAt and
+// Session is present.
 type Command struct {
 	// Apply corresponds to the JSON schema field "Apply".
 	Apply *ApplyRequest `json:"Apply,omitempty"`
@@ -214,9 +218,15 @@
 	// Finish corresponds to the JSON schema field "Finish".
 	Finish *FinishRequest `json:"Finish,omitempty"`
 
+	// LeaderStart corresponds to the JSON schema field "LeaderStart".
+	LeaderStart *LeaderStart `json:"LeaderStart,omitempty"`
+
 	// MemberDown corresponds to the JSON schema field "MemberDown".
 	MemberDown *MemberDown `json:"MemberDown,omitempty"`
 
+	// MoveRelease corresponds to the JSON schema field "MoveRelease".
+	MoveRelease *MoveRelease `json:"MoveRelease,omitempty"`
+
 	// MoveStart corresponds to the JSON schema field "MoveStart".
 	MoveStart *MoveStart `json:"MoveStart,omitempty"`
 
@@ -231,6 +241,10 @@
 
 	// Release corresponds to the JSON schema field "Release".
 	Release *ReleaseRequest `json:"Release,omitempty"`
+
+	// Set on commands that rest on the soft state of a leader; such a command is
+	// refused when another session has started.
+	Session SessionID `json:"Session"`
 }
 
 // ConfigRequest asks for the accepted configuration.
@@ -323,6 +337,11 @@
 	// Incarnation corresponds to the JSON schema field "Incarnation".
 	Incarnation Incarnation `json:"Incarnation"`
 
+	// Whether the target may still run work that it accepted earlier, as after failed
+	// probes. The incarnation's partitions are then released only when its lease has
+	// expired.
+	MayStillRun bool `json:"MayStillRun"`
+
 	// Node corresponds to the JSON schema field "Node".
 	Node NodeID `json:"Node"`
 
@@ -420,6 +439,9 @@
 	// Node corresponds to the JSON schema field "Node".
 	Node NodeID `json:"Node"`
 
+	// Start of the node process that sends the heartbeat; empty when unknown.
+	Process ProcessID `json:"Process"`
+
 	// Moved-away grants under which the node no longer hands over requests.
 	Released []Grant `json:"Released"`
 
@@ -512,6 +534,16 @@
 	Segment int `json:"Segment"`
 }
 
+// LeaderStart marks the begin of a leader's time in office. Commands of earlier
+// sessions have no effect after it.
+type LeaderStart struct {
+	// Replica corresponds to the JSON schema field "Replica".
+	Replica ReplicaID `json:"Replica"`
+
+	// Session corresponds to the JSON schema field "Session".
+	Session SessionID `json:"Session"`
+}
+
 // Member is one incarnation of one target on one node.
 type Member struct {
 	// Peer address of the node.
@@ -538,9 +570,15 @@
 	// Node corresponds to the JSON schema field "Node".
 	Node NodeID `json:"Node"`
 
+	// Process corresponds to the JSON schema field "Process".
+	Process ProcessID `json:"Process"`
+
 	// RegisteredAt corresponds to the JSON schema field "RegisteredAt".
 	RegisteredAt UnixMillis `json:"RegisteredAt"`
 
+	// Sequence corresponds to the JSON schema field "Sequence".
+	Sequence int `json:"Sequence"`
+
 	// Service corresponds to the JSON schema field "Service".
 	Service ServiceName `json:"Service"`
 
@@ -578,6 +616,17 @@
 	To Incarnation `json:"To"`
 }
 
+// MoveRelease reports that an owner forwards no more requests under the stated
+// grants. A partition that is moving goes to its new owner, any other becomes
+// unowned.
+type MoveRelease struct {
+	// Grants corresponds to the JSON schema field "Grants".
+	Grants []Grant `json:"Grants"`
+
+	// Incarnation corresponds to the JSON schema field "Incarnation".
+	Incarnation Incarnation `json:"Incarnation"`
+}
+
 // MoveStart begins planned moves.
 type MoveStart struct {
 	// Moves corresponds to the JSON schema field "Moves".
@@ -714,6 +763,10 @@
 	RequestsPerSecond float64 `json:"RequestsPerSecond"`
 }
 
+// ProcessID is the random id of one start of a node process. Incarnations of the
+// same process are ordered by their announcement's sequence number.
+type ProcessID string
+
 // QuarantineRequest lists suspects and quarantined requests.
 type QuarantineRequest struct {
 	// Group corresponds to the JSON schema field "Group".
@@ -888,6 +941,10 @@
 	Unowned int `json:"Unowned"`
 }
 
+// SessionID is the random id of one leader's time in office. Commands that a
+// leader derives from its own soft state carry it.
+type SessionID string
+
 // StatusRequest asks for the state of a control group.
 type StatusRequest struct {
 	// Group corresponds to the JSON schema field "Group".
--- /dev/null
+++ b/pkg/lease/lease_test.go
@@ -0,0 +1,82 @@
+package lease_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/gentiansail/gentiansail/pkg/clock"
+	"github.com/gentiansail/gentiansail/pkg/lease"
+)
+
+func Example() {
+	m := clock.NewManual(0)
+	g := lease.NewGranter[string](m.Clock(), lease.DefaultTerms)
+	h := lease.NewHolder(m.Clock(), lease.DefaultTerms)
+	m.Advance(1000)
+	if sent := h.Now(); g.Renew("dsm-a-1", g.Now()) {
+		h.Renewed(sent)
+	}
+	m.Advance(899)
+	fmt.Println(h.Remaining(), g.Expire([]string{"dsm-a-1"}))
+	m.Advance(3)
+	fmt.Println(h.Remaining(), g.Expire([]string{"dsm-a-1"}))
+	// Output:
+	// 1 []
+	// 0 [dsm-a-1]
+}
+
+// Guards against a granter that declares a lease over while a holder whose
+// clock runs slower, within the bound, still counts it as valid.
+func TestGranterNeverEndsBeforeHolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		// Parts per million by which the holder's clock is slow or fast.
+		rate := 1 + float64(rapid.IntRange(-999, 999).Draw(t, "rate"))/1e6
+		travel := rapid.IntRange(0, 2000).Draw(t, "travel")
+		wait := rapid.IntRange(0, 3000).Draw(t, "wait")
+		sentAt, receivedAt := 5000, 5000+travel
+		granterClock, holderClock := clock.NewManual(0), clock.NewManual(0)
+		g := lease.NewGranter[int](granterClock.Clock(), lease.DefaultTerms)
+		h := lease.NewHolder(holderClock.Clock(), lease.DefaultTerms)
+		granterClock.Advance(clock.Millis(receivedAt))
+		g.Renew(1, g.Now())
+		h.Renewed(clock.Millis(float64(sentAt) * rate))
+		now := receivedAt + wait
+		granterClock.Advance(clock.Millis(wait))
+		holderClock.Advance(clock.Millis(float64(now) * rate))
+		if len(g.Expire([]int{1})) > 0 && h.Remaining() > 0 {
+			t.Fatalf("expired by the granter with %d ms left at the holder", h.Remaining())
+		}
+	})
+}
+
+// Guards against a new leader that expires leases which its predecessor granted
+// just before the election, and against renewals that follow a refusal.
+func TestGranterWaitsOutPredecessorAndKeepsRefusing(t *testing.T) {
+	m := clock.NewManual(0)
+	g := lease.NewGranter[string](m.Clock(), lease.DefaultTerms)
+	m.Advance(10000)
+	g.Reset()
+	m.Advance(lease.DefaultTerms.Longest() - 1)
+	qt.Assert(t, g.WaitedOut(), qt.IsFalse)
+	qt.Assert(t, g.Expire([]string{"a"}), qt.HasLen, 0)
+	m.Advance(1)
+	qt.Assert(t, g.WaitedOut(), qt.IsTrue)
+	qt.Assert(t, g.Expire([]string{"a"}), qt.DeepEquals, []string{"a"})
+	qt.Assert(t, g.Renew("a", g.Now()), qt.IsFalse)
+}
+
+// Guards against a late response shortening a lease, and against a dropped
+// lease that still counts.
+func TestHolderKeepsLatestRenewal(t *testing.T) {
+	m := clock.NewManual(100)
+	h := lease.NewHolder(m.Clock(), lease.DefaultTerms)
+	qt.Assert(t, h.Remaining(), qt.Equals, clock.Millis(0))
+	h.Renewed(100)
+	h.Renewed(50)
+	qt.Assert(t, h.Remaining(), qt.Equals, clock.Millis(900))
+	h.Drop()
+	qt.Assert(t, h.Remaining(), qt.Equals, clock.Millis(0))
+}
