Add the state machine and the routing table

A partition gets an owner only while it has none, an override starts and ends with one owner for its key, and an execution that was released cannot be opened again by a late resend of its Begin.

--- /dev/null
+++ b/internal/state/operations.go
@@ -0,0 +1,220 @@
+package state
+
+import (
+	"container/heap"
+	"slices"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/google/uuid"
+
+	"github.com/gentiansail/gentiansail/internal/wire"
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+const (
+	// OperationRetention is how long the outcome of an operation is kept,
+	// counted from the time in its key.
+	OperationRetention clock.Millis = 24 * 60 * 60 * 1000
+	// MaxKeyAhead bounds how far a key's time may be ahead of the machine's, so
+	// that no record stays for longer than retention plus this.
+	MaxKeyAhead clock.Millis = 10 * 60 * 1000
+	// MaxKeptBody is the longest response body that is kept, in base64: 32 KiB
+	// before encoding.
+	MaxKeptBody = (32<<10 + 2) / 3 * 4
+	// maxReleased bounds the attempts of one operation that ended as not run.
+	maxReleased = 32
+)
+
+// operation is the record of one operation that must not repeat.
+type operation struct {
+	Service     wire.ServiceName
+	Caller      wire.CallerID
+	Fingerprint wire.Fingerprint
+	// Execution is the attempt that may run, empty after it was released.
+	Execution   wire.ExecutionID
+	Incarnation wire.Incarnation
+	Result      *wire.OperationResult `json:",omitempty"`
+	// Released are attempts that ended as not run. A resend of their Begin that
+	// arrives late must not open the operation again, as nobody would close it.
+	Released []wire.ExecutionID `json:",omitempty"`
+}
+
+// KeyTime returns the time in an operation key, and false when the key is not a
+// UUID of version 7 in its canonical form.
+func KeyTime(k wire.OperationKey) (wire.UnixMillis, bool) {
+	id, err := uuid.Parse(string(k))
+	if err != nil || id.Version() != 7 || id.String() != string(k) {
+		return 0, false
+	}
+	t := wire.UnixMillis(0)
+	// The first 48 bits of a version 7 UUID are Unix milliseconds, big endian.
+	for _, b := range id[:6] {
+		t = t<<8 | wire.UnixMillis(b)
+	}
+	return t, true
+}
+
+func (m *Machine) begin(r wire.BeginRequest) Result {
+	t, ok := KeyTime(r.Key)
+	if !ok || r.Execution == "" {
+		return Result{Err: merry.Wrap(ErrCommand, merry.AppendMessage("key is not a UUID of version 7, or there is no execution"))}
+	}
+	switch {
+	case t < m.Now-unixMillis(OperationRetention):
+		return decision(wire.DecisionExpired, nil)
+	case t > m.Now+unixMillis(MaxKeyAhead):
+		return decision(wire.DecisionFuture, nil)
+	}
+	o, known := m.Operations[r.Key]
+	if known && !o.matches(r) {
+		return decision(wire.DecisionMismatch, nil)
+	}
+	if known && (o.Result != nil || o.Execution != "") {
+		return m.beginKnown(o, r)
+	}
+	if slices.Contains(o.Released, r.Execution) {
+		return Result{Err: merry.Wrap(ErrStale, merry.AppendMessage("execution has ended as not run"))}
+	}
+	if !m.serves(r.Incarnation, r.Service) {
+		return Result{Err: merry.Wrap(ErrStale, merry.AppendMessagef("incarnation %s is gone", r.Incarnation))}
+	}
+	m.open(o, r, t, known)
+	return decision(wire.DecisionRun, nil)
+}
+
+// matches requires the same request of the same caller, so that a key never
+// yields another caller's response. An operation that was released before its
+// Begin arrived knows no request yet.
+func (o operation) matches(r wire.BeginRequest) bool {
+	if o.Fingerprint == "" {
+		return o.Service == r.Service
+	}
+	return o.Service == r.Service && o.Caller == r.Caller && o.Fingerprint == r.Fingerprint
+}
+
+func (m *Machine) beginKnown(o operation, r wire.BeginRequest) Result {
+	switch {
+	case o.Result != nil:
+		return decision(wire.DecisionFinished, o.Result)
+	case o.Execution == r.Execution:
+		return decision(wire.DecisionRun, nil)
+	case m.serves(o.Incarnation, o.Service):
+		return decision(wire.DecisionRunning, nil)
+	}
+	return decision(wire.DecisionLost, nil)
+}
+
+func (m *Machine) open(o operation, r wire.BeginRequest, t wire.UnixMillis, known bool) {
+	o.Service, o.Caller, o.Fingerprint = r.Service, r.Caller, r.Fingerprint
+	o.Execution, o.Incarnation = r.Execution, r.Incarnation
+	m.Operations[r.Key] = o
+	if !known {
+		heap.Push(&m.expiry, timedKey{at: t, key: r.Key})
+	}
+}
+
+func decision(d wire.Decision, r *wire.OperationResult) Result {
+	return Result{Begin: &wire.BeginResponse{Decision: d, Result: r}}
+}
+
+// finish records the outcome of an execution; the first one stays. An outcome
+// that arrives after its member has ended is recorded too, because it is true.
+func (m *Machine) finish(f wire.FinishRequest) error {
+	t, ok := KeyTime(f.Key)
+	if !ok || f.Execution == "" {
+		return merry.Wrap(ErrCommand, merry.AppendMessage("key is not a UUID of version 7, or there is no execution"))
+	}
+	if t < m.Now-unixMillis(OperationRetention) {
+		return merry.Wrap(ErrStale, merry.AppendMessage("key has expired"))
+	}
+	o, known := m.Operations[f.Key]
+	if known && o.Service != f.Service {
+		return merry.Wrap(ErrStale, merry.AppendMessage("key belongs to another service"))
+	}
+	if f.Result.Outcome == wire.OutcomeNotRun {
+		return m.release(f, o, t, known)
+	}
+	if !known || o.Execution != f.Execution {
+		return merry.Wrap(ErrStale, merry.AppendMessage("another execution holds the key"))
+	}
+	if o.Result != nil {
+		return nil
+	}
+	r := f.Result
+	if !r.BodyKept || len(r.Body) > MaxKeptBody {
+		r.Body, r.BodyKept = "", false
+	}
+	o.Result = &r
+	m.Operations[f.Key] = o
+	return nil
+}
+
+// release frees the key for another execution. The release may be applied
+// before the Begin that it belongs to, when that one was delayed.
+func (m *Machine) release(f wire.FinishRequest, o operation, t wire.UnixMillis, known bool) error {
+	if o.Result != nil {
+		return merry.Wrap(ErrStale, merry.AppendMessage("operation has finished"))
+	}
+	if slices.Contains(o.Released, f.Execution) {
+		return nil
+	}
+	if o.Execution == f.Execution {
+		o.Execution, o.Incarnation = "", ""
+	}
+	o.Service = f.Service
+	o.Released = append(slices.Clone(o.Released), f.Execution)
+	if len(o.Released) > maxReleased {
+		o.Released = o.Released[1:]
+	}
+	m.Operations[f.Key] = o
+	if !known {
+		heap.Push(&m.expiry, timedKey{at: t, key: f.Key})
+	}
+	return nil
+}
+
+// pruneOperations drops exactly the records whose keys begin refuses as expired.
+func (m *Machine) pruneOperations() {
+	oldest := m.Now - unixMillis(OperationRetention)
+	for len(m.expiry) > 0 && m.expiry[0].at < oldest {
+		k := heap.Pop(&m.expiry).(timedKey)
+		delete(m.Operations, k.key)
+	}
+}
+
+func (m *Machine) rebuildExpiry() {
+	m.expiry = m.expiry[:0]
+	for k := range m.Operations {
+		t, _ := KeyTime(k)
+		m.expiry = append(m.expiry, timedKey{at: t, key: k})
+	}
+	heap.Init(&m.expiry)
+}
+
+type timedKey struct {
+	at  wire.UnixMillis
+	key wire.OperationKey
+}
+
+// keyHeap orders operation keys by their time, the oldest first.
+type keyHeap []timedKey
+
+// Len implements heap.Interface.
+func (h keyHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h keyHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+
+// Swap implements heap.Interface.
+func (h keyHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *keyHeap) Push(x any) { *h = append(*h, x.(timedKey)) }
+
+// Pop implements heap.Interface.
+func (h *keyHeap) Pop() any {
+	last := len(*h) - 1
+	k := (*h)[last]
+	*h = (*h)[:last]
+	return k
+}
--- /dev/null
+++ b/internal/state/state.go
@@ -0,0 +1,236 @@
+// Package state is the deterministic state machine of a control group.
+//
+// A Machine is built only from log entries, so every replica that has applied
+// the same entries holds the same state, and its snapshot has the same bytes.
+// Time enters only through Command.ProposedAt; the machine keeps the maximum it
+// has seen, so that its time never goes back when a new leader's wall clock is
+// behind. Randomness and host names never enter.
+//
+// Each command that could rest on stale information names the incarnation, the
+// epoch or the leader session that it expects. Where that no longer holds, the
+// command changes nothing and its Result carries an error. Hence a command may
+// be sent again after a lost response.
+//
+// Ownership follows three rules. A partition gets an owner only while it has
+// none. It loses its owner only through MemberDown of that owner or MoveRelease
+// by that owner under the current epoch. Its epoch is the index of the entry
+// that gave it its owner, so it only grows.
+//
+// # Usage
+//
+//	m := state.New("tz")
+//	result := m.Apply(7, data)
+//	if result.Err != nil {
+//		// refused; nothing changed
+//	}
+//	delta := m.Delta(known)
+//	snapshot, err := m.Snapshot()
+//
+// Apply and Restore are called from one goroutine; all other methods are safe
+// for concurrent use with them.
+package state
+
+import (
+	"encoding/json"
+	"sync"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/gentiansail/gentiansail/internal/wire"
+)
+
+// Errors of refused commands and of this package.
+var (
+	// ErrCommand means that a log entry is not a command of this version.
+	ErrCommand = merry.Sentinel("invalid command")
+	// ErrStale means that the member, epoch or override that the command expects
+	// is no longer there.
+	ErrStale = merry.Sentinel("command rests on stale information")
+	// ErrSession means that another leader session has started since.
+	ErrSession = merry.Sentinel("leader session has ended")
+	// ErrNotFound means that the command names something that never existed.
+	ErrNotFound = merry.Sentinel("not found")
+	// ErrEnded means that the incarnation was registered before and has ended.
+	ErrEnded = merry.Sentinel("incarnation has ended")
+	// ErrLimit means that a bounded part of the state is full.
+	ErrLimit = merry.Sentinel("limit reached")
+	// ErrSnapshot means that a snapshot cannot be read.
+	ErrSnapshot = merry.Sentinel("invalid snapshot")
+)
+
+// Result is the outcome of one command.
+type Result struct {
+	// Err is set when the command was refused and changed nothing.
+	Err error
+	// Version is the index of the command.
+	Version wire.Version
+	// Begin is the answer to a Begin command.
+	Begin *wire.BeginResponse
+	// Apply is the answer to an Apply command.
+	Apply *wire.ApplyResponse
+}
+
+// Machine is the state of one control group.
+type Machine struct {
+	mu sync.RWMutex
+	contents
+	changed chan struct{}
+	expiry  keyHeap
+}
+
+// contents is what a snapshot holds. Maps are never nil, so that equal states
+// have equal encodings; encoding/json sorts their keys.
+type contents struct {
+	Group         wire.GroupID
+	Index         wire.Version
+	TableVersion  wire.Version
+	Now           wire.UnixMillis
+	Session       wire.SessionID
+	Revision      wire.Revision
+	Configuration wire.Configuration
+	Answers       []answer
+	Services      map[wire.ServiceName]Service
+	Members       map[wire.Incarnation]wire.Member
+	Ended         map[wire.Incarnation]ended
+	Draining      map[wire.NodeID]bool
+	Partitions    map[wire.PartitionID]wire.Partition
+	Operations    map[wire.OperationKey]operation
+	Suspects      map[wire.Fingerprint]suspect
+	Audit         []wire.AuditRecord
+	History       []change
+	// HistoryStart is the version from which History is complete.
+	HistoryStart wire.Version
+}
+
+// New returns the state of a group before its first command.
+func New(g wire.GroupID) *Machine {
+	m := &Machine{changed: make(chan struct{})}
+	m.contents = emptyContents()
+	m.Group = g
+	return m
+}
+
+func emptyContents() contents {
+	return contents{
+		Configuration: emptyConfiguration(),
+		Services:      make(map[wire.ServiceName]Service),
+		Members:       make(map[wire.Incarnation]wire.Member),
+		Ended:         make(map[wire.Incarnation]ended),
+		Draining:      make(map[wire.NodeID]bool),
+		Partitions:    make(map[wire.PartitionID]wire.Partition),
+		Operations:    make(map[wire.OperationKey]operation),
+		Suspects:      make(map[wire.Fingerprint]suspect),
+	}
+}
+
+// Apply applies the log entry at index. Entries that are already applied are
+// not applied again.
+func (m *Machine) Apply(index wire.Version, data []byte) Result {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if index <= m.Index {
+		return Result{Err: merry.Wrap(ErrStale, merry.AppendMessagef("index %d is already applied", index)), Version: index}
+	}
+	m.Index = index
+	// The log's own entries carry no command.
+	if len(data) == 0 {
+		return Result{Version: index}
+	}
+	var c wire.Command
+	if err := json.Unmarshal(data, &c); err != nil {
+		return Result{Err: merry.Wrap(ErrCommand, merry.WithCause(err), merry.AppendMessage(err.Error())), Version: index}
+	}
+	return m.apply(c)
+}
+
+func (m *Machine) apply(c wire.Command) Result {
+	m.Now = max(m.Now, c.ProposedAt)
+	m.pruneOperations()
+	if c.Session != "" && c.Session != m.Session {
+		return Result{Err: ErrSession, Version: m.Index}
+	}
+	before := m.TableVersion
+	r := m.dispatch(c)
+	r.Version = m.Index
+	if m.TableVersion != before {
+		close(m.changed)
+		m.changed = make(chan struct{})
+	}
+	return r
+}
+
+func (m *Machine) dispatch(c wire.Command) Result {
+	switch {
+	case c.Begin != nil:
+		return m.begin(*c.Begin)
+	case c.Finish != nil:
+		return Result{Err: m.finish(*c.Finish)}
+	case c.Apply != nil:
+		return m.applyConfig(*c.Apply)
+	}
+	return Result{Err: m.dispatchTable(c)}
+}
+
+func (m *Machine) dispatchTable(c wire.Command) error {
+	switch {
+	case c.RegisterMember != nil:
+		return m.register(c.RegisterMember.Member)
+	case c.MemberDown != nil:
+		return m.memberDown(*c.MemberDown)
+	case c.MoveStart != nil:
+		return m.moveStart(*c.MoveStart)
+	case c.MoveRelease != nil:
+		return m.moveRelease(*c.MoveRelease)
+	case c.Assign != nil:
+		return m.assign(*c.Assign)
+	case c.Override != nil:
+		return m.override(*c.Override)
+	case c.Drain != nil:
+		return m.drain(*c.Drain)
+	case c.ClearSuspect != nil:
+		return m.clearSuspect(*c.ClearSuspect)
+	case c.Release != nil:
+		return m.releaseQuarantine(*c.Release)
+	case c.LeaderStart != nil:
+		return m.leaderStart(*c.LeaderStart)
+	}
+	return merry.Wrap(ErrCommand, merry.AppendMessage("no known field is present"))
+}
+
+func (m *Machine) leaderStart(l wire.LeaderStart) error {
+	if l.Session == "" {
+		return merry.Wrap(ErrCommand, merry.AppendMessage("empty session"))
+	}
+	// The same session again is a resend.
+	if m.Session == l.Session {
+		return nil
+	}
+	m.audit(string(l.Replica), "leader started", string(m.Session), string(l.Session))
+	m.Session = l.Session
+	return nil
+}
+
+// Snapshot returns the whole state. Equal states give equal bytes.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return json.Marshal(m.contents)
+}
+
+// Restore replaces the state by a snapshot. On error the state is unchanged.
+func (m *Machine) Restore(data []byte) error {
+	c := emptyContents()
+	if err := json.Unmarshal(data, &c); err != nil {
+		return merry.Wrap(ErrSnapshot, merry.WithCause(err), merry.AppendMessage(err.Error()))
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c.Group != m.Group {
+		return merry.Wrap(ErrSnapshot, merry.AppendMessagef("group is %q, expected %q", c.Group, m.Group))
+	}
+	m.contents = c
+	m.rebuildExpiry()
+	close(m.changed)
+	m.changed = make(chan struct{})
+	return nil
+}
--- /dev/null
+++ b/internal/table/table_test.go
@@ -0,0 +1,105 @@
+package table_test
+
+import (
+	"errors"
+	"net/http/httptest"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/gentiansail/gentiansail/internal/table"
+	"github.com/gentiansail/gentiansail/internal/wire"
+	"github.com/gentiansail/gentiansail/pkg/partition"
+)
+
+func full() wire.Delta {
+	return wire.Delta{
+		Full: true, ToVersion: 10, Revision: 2,
+		Configuration: &wire.Configuration{
+			Services: []wire.ServiceConfig{{Name: "catalogue", Keyed: true, Partitions: 1}},
+			Routes: []wire.RouteConfig{
+				{Name: "all", Service: "catalogue", Methods: []string{"GET"}, Path: "/"},
+				{Name: "browse", Service: "catalogue", Methods: []string{"GET"}, Path: "/catalogue", Key: &wire.KeySource{From: wire.KeyLocationPathSegment, Segment: 2}},
+				{Name: "search", Service: "catalogue", Methods: []string{"GET"}, Path: "/catalogue/search/", Key: &wire.KeySource{From: wire.KeyLocationQuery, Name: "q"}},
+				{Name: "write", Service: "catalogue", Methods: []string{"POST"}, Path: "/catalogue/", Key: &wire.KeySource{From: wire.KeyLocationHeader, Name: "Clinic"}},
+			},
+		},
+		Members:    []wire.Member{{Incarnation: "i1", Service: "catalogue"}},
+		Partitions: []wire.Partition{{Partition: "catalogue/0", Service: "catalogue", Owner: "i1", Epoch: 9}},
+	}
+}
+
+// Guards against a table that goes back, skips changes, or claims a revision
+// whose configuration it never received.
+func TestApplyRefusesWhatDoesNotConnect(t *testing.T) {
+	cases := map[string]struct {
+		delta wire.Delta
+		want  error
+	}{
+		"lower version":                  {wire.Delta{FromVersion: 5, ToVersion: 9, Revision: 2}, table.ErrOld},
+		"lower revision":                 {wire.Delta{FromVersion: 10, ToVersion: 12, Revision: 1}, table.ErrOld},
+		"full table of a lower revision": {wire.Delta{Full: true, ToVersion: 12, Revision: 1, Configuration: &wire.Configuration{}}, table.ErrOld},
+		"gap":                            {wire.Delta{FromVersion: 11, ToVersion: 12, Revision: 2}, table.ErrGap},
+		"revision without configuration": {wire.Delta{FromVersion: 10, ToVersion: 12, Revision: 3}, table.ErrDelta},
+		"overlap":                        {wire.Delta{FromVersion: 8, ToVersion: 12, Revision: 2}, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			x := table.New()
+			qt.Assert(t, x.Apply(full()), qt.IsNil)
+			err := x.Apply(c.delta)
+			qt.Assert(t, errors.Is(err, c.want), qt.IsTrue, qt.Commentf("%v", err))
+			want := wire.Version(10)
+			if c.want == nil {
+				want = 12
+			}
+			qt.Assert(t, x.Snapshot().Version(), qt.Equals, want)
+		})
+	}
+}
+
+// Guards against requests sent to the wrong service or under the wrong key.
+func TestRouteAndKey(t *testing.T) {
+	cases := map[string]struct{ method, target, header, route, key string }{
+		"longest prefix":          {"GET", "/catalogue/search/x?q=wool", "", "search", "wool"},
+		"path segment":            {"GET", "/catalogue/clinic-17/items", "", "browse", "clinic-17"},
+		"no key":                  {"GET", "/catalogue", "", "browse", ""},
+		"whole segments only":     {"GET", "/catalogues/x", "", "all", ""},
+		"method decides":          {"POST", "/catalogue/x", "clinic-3", "write", "clinic-3"},
+		"no route for the method": {"PUT", "/catalogue/x", "", "", ""},
+	}
+	x := table.New()
+	qt.Assert(t, x.Apply(full()), qt.IsNil)
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := httptest.NewRequest(c.method, c.target, nil)
+			r.Header.Set("Clinic", c.header)
+			route, ok := x.Snapshot().Route(r.Method, r.URL.Path)
+			qt.Assert(t, ok, qt.Equals, c.route != "")
+			if !ok {
+				return
+			}
+			qt.Assert(t, string(route.Name), qt.Equals, c.route)
+			key, _ := route.Key(r)
+			qt.Assert(t, key, qt.Equals, c.key)
+		})
+	}
+}
+
+// Guards against an override that is ignored or outlives its removal, and
+// against snapshots that change under a request.
+func TestOverrideTakesPrecedenceAndSnapshotsStay(t *testing.T) {
+	x := table.New()
+	qt.Assert(t, x.Apply(full()), qt.IsNil)
+	before := x.Snapshot()
+	id := wire.PartitionID("catalogue/k" + partition.FormatHash(partition.Hash("hot")))
+	own := wire.Partition{Partition: id, Service: "catalogue", Owner: "i1", Epoch: 11}
+	qt.Assert(t, x.Apply(wire.Delta{FromVersion: 10, ToVersion: 11, Revision: 2, Partitions: []wire.Partition{own}}), qt.IsNil)
+	p, _ := x.Snapshot().Partition("catalogue", "hot")
+	qt.Assert(t, p, qt.Equals, own)
+	p, _ = before.Partition("catalogue", "hot")
+	qt.Assert(t, p.Partition, qt.Equals, wire.PartitionID("catalogue/0"))
+	qt.Assert(t, x.Apply(wire.Delta{FromVersion: 11, ToVersion: 12, Revision: 2, RemovedPartitions: []wire.PartitionID{id}}), qt.IsNil)
+	p, _ = x.Snapshot().Partition("catalogue", "hot")
+	qt.Assert(t, p.Partition, qt.Equals, wire.PartitionID("catalogue/0"))
+}
