Add the load tool

Open-loop load at a fixed rate: latency counts from when a request was due, so a stall of the system is not omitted. Responses are checked against the id, key and body of their request and for completeness; records of stand-in targets show second runs and runs of requests reported as not run. The report has latency, goodput, outcomes, imbalance by service and window, unavailable time by key, sheds and retries, as text or JSON, and an SVG plot.

--- /dev/null
+++ b/internal/bench/bench.go
@@ -0,0 +1,248 @@
+// Package bench is the load tool: it sends requests to nodes at a fixed rate,
+// checks each response, and reports latency, imbalance and unavailable time.
+//
+// The load is open-loop. Request number i is due at i/Rate after the start,
+// whether or not earlier ones have ended, and its latency counts from when it
+// was due. A system that stalls therefore shows the whole stall in its latency,
+// also for the requests that could not be sent during it.
+//
+// Each response must echo the id of its request and its key, and must be
+// complete. Targets are expected to respond as internal/standin does: a first
+// line of JSON with RequestID, Key and Body, and the requested number of chunk
+// lines that repeat the request id.
+//
+// # Usage
+//
+//	o := bench.Options{
+//		Addresses: []string{"127.0.0.1:7001", "127.0.0.1:7002"},
+//		Routes:    []bench.Route{{Name: "browse", Service: "catalogue", Method: "GET", Path: "/catalogue/{key}", Weight: 1, Repeatable: true}},
+//		Rate:      500, Duration: 10_000, Keys: 1000, Skew: 1.1,
+//	}
+//	err := bench.Run(ctx, o, os.Stdout)
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/gentiansail/gentiansail/internal/wire"
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+// Errors of this package.
+var (
+	// ErrOptions means that the options are not usable.
+	ErrOptions = merry.Sentinel("invalid load options")
+	// ErrPromise means that the run ended and that its report shows a response
+	// that broke a promise: it belonged to another request, or ended cleanly
+	// without being complete, or a request ran that must not have.
+	ErrPromise = merry.Sentinel("a response broke a promise")
+	// ErrOutput means that the report could not be written.
+	ErrOutput = merry.Sentinel("cannot write report")
+	// ErrTarget means that the record of a stand-in target could not be read.
+	ErrTarget = merry.Sentinel("cannot read target record")
+)
+
+// Defaults of Options.
+const (
+	defaultRate                  = 100
+	defaultKeys                  = 1000
+	defaultCallers               = 100
+	defaultWorkers               = 512
+	defaultDuration clock.Millis = 10_000
+	defaultWindow   clock.Millis = 1000
+	defaultDeadline clock.Millis = 10_000
+)
+
+// keyPlaceholder stands for the key in a route's path.
+const keyPlaceholder = "{key}"
+
+// Format is the form of the report.
+type Format string
+
+// Formats.
+const (
+	Text Format = "text"
+	JSON Format = "json"
+)
+
+// Options describe one load run.
+type Options struct {
+	// Addresses are the caller listeners of the nodes. Requests go to them in
+	// turn; one that refuses the connection is replaced by the next.
+	Addresses []string
+	// Routes are the mix of requests.
+	Routes []Route
+	// Rate is the number of requests per second. Zero means 100.
+	Rate float64
+	// Duration is the time during which requests become due. Zero means 10 s.
+	Duration clock.Millis
+	// Keys is the number of different keys. Zero means 1,000.
+	Keys int
+	// Skew is the exponent of the Zipf distribution of keys: key k is asked for
+	// in proportion to 1/k^Skew. Zero means that all are equally frequent.
+	Skew float64
+	// Callers is the number of different callers. Zero means 100.
+	Callers int
+	// Workers is the number of requests that may be in flight. Zero means 512. A
+	// request that is due while all workers are busy is sent later, and its
+	// latency includes that wait.
+	Workers int
+	// Seed makes the choice of routes, keys and callers repeatable.
+	Seed uint64
+	// Window is the length of the time windows of the report. Zero means 1 s.
+	Window clock.Millis
+	// Capacities gives the capacity of members by the name in the response field
+	// Gentiansail-Member. Members without one count as 1, so leave it empty when
+	// all are of one size.
+	Capacities map[string]float64
+	// Targets are addresses of stand-in targets. Their records are read after
+	// the run, to find requests that ran twice or although reported as not run.
+	Targets []string
+	// Format is Text or JSON. Empty means Text.
+	Format Format
+	// PlotFile, if set, is the SVG file to write.
+	PlotFile string
+
+	time timing
+}
+
+// Route is one kind of request.
+type Route struct {
+	Name    string
+	Service string
+	Method  string
+	// Path is the path and query. "{key}" stands for the key.
+	Path string
+	// Weight is this route's part of the mix.
+	Weight float64
+	// Repeatable routes are sent without an idempotency key.
+	Repeatable bool
+	// Body is the request body.
+	Body string
+	// Chunks is the number of chunk lines to ask for and to expect.
+	Chunks int
+	// Deadline is sent with the request and ends it. Zero means 10 s.
+	Deadline clock.Millis
+}
+
+// ParseRoute reads a route from "name:service:method:path:weight", followed by
+// ":once" if the request must not be repeated.
+func ParseRoute(text string) (Route, error) {
+	parts := strings.Split(text, ":")
+	if len(parts) != 5 && (len(parts) != 6 || parts[5] != "once") {
+		return Route{}, merry.Wrap(ErrOptions, merry.AppendMessagef("route %q is not name:service:method:path:weight[:once]", text))
+	}
+	weight, err := strconv.ParseFloat(parts[4], 64)
+	if err != nil {
+		return Route{}, merry.Wrap(ErrOptions, merry.WithCause(err), merry.AppendMessagef("weight of route %q", text))
+	}
+	return Route{
+		Name: parts[0], Service: parts[1], Method: parts[2], Path: parts[3],
+		Weight: weight, Repeatable: len(parts) == 5,
+	}, nil
+}
+
+// Run sends the load, then writes the report. It returns ErrPromise, after the
+// report, when a response broke a promise. It ends early, with the report of
+// what was sent, when ctx ends.
+func Run(ctx context.Context, o Options, w io.Writer) error {
+	o, err := o.complete()
+	if err != nil {
+		return err
+	}
+	samples, names := generate(ctx, o)
+	report := summarize(o, samples, names)
+	if err := audit(context.WithoutCancel(ctx), o, samples, &report); err != nil {
+		return err
+	}
+	if err := write(o, report, w); err != nil {
+		return err
+	}
+	if n := report.broken(); n > 0 {
+		return merry.Wrap(ErrPromise, merry.AppendMessagef("%d times", n))
+	}
+	return nil
+}
+
+func (o Options) complete() (Options, error) {
+	o.Rate = orDefault(o.Rate, defaultRate)
+	o.Duration = orDefault(o.Duration, defaultDuration)
+	o.Keys = orDefault(o.Keys, defaultKeys)
+	o.Callers = orDefault(o.Callers, defaultCallers)
+	o.Workers = orDefault(o.Workers, defaultWorkers)
+	o.Window = orDefault(o.Window, defaultWindow)
+	o.Format = orDefault(o.Format, Text)
+	if o.time.now == nil {
+		o.time = systemTiming()
+	}
+	switch {
+	case len(o.Addresses) == 0:
+		return o, merry.Wrap(ErrOptions, merry.AppendMessage("no address"))
+	case len(o.Routes) == 0:
+		return o, merry.Wrap(ErrOptions, merry.AppendMessage("no route"))
+	case o.Format != Text && o.Format != JSON:
+		return o, merry.Wrap(ErrOptions, merry.AppendMessagef("format %q", o.Format))
+	case o.Rate < 0 || o.Duration < 0 || o.Keys < 0 || o.Callers < 0 || o.Workers < 0 || o.Window < 0 || o.Skew < 0:
+		return o, merry.Wrap(ErrOptions, merry.AppendMessage("negative number"))
+	}
+	return o, o.checkRoutes()
+}
+
+func (o Options) checkRoutes() error {
+	var sum float64
+	for i, r := range o.Routes {
+		if !(r.Weight >= 0) || r.Method == "" || !strings.HasPrefix(r.Path, "/") {
+			return merry.Wrap(ErrOptions, merry.AppendMessagef("route %d (%s): method, path or weight", i, r.Name))
+		}
+		sum += r.Weight
+	}
+	if sum <= 0 {
+		return merry.Wrap(ErrOptions, merry.AppendMessage("the weights of the routes add up to 0"))
+	}
+	return nil
+}
+
+func write(o Options, r Report, w io.Writer) error {
+	text := r.text
+	if o.Format == JSON {
+		text = r.json
+	}
+	if _, err := io.WriteString(w, text()); err != nil {
+		return merry.Wrap(ErrOutput, merry.WithCause(err))
+	}
+	if o.PlotFile == "" {
+		return nil
+	}
+	if err := os.WriteFile(o.PlotFile, []byte(plotReport(r)), 0o644); err != nil {
+		return merry.Wrap(ErrOutput, merry.WithCause(err), merry.AppendMessage(err.Error()))
+	}
+	return nil
+}
+
+func orDefault[T comparable](v, otherwise T) T {
+	var zero T
+	if v == zero {
+		return otherwise
+	}
+	return v
+}
+
+func keyName(k int) string { return fmt.Sprintf("key-%d", k) }
+
+// outcomes are the outcomes in the order of reports. The last two are the
+// tool's own: the connection ended without a whole response.
+var outcomes = []wire.Outcome{wire.OutcomeComplete, wire.OutcomeFailed, wire.OutcomeNotRun, wire.OutcomeUnknown, outcomeCut, outcomeUnreachable}
+
+const (
+	// outcomeCut is a response that was cut off, or never began.
+	outcomeCut wire.Outcome = "cut"
+	// outcomeUnreachable means that no address accepted a connection.
+	outcomeUnreachable wire.Outcome = "unreachable"
+)
--- /dev/null
+++ b/internal/bench/send.go
@@ -0,0 +1,150 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/gentiansail/gentiansail/internal/header"
+	"github.com/gentiansail/gentiansail/internal/wire"
+)
+
+const (
+	// dialTimeout bounds connecting to a node that does not answer.
+	dialTimeout = time.Second
+	// grace is how long after its deadline a response may still arrive.
+	grace = 500 * time.Millisecond
+)
+
+func newClient(workers int) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost: workers,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// send sends one request and records what became of it. An address that refuses
+// the connection is replaced by the next, since nothing was sent to it.
+func (g *generator) send(ctx context.Context, n int64, p plan) sample {
+	r := g.options.Routes[p.route]
+	s := sample{due: p.due, key: p.key, route: p.route, member: -1, requestID: uuid.NewString()}
+	s.sent = g.options.time.now() - g.start
+	if !r.Repeatable {
+		s.operation = uuid.Must(uuid.NewV7()).String()
+	}
+	limit := orDefault(r.Deadline, defaultDeadline).Duration() + grace
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	s.outcome = outcomeUnreachable
+	for i := range g.options.Addresses {
+		address := g.options.Addresses[(int(n)+i)%len(g.options.Addresses)]
+		response, err := g.exchange(ctx, address, r, p, s)
+		if notSent(err) {
+			s.redials++
+			continue
+		}
+		s.outcome = outcomeCut
+		if err == nil {
+			g.receive(response, r, &s)
+		}
+		break
+	}
+	s.ended = g.options.time.now() - g.start
+	return s
+}
+
+// exchange returns the response, whose body is not yet read.
+func (g *generator) exchange(ctx context.Context, address string, r Route, p plan, s sample) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+target(r, p.key), strings.NewReader(r.Body))
+	if err != nil {
+		return nil, err
+	}
+	// Without GetBody the transport does not send a request with a body again by
+	// itself, which would hide a second run.
+	request.GetBody = nil
+	request.Header.Set(header.RequestID, s.requestID)
+	request.Header.Set(header.Caller, "caller-"+strconv.Itoa(p.caller))
+	request.Header.Set(header.DeadlineMillis, strconv.FormatInt(int64(orDefault(r.Deadline, defaultDeadline)), 10))
+	if s.operation != "" {
+		request.Header.Set(header.IdempotencyKey, s.operation)
+	}
+	return g.client.Do(request)
+}
+
+func target(r Route, key int) string {
+	path := strings.ReplaceAll(r.Path, keyPlaceholder, keyName(key))
+	if r.Chunks == 0 {
+		return path
+	}
+	separator := "?"
+	if strings.Contains(path, "?") {
+		separator = "&"
+	}
+	return fmt.Sprintf("%s%schunks=%d", path, separator, r.Chunks)
+}
+
+func notSent(err error) bool {
+	var o *net.OpError
+	return errors.As(err, &o) && o.Op == "dial"
+}
+
+// receive reads the response and fills s.
+func (g *generator) receive(response *http.Response, r Route, s *sample) {
+	defer func() { _ = response.Body.Close() }()
+	h := response.Header
+	s.attempts, _ = strconv.Atoi(h.Get(header.Attempt))
+	s.limit, _ = strconv.Atoi(h.Get(header.Limit))
+	s.member = g.names.number(h.Get(header.Member))
+	s.reason = h.Get(header.Reason)
+	if s.reason == "" {
+		s.reason = h.Get(header.Refused)
+	}
+	s.replayed = h.Get(header.Replayed) == "true"
+	body, err := g.readAll(response.Body, s)
+	if err != nil {
+		return
+	}
+	s.outcome = outcomeOf(wire.Outcome(h.Get(header.Outcome)), response.StatusCode)
+	if s.outcome == wire.OutcomeComplete {
+		s.problem = check(expectation{requestID: s.requestID, key: keyName(s.key), route: r, replayed: s.replayed}, h.Get(header.RequestID), body)
+	}
+}
+
+// readAll notes when the first byte arrived.
+func (g *generator) readAll(r io.Reader, s *sample) ([]byte, error) {
+	var b bytes.Buffer
+	if _, err := io.CopyN(&b, r, 1); err != nil && err != io.EOF {
+		return nil, err
+	}
+	s.firstByte = g.options.time.now() - g.start
+	_, err := io.Copy(&b, r)
+	return b.Bytes(), err
+}
+
+// outcomeOf falls back on the status where the system states no outcome, so
+// that the tool also measures targets directly.
+func outcomeOf(stated wire.Outcome, status int) wire.Outcome {
+	switch {
+	case stated != "":
+		return stated
+	case status < 400:
+		return wire.OutcomeComplete
+	case status == http.StatusServiceUnavailable:
+		return wire.OutcomeNotRun
+	default:
+		return wire.OutcomeFailed
+	}
+}
