--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,4 +1,8 @@
-// Package settings holds the settings of each process.
+// Package settings reads and checks the settings of each process.
+//
+// A settings file is JSON with comments. It is checked completely before the
+// process opens anything, and all errors are reported together. Addresses are
+// IP:port; unknown and duplicate fields are errors.
 //
 // # Usage
 //
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,98 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/gentiansail/gentiansail/internal/wire"
+)
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	name := filepath.Join(t.TempDir(), "settings.jsonc")
+	qt.Assert(t, os.WriteFile(name, []byte(text), 0o600), qt.IsNil)
+	return name
+}
+
+const goodControl = `{
+  "Group": "tz", "Name": "dsm-a-control",
+  "Listen": "127.0.0.1:7101", // calls
+  "MetricsListen": "127.0.0.1:7102",
+  "DataFolder": "data",
+  "FailureDomain": "dsm-a",
+  "Replicas": {"dsm-a-control": "127.0.0.1:7101"},
+}`
+
+func TestLoadControl(t *testing.T) {
+	file := write(t, goodControl)
+	s, err := LoadControl(file)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, s, qt.DeepEquals, Control{
+		Group: "tz", Name: "dsm-a-control", Listen: "127.0.0.1:7101", MetricsListen: "127.0.0.1:7102",
+		DataFolder: filepath.Join(filepath.Dir(file), "data"), FailureDomain: "dsm-a",
+		Replicas: map[wire.ReplicaID]wire.Address{"dsm-a-control": "127.0.0.1:7101"},
+	})
+}
+
+// Guards against a process that opens its files or ports with settings that it
+// then finds to be wrong, and against reporting errors one at a time.
+func TestErrorsAreReportedTogether(t *testing.T) {
+	control := func(file string) error { _, err := LoadControl(file); return err }
+	node := func(file string) error { _, err := LoadNode(file); return err }
+	tests := map[string]struct {
+		load func(string) error
+		text string
+		want []string
+	}{
+		"control": {control, `{
+  "Group": "tz", "Name": "a",
+  "Listen": "localhost:7101",
+  "MetricsListen": "127.0.0.1:0",
+  "FailureDomain": 3,
+  "Replicas": {
+    "b": "0.0.0.0:7101",
+    "c": "127.0.0.1:7103",
+    "d": "127.0.0.1:7103"
+  }
+}`, []string{
+			`1: DataFolder: is missing`,
+			`3: Listen: "localhost:7101" is not IP:port`,
+			`4: MetricsListen: "127.0.0.1:0" has no port`,
+			`5: FailureDomain: must be a string`,
+			`6: Replicas: does not name this replica, "a"`,
+			`7: Replicas.b: "0.0.0.0:7101" names no host: others could not connect to it`,
+			`9: Replicas.d: 127.0.0.1:7103 is already the address of c`,
+		}},
+		"node": {node, `{
+  "Group": "tz", "Name": "Node 1", "FailureDomain": "dsm-a",
+  "CallerListen": "127.0.0.1:8001", "PeerListen": "127.0.0.1:8001",
+  "TargetListen": "127.0.0.1:8003", "MetricsListen": "127.0.0.1:8004",
+  "advertise": "127.0.0.1:8002",
+  "Control": [
+    "127.0.0.1:7101",
+    "127.0.0.1:7101"
+  ]
+}`, []string{
+			`1: Advertise: is missing`,
+			`2: Name: "Node 1" is not a name: up to 63 lower-case letters, digits and inner hyphens`,
+			`3: PeerListen: 127.0.0.1:8001 is already the address of CallerListen`,
+			`5: advertise: unknown field`,
+			`8: Control[1]: 127.0.0.1:7101 is given twice`,
+		}},
+		"syntax": {control, "{\n\"Group\"\n}", []string{`3: invalid character '}' after object name`}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			file := write(t, test.text)
+			err := test.load(file)
+			qt.Assert(t, errors.Is(err, ErrInvalid), qt.IsTrue)
+			got := strings.ReplaceAll(err.Error(), file+":", "")
+			qt.Assert(t, strings.Split(got, "\n"), qt.DeepEquals, test.want)
+		})
+	}
+}
