--- a/cmd/gentiansail/main.go
+++ b/cmd/gentiansail/main.go
@@ -1,5 +1,41 @@
 // Command gentiansail is the router's one program: control replica, node,
 // operator commands and load tool.
+//
+// # Usage
+//
+//	gentiansail control --settings control.jsonc
+//	gentiansail node --settings node.jsonc
+//	gentiansail --help
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/gentiansail/gentiansail/internal/operator"
+	"github.com/gentiansail/gentiansail/internal/process"
+)
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	c := newCommandLine()
+	if err := c.parser.ParseArgs(args); err != nil {
+		fmt.Fprintln(os.Stderr, "gentiansail:", err)
+		return operator.ExitUsage
+	}
+	ctx, stop := process.SignalContext(context.Background())
+	defer stop()
+	for _, m := range c.commands {
+		if m.sub.Used {
+			err := m.run(ctx)
+			c.session().Report(err)
+			return operator.ExitCode(err)
+		}
+	}
+	c.parser.ShowHelpWithMessage("no command given")
+	return operator.ExitUsage
+}
--- /dev/null
+++ b/cmd/gentiansail/main_test.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"path/filepath"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/gentiansail/gentiansail/internal/operator"
+)
+
+// Guards against a script that takes a wrong command line, a refusal and an
+// unreachable group for one another.
+func TestExitCodes(t *testing.T) {
+	t.Setenv(controlVariable, "")
+	t.Setenv(groupVariable, "")
+	unreachable := []string{"--group", "tz", "--control", "127.0.0.1:1", "--timeout", "300ms"}
+	tests := map[string]struct {
+		args []string
+		want int
+	}{
+		"no command":         {nil, operator.ExitUsage},
+		"not a number":       {[]string{"audit", "--limit", "x"}, operator.ExitUsage},
+		"no group":           {[]string{"status"}, operator.ExitUsage},
+		"no address":         {[]string{"status", "--group", "tz"}, operator.ExitUsage},
+		"unknown output":     {append(unreachable, "--output", "xml", "status"), operator.ExitUsage},
+		"missing settings":   {[]string{"node", "--settings", filepath.Join(t.TempDir(), "none")}, operator.ExitUsage},
+		"broken folder":      {[]string{"validate", "../../examples/broken/routes"}, operator.ExitRefused},
+		"no control replica": {append(unreachable, "status"), operator.ExitUnavailable},
+		"flags after":        {append([]string{"quarantine", "list"}, unreachable...), operator.ExitUnavailable},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			qt.Assert(t, run(test.args), qt.Equals, test.want)
+		})
+	}
+}
--- /dev/null
+++ b/internal/operator/commands.go
@@ -0,0 +1,114 @@
+package operator
+
+import (
+	"context"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/gentiansail/gentiansail/internal/config"
+	"github.com/gentiansail/gentiansail/internal/wire"
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+func (s *Session) fetchStatus(ctx context.Context) (wire.StatusResponse, error) {
+	return call[wire.StatusResponse](ctx, s, wire.MethodOperatorStatus, wire.StatusRequest{Group: s.Group})
+}
+
+func (s *Session) fetchConfig(ctx context.Context) (wire.ConfigResponse, error) {
+	return call[wire.ConfigResponse](ctx, s, wire.MethodOperatorConfig, wire.ConfigRequest{Group: s.Group})
+}
+
+// Status prints replicas, nodes and services, as of a confirmed version.
+func (s *Session) Status(ctx context.Context) error {
+	r, err := s.fetchStatus(ctx)
+	if err != nil {
+		return err
+	}
+	return s.print(r, func(t *table) { t.status(r) })
+}
+
+// Config prints the accepted configuration in a form that apply accepts.
+func (s *Session) Config(ctx context.Context) error {
+	r, err := s.fetchConfig(ctx)
+	if err != nil {
+		return err
+	}
+	return s.print(r, func(t *table) {
+		t.line("// Revision %d.", r.Revision)
+		t.raw(config.Format(r.Configuration))
+	})
+}
+
+// Drain marks a node as draining. With a positive wait it returns once the node
+// owns nothing.
+func (s *Session) Drain(ctx context.Context, n wire.NodeID, wait clock.Millis) error {
+	if err := s.setDrain(ctx, n, true); err != nil {
+		return err
+	}
+	if wait <= 0 {
+		return nil
+	}
+	_, err := s.waitFor(ctx, wait, "partitions remain on", func(o wire.NodeStatus) bool {
+		return o.Node != n || o.Owned == 0
+	})
+	if err != nil || s.Output == JSON {
+		return err
+	}
+	return s.print(nil, func(t *table) { t.line("node %s owns no partitions", n) })
+}
+
+// Undrain clears the mark of Drain.
+func (s *Session) Undrain(ctx context.Context, n wire.NodeID) error {
+	return s.setDrain(ctx, n, false)
+}
+
+func (s *Session) setDrain(ctx context.Context, n wire.NodeID, drain bool) error {
+	r, err := call[wire.Ack](ctx, s, wire.MethodOperatorDrain, wire.DrainRequest{
+		Group: s.Group, Operator: s.Operator, Node: n, Drain: drain,
+	})
+	if err != nil {
+		return err
+	}
+	state := "is draining"
+	if !drain {
+		state = "takes work again"
+	}
+	return s.print(r, func(t *table) { t.line("node %s %s as of version %d", n, state, r.Version) })
+}
+
+// Owner prints who owns a key.
+func (s *Session) Owner(ctx context.Context, service wire.ServiceName, key string) error {
+	r, err := call[wire.OwnerResponse](ctx, s, wire.MethodOperatorOwner, wire.OwnerRequest{Group: s.Group, Service: service, Key: key})
+	if err != nil {
+		return err
+	}
+	return s.print(r, func(t *table) { t.owner(r) })
+}
+
+// Audit prints at most limit records of the audit trail with a log index after
+// the given one, oldest first.
+func (s *Session) Audit(ctx context.Context, after wire.Version, limit int) error {
+	r, err := call[wire.AuditResponse](ctx, s, wire.MethodOperatorAudit, wire.AuditRequest{Group: s.Group, After: after, Limit: limit})
+	if err != nil {
+		return err
+	}
+	return s.print(r, func(t *table) { t.audit(r) })
+}
+
+// Quarantine prints suspects and quarantined requests.
+func (s *Session) Quarantine(ctx context.Context) error {
+	r, err := call[wire.QuarantineResponse](ctx, s, wire.MethodOperatorQuarantine, wire.QuarantineRequest{Group: s.Group})
+	if err != nil {
+		return err
+	}
+	return s.print(r, func(t *table) { t.quarantine(r) })
+}
+
+// Release lets a quarantined request run again.
+func (s *Session) Release(ctx context.Context, f wire.Fingerprint) error {
+	r, err := call[wire.Ack](ctx, s, wire.MethodOperatorRelease, wire.ReleaseRequest{Group: s.Group, Operator: s.Operator, Fingerprint: f})
+	if err != nil {
+		return merry.Appendf(err, "fingerprint %s", f)
+	}
+	return s.print(r, func(t *table) { t.line("request %s released as of version %d", f, r.Version) })
+}
--- /dev/null
+++ b/internal/operator/output.go
@@ -0,0 +1,205 @@
+package operator
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/gentiansail/gentiansail/internal/wire"
+)
+
+// columnGap separates the columns of a table.
+const columnGap = 2
+
+// print writes v as JSON, or what text makes of it.
+func (s *Session) print(v any, text func(*table)) error {
+	if s.Output == JSON {
+		e := json.NewEncoder(s.Out)
+		e.SetIndent("", "  ")
+		return e.Encode(v)
+	}
+	t := &table{out: s.Out}
+	text(t)
+	return t.err
+}
+
+// table writes aligned text and keeps the first error.
+type table struct {
+	out io.Writer
+	err error
+}
+
+func (t *table) line(format string, args ...any) {
+	t.raw(fmt.Appendf(nil, format+"\n", args...))
+}
+
+func (t *table) raw(b []byte) {
+	if t.err == nil {
+		_, t.err = t.out.Write(b)
+	}
+}
+
+// rows writes a heading and rows with aligned columns; nothing without rows.
+func (t *table) rows(heading []string, rows [][]string) {
+	if len(rows) == 0 || t.err != nil {
+		return
+	}
+	w := tabwriter.NewWriter(t.out, 0, 0, columnGap, ' ', 0)
+	for _, r := range append([][]string{heading}, rows...) {
+		_, _ = fmt.Fprintln(w, strings.Join(r, "\t"))
+	}
+	t.err = w.Flush()
+}
+
+func (t *table) status(r wire.StatusResponse) {
+	t.line("group %s, configuration revision %d, table version %d", r.Group, r.Revision, r.Version)
+	t.line("")
+	t.replicas(r.Replicas)
+	t.line("")
+	t.nodes(r)
+	t.line("")
+	t.services(r.Services)
+	for _, w := range warnings(r) {
+		t.line("warning: %s", w)
+	}
+}
+
+// warnings are what an operator should act on.
+func warnings(r wire.StatusResponse) []string {
+	var out []string
+	if !r.CanLoseOne {
+		out = append(out, "the control group would lose its majority with one more replica")
+	}
+	for _, s := range r.Services {
+		if s.Members == 0 {
+			out = append(out, fmt.Sprintf("service %s has no target", s.Service))
+		}
+		if s.Unowned > 0 {
+			out = append(out, fmt.Sprintf("%d partitions of service %s have no owner", s.Unowned, s.Service))
+		}
+	}
+	for _, n := range r.Nodes {
+		if n.RevisionInForce < r.Revision {
+			out = append(out, fmt.Sprintf("node %s is at configuration revision %d", n.Node, n.RevisionInForce))
+		}
+	}
+	return out
+}
+
+func (t *table) replicas(replicas []wire.ReplicaStatus) {
+	var rows [][]string
+	for _, r := range replicas {
+		rows = append(rows, []string{
+			string(r.Name), string(r.Address), role(r), yesNo(r.CaughtUp), text(r.MatchIndex), millis(r.LastHeardMillis),
+		})
+	}
+	t.rows([]string{"REPLICA", "ADDRESS", "ROLE", "CAUGHT UP", "INDEX", "LAST HEARD"}, rows)
+}
+
+func role(r wire.ReplicaStatus) string {
+	switch {
+	case r.Leader:
+		return "leader"
+	case r.Voter:
+		return "voter"
+	}
+	return "learner"
+}
+
+func (t *table) nodes(r wire.StatusResponse) {
+	var rows [][]string
+	for _, n := range r.Nodes {
+		service := "-"
+		if n.Member != nil {
+			service = string(n.Member.Service)
+		}
+		rows = append(rows, []string{
+			string(n.Node), string(n.Address), string(n.FailureDomain), service, text(n.Owned),
+			text(n.RevisionInForce), millis(n.LastHeardMillis), yesNo(n.Draining),
+		})
+	}
+	t.rows([]string{"NODE", "ADDRESS", "FAILURE DOMAIN", "SERVICE", "OWNED", "REVISION", "LAST HEARD", "DRAINING"}, rows)
+}
+
+func (t *table) services(services []wire.ServiceStatus) {
+	var rows [][]string
+	for _, s := range services {
+		rows = append(rows, []string{string(s.Service), text(s.Members), text(s.Partitions), text(s.Unowned), text(s.Moving)})
+	}
+	t.rows([]string{"SERVICE", "TARGETS", "PARTITIONS", "UNOWNED", "MOVING"}, rows)
+}
+
+func (t *table) replicaMembers(members []wire.ReplicaMember) {
+	var rows [][]string
+	for _, m := range members {
+		rows = append(rows, []string{string(m.Name), string(m.Address), string(m.Identity)})
+	}
+	t.rows([]string{"REPLICA", "ADDRESS", "IDENTITY"}, rows)
+}
+
+func (t *table) owner(r wire.OwnerResponse) {
+	p := r.Partition
+	rows := [][]string{{"partition", string(p.Partition)}}
+	if p.Owner == "" {
+		rows = append(rows, []string{"owner", "none"})
+	} else {
+		rows = append(rows, []string{"owner", string(p.Owner)}, []string{"epoch", text(p.Epoch)})
+	}
+	if m := r.Member; m != nil {
+		rows = append(rows, []string{"node", string(m.Node)}, []string{"address", string(m.Address)},
+			[]string{"failure domain", string(m.FailureDomain)})
+	}
+	if p.MovingTo != "" {
+		rows = append(rows, []string{"moving to", string(p.MovingTo)})
+	}
+	t.rows([]string{"service", string(p.Service)}, rows)
+}
+
+func (t *table) audit(r wire.AuditResponse) {
+	var rows [][]string
+	for _, a := range r.Records {
+		rows = append(rows, []string{text(a.Index), moment(a.At), a.Who, a.What, orDash(a.From), orDash(a.To)})
+	}
+	t.rows([]string{"INDEX", "TIME", "WHO", "WHAT", "FROM", "TO"}, rows)
+}
+
+func (t *table) quarantine(r wire.QuarantineResponse) {
+	if len(r.Suspects) == 0 {
+		t.line("no suspects and no quarantined requests")
+		return
+	}
+	var rows [][]string
+	for _, s := range r.Suspects {
+		state := "suspect"
+		if s.Quarantined {
+			state = "quarantined"
+		}
+		rows = append(rows, []string{string(s.Fingerprint), state, string(s.Service), string(s.Route), s.Path, moment(s.Since)})
+	}
+	t.rows([]string{"FINGERPRINT", "STATE", "SERVICE", "ROUTE", "PATH", "SINCE"}, rows)
+}
+
+func text[N ~int](n N) string { return fmt.Sprint(int(n)) }
+
+func millis(m wire.Millis) string { return fmt.Sprintf("%d ms", m) }
+
+func moment(at wire.UnixMillis) string {
+	return time.UnixMilli(int64(at)).UTC().Format("2006-01-02T15:04:05.000Z")
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
