examples: add the Donation Mesh and the Trolley Return Mesh

Cause: a new operator had no configuration to begin with, and nothing showed that the checks accept what the users need.

The tests load every file.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -49,6 +49,17 @@
 	}
 }
 
+// Guards against examples that the program refuses, on their own or as a change
+// of themselves.
+func TestExamplesAreValid(t *testing.T) {
+	for _, name := range []string{"donation-mesh", "trolley-mesh"} {
+		c, err := Load("../../examples/" + name + "/config")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, c.Services, qt.HasLen, 3)
+		qt.Assert(t, CheckChange(c, c), qt.HasLen, 0)
+	}
+}
+
 // Guards against an empty or misspelt folder being applied as an empty
 // configuration, which would remove every service.
 func TestFolderWithoutFilesIsRefused(t *testing.T) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -39,6 +39,26 @@
 	})
 }
 
+// Guards against examples that the program refuses.
+func TestExamplesAreValid(t *testing.T) {
+	for mesh, nodes := range map[string]int{"donation-mesh": 13, "trolley-mesh": 11} {
+		files, err := filepath.Glob("../../examples/" + mesh + "/settings/node/*.jsonc")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, files, qt.HasLen, nodes)
+		for _, f := range files {
+			_, err := LoadNode(f)
+			qt.Assert(t, err, qt.IsNil)
+		}
+		files, err = filepath.Glob("../../examples/" + mesh + "/settings/control/*.jsonc")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, files, qt.HasLen, 3)
+		for _, f := range files {
+			_, err := LoadControl(f)
+			qt.Assert(t, err, qt.IsNil)
+		}
+	}
+}
+
 // Guards against a process that opens its files or ports with settings that it
 // then finds to be wrong, and against reporting errors one at a time.
 func TestErrorsAreReportedTogether(t *testing.T) {
