--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	$(GO) tool staticcheck ./...
 
 # Packages whose tests take the flags of rapid, and all others.
-RAPID = $(shell $(GO) list -f '{{$$p := .ImportPath}}{{range .TestImports}}{{if eq . "pgregory.net/rapid"}}{{$$p}}{{end}}{{end}}' ./...)
+RAPID = $(sort $(shell $(GO) list -f '{{$$p := .ImportPath}}{{range .TestImports}}{{if eq . "pgregory.net/rapid"}}{{$$p}}{{end}}{{end}} {{range .XTestImports}}{{if eq . "pgregory.net/rapid"}}{{$$p}}{{end}}{{end}}' ./...))
 OTHER = $(filter-out $(RAPID),$(shell $(GO) list ./...))
 
 # Unit, property-based and integration tests. A fixed seed gives the same
