--- /dev/null
+++ b/cmd/gentiansail/bench_flags.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/gentiansail/gentiansail/internal/bench"
+	"github.com/gentiansail/gentiansail/internal/operator"
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+// benchFlags are the flags of the load tool.
+type benchFlags struct {
+	addresses, targets     string
+	routes                 []string
+	rate, skew             float64
+	duration, window       time.Duration
+	keys, callers, workers int
+	seed                   uint64
+	plot                   string
+}
+
+func (c *commandLine) addBench() {
+	b := &c.bench
+	s := c.add("bench", "send load to nodes, check each response, and report", c.runBench)
+	s.String(&b.addresses, "", "addresses", "caller listeners of the nodes, separated by commas")
+	s.StringSlice(&b.routes, "", "route", "name:service:method:path:weight, with :once if it must not repeat and {key} in the path; repeat the flag for a mix")
+	s.Float64(&b.rate, "", "rate", "requests per second")
+	s.Duration(&b.duration, "", "duration", "length of the run")
+	s.Int(&b.keys, "", "keys", "number of different keys")
+	s.Float64(&b.skew, "", "skew", "exponent of the Zipf distribution of the keys; 0 makes all equally frequent")
+	s.Int(&b.callers, "", "callers", "number of different callers")
+	s.Int(&b.workers, "", "workers", "requests in flight at most")
+	s.UInt64(&b.seed, "", "seed", "seed of the random choices")
+	s.Duration(&b.window, "", "window", "length of the time windows of the report")
+	s.String(&b.targets, "", "targets", "stand-in targets whose record is checked afterwards, separated by commas")
+	s.String(&b.plot, "", "plot", "SVG file to write")
+}
+
+func (c *commandLine) runBench(ctx context.Context) error {
+	o := c.bench.options()
+	o.Format = bench.Format(c.output)
+	for _, r := range c.bench.routes {
+		route, err := bench.ParseRoute(r)
+		if err != nil {
+			return merry.Wrap(operator.ErrUsage, merry.WithMessage(err.Error()))
+		}
+		o.Routes = append(o.Routes, route)
+	}
+	err := bench.Run(ctx, o, os.Stdout)
+	switch {
+	case errors.Is(err, bench.ErrOptions):
+		return merry.Wrap(operator.ErrUsage, merry.WithMessage(err.Error()))
+	case errors.Is(err, bench.ErrPromise):
+		return merry.Wrap(operator.ErrRefused, merry.WithMessage(err.Error()))
+	}
+	return err
+}
+
+func (b *benchFlags) options() bench.Options {
+	return bench.Options{
+		Addresses: list(b.addresses), Targets: list(b.targets), Rate: b.rate, Skew: b.skew,
+		Duration: clock.FromDuration(b.duration), Window: clock.FromDuration(b.window),
+		Keys: b.keys, Callers: b.callers, Workers: b.workers, Seed: b.seed, PlotFile: b.plot,
+	}
+}
+
+func list(s string) []string {
+	return strings.FieldsFunc(s, func(r rune) bool { return r == ',' || r == ' ' })
+}
--- a/cmd/gentiansail/command_line.go
+++ b/cmd/gentiansail/command_line.go
@@ -69,6 +69,7 @@
 	service, key      string
 	after, limit      int
 	fingerprint       string
+	bench             benchFlags
 }
 
 func newCommandLine() *commandLine {
@@ -113,6 +114,7 @@
 		return runNode(ctx, c.settings)
 	})
 	s.String(&c.settings, "", "settings", "settings file, JSON with comments")
+	c.addBench()
 	c.add("version", "print the version", func(context.Context) error {
 		_, err := fmt.Println(version())
 		return err
--- /dev/null
+++ b/internal/integration/cluster/cluster.go
@@ -0,0 +1,390 @@
+// Package cluster runs a whole system as real processes on loopback: control
+// replicas, nodes, and a stand-in target beside each node. It serves the
+// demonstration and the integration tests.
+//
+// # Usage
+//
+//	c, err := cluster.Start(ctx, cluster.Options{
+//		Gentiansail: "bin/gentiansail", Standin: "bin/standin", Folder: t.TempDir(), Replicas: 3,
+//		Services: map[wire.ServiceName]cluster.Service{"catalogue": {Targets: 5, ChecksGrants: true}},
+//	})
+//	defer c.Close()
+//	err = c.Bootstrap(ctx)
+//	err = c.Apply(ctx, "examples/donation-mesh/config")
+//	err = c.WaitReady(ctx)
+//	response, err := c.Hosts[0].Do(ctx, cluster.Request{Method: "GET", Path: "/catalogue/request-1"})
+//
+// Start writes the settings and the output of each process into Folder.
+package cluster
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/gentiansail/gentiansail/internal/operator"
+	"github.com/gentiansail/gentiansail/internal/settings"
+	"github.com/gentiansail/gentiansail/internal/wire"
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+// Errors of this package.
+var (
+	// ErrStart means that a process could not be started or did not listen.
+	ErrStart = merry.Sentinel("cannot start process")
+	// ErrStop means that a process did not end in time, or ended with an error.
+	ErrStop = merry.Sentinel("process did not stop cleanly")
+	// ErrReady means that the system did not reach the expected state in time.
+	ErrReady = merry.Sentinel("system is not ready")
+	// ErrRequest means that no response was received.
+	ErrRequest = merry.Sentinel("no response")
+)
+
+const (
+	// startAttempts allows for ports that another process took between their
+	// reservation and the start.
+	startAttempts = 3
+	// portsPerHost are those for callers, peers, announcements, metrics and the
+	// target itself.
+	portsPerHost = 5
+	// portsPerReplica are those for calls and metrics.
+	portsPerReplica = 2
+	// pollEvery is how often a wait looks again.
+	pollEvery clock.Millis = 20
+	// operatorTimeout bounds one operator command.
+	operatorTimeout clock.Millis = 20_000
+)
+
+// Service says how many stand-in targets a service has, and of what kind.
+type Service struct {
+	Targets      int
+	Slots        int
+	ChecksGrants bool
+	// Arguments are further arguments of cmd/standin.
+	Arguments []string
+}
+
+// Options describe a system.
+type Options struct {
+	// Gentiansail and Standin are the paths of the programs.
+	Gentiansail, Standin string
+	// Folder takes settings, data folders and the output of the processes.
+	Folder string
+	// Replicas is the number of control replicas.
+	Replicas int
+	Services map[wire.ServiceName]Service
+	// Domains are the failure domains over which hosts are spread in turn; three
+	// by default.
+	Domains []wire.FailureDomain
+	// Group is "demo" by default.
+	Group wire.GroupID
+	// Environment is added to that of each process.
+	Environment []string
+}
+
+// Host is a host with a target and the node beside it.
+type Host struct {
+	Name    wire.NodeID
+	Domain  wire.FailureDomain
+	Service wire.ServiceName
+	// Caller is the node's address for callers.
+	Caller wire.Address
+	// Peer is the node's address for other nodes.
+	Peer wire.Address
+	// Metrics is the node's address for /metrics and /healthz.
+	Metrics wire.Address
+	Node    *Process
+	Target  *Process
+}
+
+// Replica is a control replica.
+type Replica struct {
+	*Process
+	Name       wire.ReplicaID
+	Metrics    wire.Address
+	DataFolder string
+}
+
+// Cluster is a running system.
+type Cluster struct {
+	Replicas []*Replica
+	Hosts    []*Host
+
+	options Options
+}
+
+// Start starts all processes and returns once each of them listens. The control
+// group is not founded yet.
+func Start(ctx context.Context, o Options) (*Cluster, error) {
+	if len(o.Domains) == 0 {
+		o.Domains = []wire.FailureDomain{"dsm-a", "dsm-b", "dsm-c"}
+	}
+	o.Group = cmp.Or(o.Group, "demo")
+	var err error
+	for n := range startAttempts {
+		c := &Cluster{options: o}
+		c.options.Folder = filepath.Join(o.Folder, fmt.Sprintf("start-%d", n+1))
+		if err = c.start(ctx); err == nil {
+			return c, nil
+		}
+		c.Close()
+	}
+	return nil, err
+}
+
+func (c *Cluster) start(ctx context.Context) error {
+	if err := c.plan(); err != nil {
+		return err
+	}
+	for _, p := range c.processes() {
+		if err := p.Start(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// plan reserves ports and writes settings.
+func (c *Cluster) plan() error {
+	ports, err := reserve(c.options.Replicas*portsPerReplica + c.targets()*portsPerHost)
+	if err != nil {
+		return err
+	}
+	replicas := make(map[wire.ReplicaID]wire.Address)
+	for i := range c.options.Replicas {
+		c.Replicas = append(c.Replicas, c.planReplica(i, ports[:portsPerReplica]))
+		replicas[c.Replicas[i].Name] = c.Replicas[i].Addr()
+		ports = ports[portsPerReplica:]
+	}
+	for i, r := range c.Replicas {
+		if err := c.writeReplica(i, r, replicas); err != nil {
+			return err
+		}
+	}
+	for _, s := range slices.Sorted(maps.Keys(c.options.Services)) {
+		for k := range c.options.Services[s].Targets {
+			if err := c.planHost(s, k, ports[:portsPerHost]); err != nil {
+				return err
+			}
+			ports = ports[portsPerHost:]
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) targets() int {
+	n := 0
+	for _, s := range c.options.Services {
+		n += s.Targets
+	}
+	return n
+}
+
+func (c *Cluster) domain(i int) wire.FailureDomain {
+	return c.options.Domains[i%len(c.options.Domains)]
+}
+
+func (c *Cluster) planReplica(i int, ports []wire.Address) *Replica {
+	name := wire.ReplicaID(fmt.Sprintf("control-%d", i+1))
+	return &Replica{
+		Name: name, Metrics: ports[1], DataFolder: filepath.Join(c.options.Folder, string(name)+"-data"),
+		Process: c.process(string(name), c.options.Gentiansail, ports[0], "control", "--settings", c.settingsFile(string(name))),
+	}
+}
+
+func (c *Cluster) writeReplica(i int, r *Replica, replicas map[wire.ReplicaID]wire.Address) error {
+	return writeSettings(c.settingsFile(string(r.Name)), settings.Control{
+		Group: c.options.Group, Name: r.Name, Listen: r.Addr(), MetricsListen: r.Metrics,
+		DataFolder: r.DataFolder, FailureDomain: c.domain(i), Replicas: replicas,
+	})
+}
+
+func (c *Cluster) planHost(service wire.ServiceName, k int, ports []wire.Address) error {
+	name := fmt.Sprintf("%s-%d", service, k+1)
+	h := &Host{
+		Name: wire.NodeID(name), Domain: c.domain(len(c.Hosts)), Service: service,
+		Caller: ports[0], Peer: ports[1], Metrics: ports[3],
+		Node:   c.process(name+"-node", c.options.Gentiansail, ports[0], "node", "--settings", c.settingsFile(name)),
+		Target: c.process(name+"-target", c.options.Standin, ports[4], c.targetArguments(service, ports)...),
+	}
+	c.Hosts = append(c.Hosts, h)
+	return writeSettings(c.settingsFile(name), settings.Node{
+		Group: c.options.Group, Name: h.Name, CallerListen: h.Caller, PeerListen: h.Peer, TargetListen: ports[2],
+		MetricsListen: h.Metrics, Advertise: h.Peer, FailureDomain: h.Domain, Control: c.Control(),
+	})
+}
+
+func (c *Cluster) targetArguments(service wire.ServiceName, ports []wire.Address) []string {
+	s := c.options.Services[service]
+	args := []string{"--listen", string(ports[4]), "--node", string(ports[2]), "--service", string(service)}
+	if s.Slots > 0 {
+		args = append(args, "--slots", fmt.Sprint(s.Slots))
+	}
+	if s.ChecksGrants {
+		args = append(args, "--checks-grants")
+	}
+	return append(args, s.Arguments...)
+}
+
+func (c *Cluster) process(name, program string, address wire.Address, args ...string) *Process {
+	return &Process{
+		Name: name, program: program, args: args, address: address,
+		environment: c.options.Environment, output: filepath.Join(c.options.Folder, name+".log"),
+	}
+}
+
+func (c *Cluster) settingsFile(name string) string {
+	return filepath.Join(c.options.Folder, name+".jsonc")
+}
+
+func (c *Cluster) processes() []*Process {
+	var out []*Process
+	for _, r := range c.Replicas {
+		out = append(out, r.Process)
+	}
+	for _, h := range c.Hosts {
+		out = append(out, h.Node, h.Target)
+	}
+	return out
+}
+
+// Close ends every process that still runs, at once and by its process id.
+func (c *Cluster) Close() {
+	for _, p := range c.processes() {
+		p.Kill()
+	}
+}
+
+// Control returns the addresses of the control replicas.
+func (c *Cluster) Control() []wire.Address {
+	var out []wire.Address
+	for _, r := range c.Replicas {
+		out = append(out, r.Addr())
+	}
+	return out
+}
+
+// Operator returns a session for operator commands, without output.
+func (c *Cluster) Operator() *operator.Session {
+	return &operator.Session{
+		Group: c.options.Group, Operator: "cluster", Control: c.Control(),
+		Timeout: operatorTimeout, Out: io.Discard, Err: io.Discard,
+	}
+}
+
+// Bootstrap founds the control group.
+func (c *Cluster) Bootstrap(ctx context.Context) error { return c.Operator().Bootstrap(ctx) }
+
+// Apply makes the folder the accepted configuration.
+func (c *Cluster) Apply(ctx context.Context, folder string) error {
+	return c.Operator().Apply(ctx, operator.ApplyOptions{Folder: folder, Base: operator.CurrentRevision})
+}
+
+// WaitReady returns once every host is registered and has the configuration in
+// force, and every partition has an owner.
+func (c *Cluster) WaitReady(ctx context.Context) error {
+	return c.WaitStatus(ctx, func(s wire.StatusResponse) error { return c.ready(s) })
+}
+
+// WaitStatus returns once ok returns nil for the status of the control group.
+// The error carries the last one of ok.
+func (c *Cluster) WaitStatus(ctx context.Context, ok func(wire.StatusResponse) error) error {
+	var last error
+	for {
+		status, err := c.Operator().FetchStatus(ctx)
+		if err == nil {
+			err = ok(status)
+		}
+		if err == nil {
+			return nil
+		}
+		if last == nil || ctx.Err() == nil {
+			last = err
+		}
+		if clock.System().Sleep(ctx, pollEvery) != nil {
+			return merry.Wrap(ErrReady, merry.AppendMessage(last.Error()))
+		}
+	}
+}
+
+func (c *Cluster) ready(s wire.StatusResponse) error {
+	for _, h := range c.Hosts {
+		i := slices.IndexFunc(s.Nodes, func(n wire.NodeStatus) bool { return n.Node == h.Name })
+		switch {
+		case i < 0:
+			return fmt.Errorf("node %s has not registered", h.Name)
+		case s.Nodes[i].Member == nil:
+			return fmt.Errorf("the target of node %s has not registered", h.Name)
+		case s.Revision == 0 || s.Nodes[i].RevisionInForce < s.Revision:
+			return fmt.Errorf("node %s has revision %d in force", h.Name, s.Nodes[i].RevisionInForce)
+		}
+	}
+	for _, v := range s.Services {
+		if v.Unowned > 0 || v.Moving > 0 {
+			return fmt.Errorf("service %s: %d partitions unowned, %d moving", v.Service, v.Unowned, v.Moving)
+		}
+	}
+	return nil
+}
+
+// Host returns the host of the node.
+func (c *Cluster) Host(n wire.NodeID) *Host {
+	for _, h := range c.Hosts {
+		if h.Name == n {
+			return h
+		}
+	}
+	return nil
+}
+
+// reserve returns free loopback addresses. It holds all of them open until it
+// has enough, so that no two are the same.
+func reserve(n int) ([]wire.Address, error) {
+	var out []wire.Address
+	var open []net.Listener
+	defer func() {
+		for _, l := range open {
+			_ = l.Close()
+		}
+	}()
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, merry.Wrap(ErrStart, merry.WithCause(err), merry.AppendMessage(err.Error()))
+		}
+		open = append(open, l)
+		out = append(out, wire.Address(l.Addr().String()))
+	}
+	return out, nil
+}
+
+// Logs returns the end of the output of each process that has ended by itself,
+// for the report of a failure.
+func (c *Cluster) Logs() string {
+	var out []byte
+	for _, p := range c.processes() {
+		if p.Running() {
+			continue
+		}
+		data, err := os.ReadFile(p.output)
+		if errors.Is(err, os.ErrNotExist) {
+			continue
+		}
+		const tail = 2000
+		out = fmt.Appendf(out, "--- %s\n%s\n", p.Name, data[max(0, len(data)-tail):])
+	}
+	return string(out)
+}
+
+// listenTimeout bounds how long a started process may take to listen.
+const listenTimeout = 10 * time.Second
--- a/internal/operator/apply.go
+++ b/internal/operator/apply.go
@@ -149,7 +149,7 @@
 	var missing []wire.NodeID
 	known := false
 	for {
-		status, err := s.fetchStatus(ctx)
+		status, err := s.FetchStatus(ctx)
 		if err == nil {
 			missing, known = nodesWhere(status, ok), true
 			if len(missing) == 0 {
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -10,7 +10,8 @@
 	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
-func (s *Session) fetchStatus(ctx context.Context) (wire.StatusResponse, error) {
+// FetchStatus returns what Status prints.
+func (s *Session) FetchStatus(ctx context.Context) (wire.StatusResponse, error) {
 	return call[wire.StatusResponse](ctx, s, wire.MethodOperatorStatus, wire.StatusRequest{Group: s.Group})
 }
 
@@ -20,7 +21,7 @@
 
 // Status prints replicas, nodes and services, as of a confirmed version.
 func (s *Session) Status(ctx context.Context) error {
-	r, err := s.fetchStatus(ctx)
+	r, err := s.FetchStatus(ctx)
 	if err != nil {
 		return err
 	}
@@ -76,9 +77,14 @@
 	return s.print(r, func(t *table) { t.line("node %s %s as of version %d", n, state, r.Version) })
 }
 
+// FetchOwner returns what Owner prints.
+func (s *Session) FetchOwner(ctx context.Context, service wire.ServiceName, key string) (wire.OwnerResponse, error) {
+	return call[wire.OwnerResponse](ctx, s, wire.MethodOperatorOwner, wire.OwnerRequest{Group: s.Group, Service: service, Key: key})
+}
+
 // Owner prints who owns a key.
 func (s *Session) Owner(ctx context.Context, service wire.ServiceName, key string) error {
-	r, err := call[wire.OwnerResponse](ctx, s, wire.MethodOperatorOwner, wire.OwnerRequest{Group: s.Group, Service: service, Key: key})
+	r, err := s.FetchOwner(ctx, service, key)
 	if err != nil {
 		return err
 	}
