--- /dev/null
+++ b/internal/integration/cluster/process_test.go
@@ -0,0 +1,82 @@
+package cluster
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/gentiansail/gentiansail/internal/wire"
+)
+
+// listenVariable makes the test binary act as a process of the system: it
+// listens at the address until SIGTERM.
+const listenVariable = "CLUSTER_TEST_LISTEN"
+
+func TestMain(m *testing.M) {
+	if address := os.Getenv(listenVariable); address != "" {
+		os.Exit(child(address))
+	}
+	os.Exit(m.Run())
+}
+
+func child(address string) int {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return 1
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM)
+	go func() {
+		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	}()
+	<-stop
+	return 0
+}
+
+func newProcess(t *testing.T, address wire.Address) *Process {
+	return &Process{
+		Name: "child", program: os.Args[0], address: address,
+		environment: []string{listenVariable + "=" + string(address)}, output: filepath.Join(t.TempDir(), "log"),
+	}
+}
+
+// Guards against a handle that loses its process: one left behind, one that
+// cannot be started again, or a paused one that cannot be ended.
+func TestProcessLife(t *testing.T) {
+	ports, err := reserve(2)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, ports[0] == ports[1], qt.IsFalse)
+	p := newProcess(t, ports[0])
+	qt.Assert(t, p.Running(), qt.IsFalse)
+	qt.Assert(t, p.Start(t.Context()), qt.IsNil)
+	defer p.Kill()
+	h := &Host{Caller: p.Addr()}
+	r, err := h.Do(t.Context(), Request{Method: http.MethodGet, Path: "/"})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, r.Body, qt.Equals, "ok")
+
+	p.Pause()
+	p.Resume()
+	qt.Assert(t, p.Stop(t.Context()), qt.IsNil)
+	qt.Assert(t, p.Restart(t.Context()), qt.IsNil)
+	p.Pause()
+	p.Kill()
+	qt.Assert(t, p.Running(), qt.IsFalse)
+	qt.Assert(t, errors.Is(p.Stop(t.Context()), ErrStop), qt.IsTrue)
+	_, err = h.Do(t.Context(), Request{Method: http.MethodGet, Path: "/"})
+	qt.Assert(t, errors.Is(err, ErrRequest), qt.IsTrue)
+}
+
+// Guards against waiting for a process that has ended, as after a port clash.
+func TestStartReportsEarlyEnd(t *testing.T) {
+	p := newProcess(t, "127.0.0.1:99999")
+	qt.Assert(t, errors.Is(p.Start(t.Context()), ErrStart), qt.IsTrue)
+}
--- a/internal/operator/output.go
+++ b/internal/operator/output.go
@@ -184,7 +184,13 @@
 
 func text[N ~int](n N) string { return fmt.Sprint(int(n)) }
 
-func millis(m wire.Millis) string { return fmt.Sprintf("%d ms", m) }
+// millis prints a time since; a negative one means that there was no event.
+func millis(m wire.Millis) string {
+	if m < 0 {
+		return "never"
+	}
+	return fmt.Sprintf("%d ms", m)
+}
 
 func moment(at wire.UnixMillis) string {
 	return time.UnixMilli(int64(at)).UTC().Format("2006-01-02T15:04:05.000Z")
