--- a/pkg/limit/limiter.go
+++ b/pkg/limit/limiter.go
@@ -120,6 +120,20 @@
 	done    atomic.Bool
 }
 
+// Ticket is a request's place in a queue.
+type Ticket struct {
+	limiter *Limiter
+	waiter  *waiter
+}
+
+// Granted receives the permit. It is closed without one when the deadline had
+// passed at the request's turn.
+func (t *Ticket) Granted() <-chan *Permit { return t.waiter.granted }
+
+// Abandon gives up the place, or a permit granted at the same moment. Granted
+// must not be read afterwards.
+func (t *Ticket) Abandon() { t.limiter.abandon(t.waiter) }
+
 // waiter is a request in a queue. Its channel receives the permit, or is closed
 // when the deadline passed in the queue.
 type waiter struct {
@@ -157,6 +171,17 @@
 	return l.wait(ctx, w)
 }
 
+// Enqueue is Acquire for event loops: it never blocks. It returns a permit if the
+// request may run now, a ticket if it must wait, or ErrDeadline or ErrFull. The
+// owner of a ticket must abandon it when its deadline passes.
+func (l *Limiter) Enqueue(c Class, deadline clock.Millis) (*Permit, *Ticket, error) {
+	p, w, err := l.enter(c, deadline)
+	if w == nil {
+		return p, nil, err
+	}
+	return nil, &Ticket{limiter: l, waiter: w}, nil
+}
+
 // AcquireAlone waits until nothing else runs at the target, and keeps other
 // requests waiting until the permit is done. It returns the errors of Acquire.
 func (l *Limiter) AcquireAlone(ctx context.Context, deadline clock.Millis) (*Permit, error) {
