--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -367,3 +367,32 @@
 	_, alive := g.machine.Member("i1")
 	qt.Assert(t, alive, qt.IsTrue)
 }
+
+// Guards against a key that changes owner when its override ends, although
+// neither owner was asked to stop.
+func TestOverrideEndsOnlyWithTheOwnerOfItsPartition(t *testing.T) {
+	g := newGroup()
+	g.apply(wire.Command{Apply: applyConfig(0, "a", config(1))})
+	for _, i := range []string{"i1", "i2"} {
+		g.apply(wire.Command{RegisterMember: member("n"+i, i, "catalogue")})
+	}
+	g.apply(wire.Command{Assign: &wire.Assign{Moves: []wire.Move{{Partition: "catalogue/0", To: "i1"}}}})
+	hash := partition.FormatHash(5)
+	id := state.OverrideID("catalogue", hash)
+	set := wire.Command{Override: &wire.Override{Service: "catalogue", KeyHash: hash, Present: true}}
+	end := wire.Command{Override: &wire.Override{Service: "catalogue", KeyHash: hash}}
+	moveTo := func(from, to wire.Incarnation) {
+		p, _ := g.machine.Partition(id)
+		g.apply(wire.Command{MoveStart: &wire.MoveStart{Moves: []wire.Move{{Partition: id, Epoch: p.Epoch, To: to}}}})
+		qt.Assert(t, errors.Is(g.apply(end).Err, state.ErrStale), qt.IsTrue)
+		r := g.apply(wire.Command{MoveRelease: &wire.MoveRelease{Incarnation: from, Grants: []wire.Grant{{Partition: id, Epoch: p.Epoch}}}})
+		qt.Assert(t, r.Err, qt.IsNil)
+	}
+	qt.Assert(t, g.apply(set).Err, qt.IsNil)
+	moveTo("i1", "i2")
+	qt.Assert(t, errors.Is(g.apply(end).Err, state.ErrStale), qt.IsTrue)
+	moveTo("i2", "i1")
+	qt.Assert(t, g.apply(end).Err, qt.IsNil)
+	_, exists := g.machine.Partition(id)
+	qt.Assert(t, exists, qt.IsFalse)
+}
