--- /dev/null
+++ b/internal/control/operator.go
@@ -0,0 +1,206 @@
+package control
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"github.com/gentiansail/gentiansail/internal/rpc"
+	"github.com/gentiansail/gentiansail/internal/wire"
+)
+
+// Register registers the methods of nodes and operators. Those of other
+// replicas belong to Run.
+func (s *Service) Register(server *rpc.Server) {
+	rpc.Handle(server, wire.MethodNodeHeartbeat, s.heartbeat)
+	rpc.Handle(server, wire.MethodNodeWatch, s.watch)
+	rpc.Handle(server, wire.MethodNodeDown, s.down)
+	rpc.Handle(server, wire.MethodOperationBegin, s.begin)
+	rpc.Handle(server, wire.MethodOperationFinish, s.finish)
+	rpc.Handle(server, wire.MethodSuspectClear, s.clearSuspect)
+	rpc.Handle(server, wire.MethodOperatorApply, s.apply)
+	rpc.Handle(server, wire.MethodOperatorStatus, s.status)
+	rpc.Handle(server, wire.MethodOperatorDrain, s.drain)
+	rpc.Handle(server, wire.MethodOperatorOwner, s.owner)
+	rpc.Handle(server, wire.MethodOperatorAudit, s.audit)
+	rpc.Handle(server, wire.MethodOperatorQuarantine, s.quarantine)
+	rpc.Handle(server, wire.MethodOperatorRelease, s.release)
+	rpc.Handle(server, wire.MethodOperatorConfig, s.config)
+}
+
+// apply commits a configuration. A request id that is known gets its original
+// response before the configuration is checked again, because the accepted one
+// has changed since.
+func (s *Service) apply(ctx context.Context, r wire.ApplyRequest) (wire.ApplyResponse, error) {
+	if _, err := s.enterConfirmed(ctx, r.Group); err != nil {
+		return wire.ApplyResponse{}, err
+	}
+	if r.RequestID == "" {
+		return wire.ApplyResponse{}, &rpc.Error{Code: rpc.CodeRefused, Message: "RequestID is empty"}
+	}
+	if a, known := s.Machine.Answer(r.RequestID); known {
+		return a, nil
+	}
+	revision, current := s.Machine.Config()
+	// A request with an old base is left to the state machine, which names the
+	// change that won.
+	if r.BaseRevision == revision {
+		if err := s.Validate(current, r.Configuration); err != nil {
+			return wire.ApplyResponse{Revision: revision, Refusal: err.Error()}, nil
+		}
+	}
+	res, err := s.commit(ctx, wire.Command{Apply: &r})
+	if err != nil {
+		return wire.ApplyResponse{}, err
+	}
+	s.Log.Info().Str("Operator", string(r.Operator)).Bool("Accepted", res.Apply.Accepted).Int("Revision", int(res.Apply.Revision)).Msg("configuration decided")
+	return *res.Apply, nil
+}
+
+// drain marks a node, or clears its mark. A name that was never heard is
+// refused, because it is most likely mistyped.
+func (s *Service) drain(ctx context.Context, r wire.DrainRequest) (wire.Ack, error) {
+	o, err := s.enterConfirmed(ctx, r.Group)
+	if err != nil {
+		return wire.Ack{}, err
+	}
+	if !s.knowsNode(o, r.Node) {
+		return wire.Ack{}, &rpc.Error{Code: rpc.CodeRefused, Message: "no node " + string(r.Node)}
+	}
+	return s.acknowledge(ctx, r.Group, wire.Command{Drain: &r})
+}
+
+func (s *Service) knowsNode(o *office, n wire.NodeID) bool {
+	_, heard := o.node(n)
+	hasMember := slices.ContainsFunc(s.Machine.MemberList(), func(v wire.Member) bool { return v.Node == n })
+	return heard || hasMember || s.Machine.IsDraining(n)
+}
+
+func (s *Service) owner(ctx context.Context, r wire.OwnerRequest) (wire.OwnerResponse, error) {
+	if _, err := s.enterConfirmed(ctx, r.Group); err != nil {
+		return wire.OwnerResponse{}, err
+	}
+	p, ok := s.Machine.Owner(r.Service, r.Key)
+	if !ok {
+		return wire.OwnerResponse{}, &rpc.Error{Code: rpc.CodeRefused, Message: "service " + string(r.Service) + " has no partitions"}
+	}
+	out := wire.OwnerResponse{Partition: p}
+	if v, live := s.Machine.Member(p.Owner); live {
+		out.Member = &v
+	}
+	return out, nil
+}
+
+func (s *Service) audit(ctx context.Context, r wire.AuditRequest) (wire.AuditResponse, error) {
+	if _, err := s.enterConfirmed(ctx, r.Group); err != nil {
+		return wire.AuditResponse{}, err
+	}
+	return wire.AuditResponse{Records: s.Machine.AuditAfter(r.After, r.Limit)}, nil
+}
+
+func (s *Service) quarantine(ctx context.Context, r wire.QuarantineRequest) (wire.QuarantineResponse, error) {
+	if _, err := s.enterConfirmed(ctx, r.Group); err != nil {
+		return wire.QuarantineResponse{}, err
+	}
+	return wire.QuarantineResponse{Suspects: s.Machine.SuspectList()}, nil
+}
+
+func (s *Service) release(ctx context.Context, r wire.ReleaseRequest) (wire.Ack, error) {
+	return s.acknowledge(ctx, r.Group, wire.Command{Release: &r})
+}
+
+func (s *Service) config(ctx context.Context, r wire.ConfigRequest) (wire.ConfigResponse, error) {
+	if _, err := s.enterConfirmed(ctx, r.Group); err != nil {
+		return wire.ConfigResponse{}, err
+	}
+	revision, c := s.Machine.Config()
+	return wire.ConfigResponse{Revision: revision, Configuration: c}, nil
+}
+
+func (s *Service) status(ctx context.Context, r wire.StatusRequest) (wire.StatusResponse, error) {
+	o, err := s.enterConfirmed(ctx, r.Group)
+	if err != nil {
+		return wire.StatusResponse{}, err
+	}
+	log := s.Status()
+	members, partitions := s.Machine.MemberList(), s.Machine.PartitionList()
+	revision, c := s.Machine.Config()
+	return wire.StatusResponse{
+		Group: s.Group, Version: s.Machine.Version(), Revision: revision,
+		CanLoseOne: log.CanLoseOne, Replicas: log.Replicas,
+		Nodes:    s.nodeStatuses(o, members, partitions),
+		Services: serviceStatuses(c, members, partitions),
+	}, nil
+}
+
+// nodeStatuses lists every node that was heard or that has a live member.
+func (s *Service) nodeStatuses(o *office, members []wire.Member, partitions []wire.Partition) []wire.NodeStatus {
+	owned := make(map[wire.Incarnation]int)
+	for _, p := range partitions {
+		owned[p.Owner]++
+	}
+	byNode := make(map[wire.NodeID]wire.NodeStatus)
+	for _, n := range o.names() {
+		byNode[n] = s.nodeStatus(o, n)
+	}
+	for _, v := range members {
+		n, ok := byNode[v.Node]
+		if !ok {
+			n = s.nodeStatus(o, v.Node)
+			n.Address, n.FailureDomain = v.Address, v.FailureDomain
+		}
+		// The latest registration is the one that serves.
+		if n.Member == nil || n.Member.RegisteredAt <= v.RegisteredAt {
+			n.Member = &v
+		}
+		n.Owned += owned[v.Incarnation]
+		byNode[v.Node] = n
+	}
+	out := []wire.NodeStatus{}
+	for _, n := range slices.Sorted(maps.Keys(byNode)) {
+		out = append(out, byNode[n])
+	}
+	return out
+}
+
+// neverHeard stands for a node that this leader has not heard.
+const neverHeard wire.Millis = -1
+
+func (s *Service) nodeStatus(o *office, n wire.NodeID) wire.NodeStatus {
+	out := wire.NodeStatus{Node: n, Draining: s.Machine.IsDraining(n), LastHeardMillis: neverHeard}
+	if h, ok := o.node(n); ok {
+		out.Address, out.FailureDomain = h.address, h.domain
+		out.RevisionInForce, out.KnownVersion = h.revision, h.version
+		out.LastHeardMillis = wire.Millis(s.Clock.Now() - h.heard)
+	}
+	return out
+}
+
+func serviceStatuses(c wire.Configuration, members []wire.Member, partitions []wire.Partition) []wire.ServiceStatus {
+	out := []wire.ServiceStatus{}
+	for _, service := range c.Services {
+		v := wire.ServiceStatus{Service: service.Name}
+		for _, m := range members {
+			if m.Service == service.Name {
+				v.Members++
+			}
+		}
+		for _, p := range partitions {
+			if p.Service == service.Name {
+				countPartition(&v, p)
+			}
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+func countPartition(v *wire.ServiceStatus, p wire.Partition) {
+	v.Partitions++
+	if p.Owner == "" {
+		v.Unowned++
+	}
+	if p.MovingTo != "" {
+		v.Moving++
+	}
+}
--- /dev/null
+++ b/internal/control/watch.go
@@ -0,0 +1,53 @@
+package control
+
+import (
+	"context"
+
+	"github.com/gentiansail/gentiansail/internal/rpc"
+	"github.com/gentiansail/gentiansail/internal/wire"
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+// maxWatch bounds a long poll, so that a node whose connection is gone does not
+// occupy a call for long.
+const maxWatch clock.Millis = 30000
+
+// watch answers as soon as the routing table is later than the known version.
+// Before it answers it confirms leadership, so that a node never learns a table
+// from a replica that has been deposed.
+func (s *Service) watch(ctx context.Context, r wire.WatchRequest) (wire.WatchResponse, error) {
+	o, err := s.enter(r.Group)
+	if err != nil {
+		return wire.WatchResponse{}, err
+	}
+	if err := s.awaitChange(ctx, o, r); err != nil {
+		return wire.WatchResponse{}, err
+	}
+	if err := s.confirm(ctx, o); err != nil {
+		return wire.WatchResponse{}, err
+	}
+	return wire.WatchResponse{Delta: s.Machine.Delta(r.KnownVersion)}, nil
+}
+
+func (s *Service) awaitChange(ctx context.Context, o *office, r wire.WatchRequest) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timeout := make(chan error, 1)
+	go func() { timeout <- s.Clock.Sleep(ctx, min(maxWatch, clock.Millis(r.WaitMillis))) }()
+	for {
+		// Taken before the comparison, so that no change falls in between.
+		changed := s.Machine.Changed()
+		if s.Machine.LastChange() > r.KnownVersion {
+			return nil
+		}
+		select {
+		case <-changed:
+		case err := <-timeout:
+			return err
+		case <-o.ended:
+			return s.notLeader()
+		case <-s.stopping:
+			return &rpc.Error{Code: rpc.CodeUnavailable, Message: "this replica is stopping"}
+		}
+	}
+}
--- a/internal/state/read.go
+++ b/internal/state/read.go
@@ -54,7 +54,16 @@
 	return a, ok
 }
 
-// Member returns a live member.
+// Registered returns a live member as it registered, without an operator's mark
+// on its node.
+func (m *Machine) Registered(i wire.Incarnation) (wire.Member, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	v, ok := m.Members[i]
+	return v, ok
+}
+
+// Member returns a live member as routing tables show it.
 func (m *Machine) Member(i wire.Incarnation) (wire.Member, bool) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -206,14 +206,6 @@
 	return max(0, g.end(m)-g.clock.Now())
 }
 
-// Forget drops what is known about a member that can never return.
-func (g *Granter[M]) Forget(m M) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	delete(g.ends, m)
-	delete(g.refused, m)
-}
-
 func (g *Granter[M]) end(m M) clock.Millis {
 	if e, ok := g.ends[m]; ok {
 		return max(e, g.floor)
