--- /dev/null
+++ b/internal/node/down.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"context"
+
+	"github.com/gentiansail/gentiansail/internal/wire"
+	"github.com/gentiansail/gentiansail/pkg/lease"
+)
+
+// down takes the requests that a dead target had, reports the end to the
+// control group, and lets those requests be answered when every serving node
+// knows the suspects. It returns at once.
+func (n *node) down(m *member, e ending) {
+	n.log.Warn().Str("Incarnation", string(m.incarnation)).Str("Service", string(m.target.Service)).
+		Str("Reason", e.why).Bool("Crashed", e.crashed).Msg("target ended")
+	n.metrics.incarnations.WithLabelValues("ended").Inc()
+	// The suspects are taken before anything else ends these requests.
+	var suspects []wire.InFlight
+	if e.crashed {
+		suspects = m.inFlight.suspects()
+		m.life.end()
+	}
+	m.term.end()
+	n.background.Go(func() {
+		defer m.stop()
+		defer close(m.verdict)
+		n.reportDown(m, e, suspects)
+	})
+}
+
+// reportDown repeats Node.Down until it is recorded. A node that cannot reach
+// the control group stays without a verdict; its requests end by their deadline.
+func (n *node) reportDown(m *member, e ending, suspects []wire.InFlight) {
+	if e.unknown {
+		return
+	}
+	request := wire.DownRequest{
+		Group: n.settings.Group, Node: n.settings.Name, Incarnation: m.incarnation,
+		Reason: e.why, Crashed: e.crashed, MayStillRun: e.mayStillRun, InFlight: suspects,
+	}
+	_, err := callControl[wire.DownResponse](n.alive, n.control, wire.MethodNodeDown, request)
+	if err != nil {
+		n.log.Warn().Err(err).Str("Incarnation", string(m.incarnation)).Msg("end of target not recorded")
+	}
+	n.hurry()
+	if len(suspects) == 0 {
+		return
+	}
+	// A serving node holds a valid lease, and a valid lease implies a table that
+	// is at most one lease duration old.
+	_ = n.clock.Sleep(n.alive, lease.DefaultTerms.Longest())
+}
+
+// awaitTarget decides what a failed exchange means: it returns when a probe
+// that began after the failure succeeded, or when the target's end has been
+// recorded. Until then the request stays among those that the target has.
+func (m *member) awaitTarget(ctx context.Context) {
+	for {
+		select {
+		case <-m.probes.now():
+		case <-m.ended:
+		}
+		if !m.alive() {
+			break
+		}
+		if m.probes.healthy() {
+			return
+		}
+	}
+	select {
+	case <-m.verdict:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/node/headers.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+
+	"github.com/gentiansail/gentiansail/internal/header"
+)
+
+// hopFields belong to one connection (RFC 9110, section 7.6.1) and are not
+// passed on.
+var hopFields = map[string]bool{
+	"Connection": true, "Proxy-Connection": true, "Keep-Alive": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Expect": true, "Content-Length": true,
+}
+
+// nodeFields are set by nodes only; a caller's or target's values are dropped.
+var nodeFields = map[string]bool{
+	header.Service: true, header.Route: true, header.Partition: true, header.Epoch: true,
+	header.Member: true, header.Attempt: true, header.DeadlineMillis: true, header.RequestID: true,
+	header.Outcome: true, header.Reason: true, header.Replayed: true, header.Refused: true,
+	header.InFlight: true, header.Limit: true, header.Fingerprint: true,
+}
+
+// endToEnd returns the fields that are passed on.
+func endToEnd(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	named := connectionFields(h)
+	for k, v := range h {
+		if !hopFields[k] && !nodeFields[k] && !named[k] {
+			out[k] = v
+		}
+	}
+	return out
+}
+
+// connectionFields are those that the Connection field names.
+func connectionFields(h http.Header) map[string]bool {
+	var named map[string]bool
+	for _, line := range h["Connection"] {
+		for f := range strings.SplitSeq(line, ",") {
+			if named == nil {
+				named = make(map[string]bool)
+			}
+			named[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(f))] = true
+		}
+	}
+	return named
+}
--- /dev/null
+++ b/internal/node/probe.go
@@ -0,0 +1,132 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/gentiansail/gentiansail/internal/exchange"
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+const (
+	// probeEvery and probeFailures end the incarnation of a frozen target after
+	// about half a second, so that its keys are served again within 2 s.
+	probeEvery clock.Millis = 150
+	// probeTimeout bounds one probe.
+	probeTimeout  clock.Millis = 150
+	probeFailures              = 3
+)
+
+// probes tells waiting requests what the latest probe found.
+type probes struct {
+	mu   sync.Mutex
+	done chan struct{} // closes with the next probe
+	kick chan struct{}
+	well atomic.Bool // what the latest probe found
+}
+
+func newProbes() *probes {
+	return &probes{done: make(chan struct{}), kick: make(chan struct{}, 1)}
+}
+
+// now asks for a probe at once and returns a channel that closes when a probe
+// that began after the call has ended.
+func (p *probes) now() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case p.kick <- struct{}{}:
+	default:
+	}
+	return p.done
+}
+
+// healthy reports whether the latest probe got a response.
+func (p *probes) healthy() bool { return p.well.Load() }
+
+// begin returns the function that ends a probe. Those who ask while it runs
+// wait for the next one.
+func (p *probes) begin() func(well bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.kick:
+	default:
+	}
+	done := p.done
+	p.done = make(chan struct{})
+	return func(well bool) {
+		p.well.Store(well)
+		close(done)
+	}
+}
+
+// probe looks after the target's liveness until ctx ends. The target is dead
+// when its address refuses connections, or after probeFailures probes without a
+// response. What the target says of its own health does not count: health
+// endpoints lag and mislead.
+func (m *member) probe(ctx context.Context, dead func(e ending)) error {
+	failures := 0
+	for ctx.Err() == nil {
+		done := m.probes.begin()
+		err := m.probeOnce(ctx)
+		var e ending
+		switch {
+		case err == nil:
+			failures = 0
+		case errors.Is(err, exchange.ErrRefusedConnection):
+			e = ending{why: "connection refused", crashed: true}
+		default:
+			if failures++; failures >= probeFailures {
+				e = ending{why: "no response to probes", crashed: true, mayStillRun: true}
+			}
+		}
+		if e.why != "" && ctx.Err() == nil {
+			dead(e)
+			done(false)
+			return nil
+		}
+		done(err == nil)
+		m.waitProbe(ctx, failures > 0)
+	}
+	return nil
+}
+
+// waitProbe waits until the next probe is due or asked for.
+func (m *member) waitProbe(ctx context.Context, failing bool) {
+	timed, cancel := context.WithCancel(ctx)
+	defer cancel()
+	due := make(chan struct{})
+	go func() {
+		_ = m.clock.Sleep(timed, probeEvery)
+		close(due)
+	}()
+	kick := m.probes.kick
+	if failing {
+		kick = nil // failures count only at their distance
+	}
+	select {
+	case <-due:
+	case <-kick:
+	}
+}
+
+// probeOnce sends one request over a new connection; any response to it is a
+// sign of life.
+func (m *member) probeOnce(ctx context.Context) error {
+	timed, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
+	defer cancel()
+	r, err := http.NewRequest(http.MethodGet, "http://"+string(m.target.Address)+"/gentiansail/clock", nil)
+	if err != nil {
+		return err
+	}
+	r.Close = true
+	response, err := m.protocol.Do(timed, exchange.Request{Address: string(m.target.Address), HTTP: r, Fresh: true})
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
