replog: add the property test over simulated network and disk

Cause: the protocol's promises need a test that combines loss, repetition, reordering, crashes with lost unsynced writes, partitions, pauses, failed writes and replaced identities. Change: core and store run over a simulated disk and network; checks for election safety, log matching, state-machine safety, durability and linearizable Confirm; tests of the checks themselves.

--- /dev/null
+++ b/pkg/replog/history_test.go
@@ -0,0 +1,62 @@
+package replog
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// operation is one client call on a machine that is a list of commands. Times
+// are positions in the order of all events.
+type operation struct {
+	start, end int
+	// place is the 1-based position of a written command in the committed order,
+	// or the number of commands that a read saw.
+	place int
+	read  bool
+}
+
+// checkHistory says whether there is one order of all operations that respects
+// real time. The committed order is known, so each write must come after every
+// operation that ended before it began, and each read must see exactly the
+// writes placed up to it.
+func checkHistory(ops []operation) error {
+	for _, a := range ops {
+		for _, b := range ops {
+			if a.end >= b.start {
+				continue
+			}
+			late := b.place < a.place
+			if !b.read {
+				late = b.place <= a.place
+			}
+			if late {
+				return fmt.Errorf("%+v ended before %+v began, but comes after it", a, b)
+			}
+		}
+	}
+	return nil
+}
+
+// Guards against a checker that accepts a history which no single order explains.
+func TestCheckHistory(t *testing.T) {
+	write := func(start, end, place int) operation { return operation{start, end, place, false} }
+	read := func(start, end, place int) operation { return operation{start, end, place, true} }
+	tests := map[string]struct {
+		ops []operation
+		ok  bool
+	}{
+		"read sees the write before it":     {[]operation{write(1, 2, 1), read(3, 4, 1)}, true},
+		"concurrent read sees old state":    {[]operation{write(1, 4, 1), read(2, 3, 0)}, true},
+		"stale read":                        {[]operation{write(1, 2, 1), read(3, 4, 0)}, false},
+		"read goes back":                    {[]operation{write(1, 9, 1), read(2, 3, 1), read(4, 5, 0)}, false},
+		"write placed before an older one":  {[]operation{write(1, 2, 2), write(3, 4, 1)}, false},
+		"read sees a write from the future": {[]operation{read(1, 2, 1), write(3, 4, 1)}, false},
+	}
+	for name, x := range tests {
+		t.Run(name, func(t *testing.T) {
+			qt.Assert(t, checkHistory(x.ops) == nil, qt.Equals, x.ok)
+		})
+	}
+}
--- /dev/null
+++ b/pkg/replog/property_test.go
@@ -0,0 +1,487 @@
+package replog
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+const (
+	simHeartbeat clock.Millis = 20
+	simTimeout   clock.Millis = 100
+	// simKeep is small, so that snapshots and catch-up by snapshot are frequent.
+	simKeep = 8
+)
+
+// world simulates a group: cores and stores on simulated disks, joined by a
+// network that loses, repeats and reorders messages. It checks the protocol's
+// invariants after each event and collects the clients' history.
+type world struct {
+	random  *rand.Rand
+	now     clock.Millis
+	events  int
+	nodes   []*simNode
+	network [][]byte
+	cut     map[Identity]bool
+	lies    bool
+
+	leaders   map[Term]Identity
+	committed map[Index]Entry
+	appended  map[string]string
+	commands  []string
+	history   []operation
+	acked     int
+	wiped     clock.Millis
+	problem   error
+}
+
+// simNode is a replica; its machine is the list of commands applied.
+type simNode struct {
+	name     ReplicaID
+	disk     *simDisk
+	engine   *engine
+	identity Identity
+	paused   bool
+	applied  Index
+	machine  []string
+	snapshot Index
+	member   Membership
+	initial  []Member
+	writes   map[Index]simWrite
+	reads    map[uint64]int
+	ready    map[uint64]simRead
+}
+
+type simWrite struct {
+	term  Term
+	start int
+}
+
+type simRead struct {
+	start int
+	index Index
+}
+
+func newWorld(seed uint64, lies bool, names ...ReplicaID) *world {
+	w := &world{
+		random: rand.New(rand.NewPCG(seed, 0)), cut: map[Identity]bool{}, lies: lies,
+		leaders: map[Term]Identity{}, committed: map[Index]Entry{}, appended: map[string]string{},
+	}
+	var members []Member
+	for _, s := range names {
+		n := &simNode{name: s}
+		w.nodes = append(w.nodes, n)
+		w.wipe(n)
+		members = append(members, n.engine.core.self)
+	}
+	for _, n := range w.nodes[:3] {
+		w.check(n.engine.core.bootstrap(members[:3]))
+		w.flush(n)
+	}
+	return w
+}
+
+func (w *world) check(err error) {
+	if err != nil && w.problem == nil {
+		w.problem = err
+	}
+}
+
+func (w *world) wipe(n *simNode) {
+	n.disk = newSimDisk(w.random)
+	n.engine = nil
+	w.wiped = w.now
+	w.start(n)
+	n.disk.lies = w.lies
+}
+
+// start opens a node's store, as after the start of its process.
+func (w *world) start(n *simNode) {
+	identity := func() Identity { return Identity(fmt.Sprintf("%s-%d", n.name, w.random.Uint64())) }
+	s, l, err := openStore(n.disk.files(), "folder", "g", identity)
+	if errors.Is(err, ErrStorage) {
+		w.crash(n)
+		return
+	}
+	if err != nil {
+		w.check(err)
+		return
+	}
+	s.limit = 2048
+	n.identity, n.paused = l.identity, false
+	n.machine, n.applied, n.snapshot = nil, 0, 0
+	n.writes, n.reads, n.ready = map[Index]simWrite{}, map[uint64]int{}, map[uint64]simRead{}
+	if l.snapshot != nil {
+		w.restore(n, l.snapshot)
+	}
+	self := Member{Name: n.name, Identity: l.identity}
+	c := newCore("g", self, l, simHeartbeat, simTimeout, w.random, w.now)
+	n.engine = &engine{core: c, store: s, send: func(m Message) { w.network = append(w.network, m.Encode()) }}
+}
+
+func (w *world) crash(n *simNode) {
+	n.engine = nil
+	n.disk.crash()
+}
+
+// flush carries out a node's outputs. A storage failure is the end of the process.
+func (w *world) flush(n *simNode) {
+	if n.engine == nil {
+		return
+	}
+	f, err := n.engine.flush()
+	if err != nil {
+		if !errors.Is(err, ErrStorage) {
+			w.check(err)
+		}
+		w.crash(n)
+		return
+	}
+	w.events++
+	for _, r := range f.Roles {
+		if id, ok := w.leaders[r.term]; r.role == Leader && ok && id != n.identity {
+			w.check(fmt.Errorf("election safety: %s and %s lead term %d", id, n.identity, r.term))
+		}
+		if r.role == Leader {
+			w.leaders[r.term] = n.identity
+		}
+	}
+	for _, x := range f.Work {
+		if x.Restore != nil {
+			w.restore(n, x.Restore)
+		} else {
+			w.apply(n, x.Entry)
+		}
+	}
+	for _, x := range f.Confirmed {
+		if start, ok := n.reads[x.token]; ok && x.ok {
+			n.ready[x.token] = simRead{start, x.index}
+		}
+		delete(n.reads, x.token)
+	}
+	w.finishReads(n)
+	w.checkLog(n)
+	w.takeSnapshot(n)
+}
+
+func (w *world) restore(n *simNode, s *Snapshot) {
+	n.machine = nil
+	for d := (decoder{b: s.Data}); len(d.b) > 0; {
+		n.machine = append(n.machine, d.text())
+	}
+	n.applied, n.snapshot, n.member, n.initial = s.Index, s.Index, s.Membership, s.Initial
+	if len(n.machine) > len(w.commands) || !slices.Equal(n.machine, w.commands[:len(n.machine)]) {
+		w.check(fmt.Errorf("state machine safety: snapshot %d of %s differs", s.Index, n.identity))
+	}
+}
+
+func (w *world) apply(n *simNode, e Entry) {
+	if e.Index != n.applied+1 {
+		w.check(fmt.Errorf("%s applies %d after %d", n.identity, e.Index, n.applied))
+	}
+	n.applied = e.Index
+	x, known := w.committed[e.Index]
+	if known && (x.Term != e.Term || x.Kind != e.Kind || !bytes.Equal(x.Data, e.Data)) {
+		w.check(fmt.Errorf("state machine safety: entry %d is %v and %v", e.Index, x, e))
+	}
+	w.committed[e.Index] = e
+	switch e.Kind {
+	case EntryMembership:
+		n.member, _ = decodeMembership(e.Data)
+		if e.Index == 1 {
+			n.initial = n.member.Voters
+		}
+	case EntryCommand:
+		n.machine = append(n.machine, string(e.Data))
+		if !known {
+			w.commands = append(w.commands, string(e.Data))
+		}
+	}
+	if p, ok := n.writes[e.Index]; ok && p.term == e.Term {
+		w.history = append(w.history, operation{start: p.start, end: w.events, place: len(n.machine)})
+		w.acked++
+	}
+	delete(n.writes, e.Index)
+}
+
+func (w *world) finishReads(n *simNode) {
+	for t, r := range n.ready {
+		if n.applied >= r.index {
+			w.history = append(w.history, operation{start: r.start, end: w.events, place: len(n.machine), read: true})
+			delete(n.ready, t)
+		}
+	}
+}
+
+// checkLog checks log matching: an index and term determine the entry and the
+// term before it.
+func (w *world) checkLog(n *simNode) {
+	l := &n.engine.core.log
+	before := l.baseTerm
+	for _, e := range l.entries {
+		key := fmt.Sprintf("%d/%d", e.Index, e.Term)
+		value := fmt.Sprintf("%d %d %x", before, e.Kind, e.Data)
+		if old, ok := w.appended[key]; ok && old != value {
+			w.check(fmt.Errorf("log matching: entry %s is %s and %s", key, old, value))
+		}
+		w.appended[key] = value
+		before = e.Term
+	}
+}
+
+func (w *world) takeSnapshot(n *simNode) {
+	if n.applied < n.snapshot+simKeep {
+		return
+	}
+	e := encoder{}
+	for _, s := range n.machine {
+		e.text(s)
+	}
+	s := &Snapshot{Index: n.applied, Term: w.committed[n.applied].Term, Membership: n.member, Initial: n.initial, Data: e.b}
+	if n.engine.store.saveSnapshot(s) != nil || n.engine.compact(s, simKeep) != nil {
+		w.crash(n)
+		return
+	}
+	n.snapshot = s.Index
+}
+
+// input gives a running node one input and carries out what follows.
+func (w *world) input(n *simNode, f func(*core)) {
+	if n.engine == nil || n.paused {
+		return
+	}
+	n.engine.core.now = w.now
+	f(n.engine.core)
+	w.flush(n)
+}
+
+// deliver takes a random message and may lose or repeat it.
+func (w *world) deliver(lossy bool) {
+	i := w.random.IntN(len(w.network))
+	b := w.network[i]
+	chance := w.random.IntN(100)
+	if !lossy || chance >= 5 {
+		w.network[i] = w.network[len(w.network)-1]
+		w.network = w.network[:len(w.network)-1]
+	}
+	if lossy && chance >= 5 && chance < 15 {
+		return
+	}
+	m, err := DecodeMessage(b)
+	w.check(err)
+	if w.cut[m.From.Identity] != w.cut[m.To.Identity] {
+		return
+	}
+	for _, n := range w.nodes {
+		if n.identity == m.To.Identity {
+			w.input(n, func(c *core) { c.step(m) })
+		}
+	}
+}
+
+// run lets time pass: ticks, deliveries, and each node's request for admission.
+func (w *world) run(rounds int, lossy bool) {
+	for range rounds {
+		w.now += clock.Millis(1 + w.random.IntN(8))
+		for _, n := range w.nodes {
+			w.input(n, (*core).tick)
+		}
+		for k := w.random.IntN(12); k > 0 && len(w.network) > 0; k-- {
+			w.deliver(lossy)
+		}
+		if len(w.network) > 200 {
+			w.network = w.network[len(w.network)-100:]
+		}
+		w.admit()
+	}
+}
+
+func (w *world) admit() {
+	for _, n := range w.nodes {
+		if n.engine == nil || w.random.IntN(4) > 0 {
+			continue
+		}
+		m := n.engine.core.self
+		for _, l := range w.nodes {
+			w.input(l, func(c *core) {
+				if c.lead != nil && !c.membership().isVoter(m.Identity) {
+					_, _ = c.admit(m)
+				}
+			})
+		}
+	}
+}
+
+func (w *world) propose(n *simNode) {
+	w.input(n, func(c *core) {
+		w.events++
+		i, t, err := c.propose(fmt.Appendf(nil, "command %d", w.events))
+		if err == nil {
+			n.writes[i] = simWrite{t, w.events}
+		}
+	})
+}
+
+func (w *world) confirm(n *simNode) {
+	w.input(n, func(c *core) {
+		w.events++
+		token := uint64(w.events)
+		n.reads[token] = w.events
+		c.confirm(token)
+	})
+}
+
+// canLoseOne asks the leader of the highest term that runs.
+func (w *world) canLoseOne() bool {
+	var best *simNode
+	for _, n := range w.nodes {
+		if n.engine != nil && !n.paused && n.engine.core.lead != nil && (best == nil || n.engine.core.state.Term > best.engine.core.state.Term) {
+			best = n
+		}
+	}
+	if best == nil || w.now-w.wiped < simTimeout {
+		return false
+	}
+	best.engine.core.now = w.now
+	return newStatusRecord(best.engine.core, best.applied).at(w.now).CanLoseOne
+}
+
+// settle removes all faults and checks that the group works and has lost nothing.
+func (w *world) settle() {
+	w.cut = map[Identity]bool{}
+	for _, n := range w.nodes {
+		n.paused, n.disk.failAfter = false, -1
+		if n.engine == nil {
+			w.start(n)
+		}
+	}
+	before := w.acked
+	for range 400 {
+		w.run(10, false)
+		w.propose(w.nodes[w.random.IntN(len(w.nodes))])
+		if w.acked > before+5 {
+			break
+		}
+	}
+	if w.acked <= before {
+		w.check(errors.New("no proposal succeeds after all faults have ended:" + w.summary()))
+	}
+	w.check(checkHistory(w.history))
+}
+
+func (w *world) summary() string {
+	var b strings.Builder
+	for _, n := range w.nodes {
+		c := n.engine.core
+		fmt.Fprintf(&b, "\n%s %v term %d vote %s log %d-%d last term %d commit %d voters", n.identity, c.role, c.state.Term, c.state.Vote, c.log.base, c.log.last(), c.log.lastTerm(), c.commit)
+		for _, v := range c.membership().Voters {
+			fmt.Fprintf(&b, " %s", v.Identity)
+		}
+	}
+	return b.String()
+}
+
+// actions are the faults and client calls that the property test combines.
+func (w *world) actions() map[string]func(*rapid.T) {
+	node := func(t *rapid.T) *simNode { return w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")] }
+	run := func(t *rapid.T) { w.run(rapid.IntRange(1, 60).Draw(t, "rounds"), true) }
+	return map[string]func(*rapid.T){
+		"run": run, "run again": run, "run more": run,
+		"propose": func(t *rapid.T) {
+			for range rapid.IntRange(1, 8).Draw(t, "proposals") {
+				for _, n := range w.nodes {
+					w.propose(n)
+				}
+				w.run(1, true)
+			}
+		},
+		"confirm": func(t *rapid.T) {
+			for range rapid.IntRange(1, 4).Draw(t, "confirmations") {
+				w.confirm(node(t))
+				w.run(1, true)
+			}
+		},
+		"crash": func(t *rapid.T) { w.crash(node(t)) },
+		"fail":  func(t *rapid.T) { node(t).disk.failAfter = rapid.IntRange(0, 12).Draw(t, "operations") },
+		"start": func(t *rapid.T) {
+			for _, n := range w.nodes {
+				if n.engine == nil {
+					w.start(n)
+				}
+			}
+		},
+		"pause":    func(t *rapid.T) { n := node(t); n.paused = !n.paused },
+		"cut":      func(t *rapid.T) { w.cut[node(t).identity] = true },
+		"heal":     func(t *rapid.T) { w.cut = map[Identity]bool{} },
+		"transfer": func(t *rapid.T) { w.input(node(t), func(c *core) { _ = c.transferLeadership() }) },
+		"wipe": func(t *rapid.T) {
+			w.settleBriefly()
+			if w.canLoseOne() {
+				w.wipe(node(t))
+			}
+		},
+		"": func(t *rapid.T) {
+			if w.problem != nil {
+				t.Fatal(w.problem)
+			}
+		},
+	}
+}
+
+// settleBriefly heals the network long enough that a replacement can be complete.
+func (w *world) settleBriefly() {
+	w.cut = map[Identity]bool{}
+	for _, n := range w.nodes {
+		n.paused = false
+		if n.engine == nil {
+			w.start(n)
+		}
+	}
+	w.run(120, true)
+}
+
+// Guards against two leaders of a term, diverging logs or machines, lost
+// acknowledged entries, stale confirmed reads, a group that stays without a
+// leader, and a CanLoseOne that is true too early.
+func TestGroupProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), false, "a", "b", "c", "d")
+		t.Repeat(w.actions())
+		w.settle()
+		if w.problem != nil {
+			t.Fatal(w.problem)
+		}
+	})
+}
+
+// Guards against a simulation that cannot show a fault: with an fsync that does
+// nothing, crashes must break at least one invariant.
+func TestGroupPropertiesNoticeLostWrites(t *testing.T) {
+	for seed := range uint64(50) {
+		w := newWorld(seed, true, "a", "b", "c")
+		for range 20 {
+			w.run(60, true)
+			for _, n := range w.nodes {
+				w.propose(n)
+			}
+			w.run(20, true)
+			for _, n := range w.nodes {
+				w.crash(n)
+				w.start(n)
+			}
+		}
+		if w.problem != nil {
+			return
+		}
+	}
+	qt.Assert(t, false, qt.IsTrue, qt.Commentf("no invariant was broken"))
+}
--- a/pkg/replog/status.go
+++ b/pkg/replog/status.go
@@ -80,11 +80,14 @@
 
 // publish makes the loop's state visible to Status.
 func (n *loop) publish() {
-	c := n.engine.core
+	n.replica.status.Store(newStatusRecord(n.engine.core, n.applied))
+}
+
+func newStatusRecord(c *core, applied Index) *statusRecord {
 	p := &statusRecord{timeout: c.electionTimeout, heard: map[Identity]clock.Millis{}}
 	p.status = Status{
 		Group: c.group, Self: c.self, Role: c.role, Term: c.state.Term, Leader: c.leader,
-		Commit: c.commit, Applied: n.applied, Last: c.log.last(),
+		Commit: c.commit, Applied: applied, Last: c.log.last(),
 	}
 	if c.snapshot != nil {
 		p.status.Snapshot = c.snapshot.Index
@@ -95,7 +98,7 @@
 	for _, m := range c.membership().Learners {
 		p.status.Learners = append(p.status.Learners, c.memberStatus(m, p))
 	}
-	n.replica.status.Store(p)
+	return p
 }
 
 func (c *core) memberStatus(m Member, p *statusRecord) MemberStatus {
