replog: let learners grant votes

Cause: a leader appends the entry that makes a learner a voter and stops before the learner receives it. Only that leader holds the entry, so its membership needs the new voter's vote to elect it again, and the new voter, still a learner in its own log, refused. Ruled out: delaying the promotion, since the window between append and delivery always exists. Change: a replica grants votes if its identity is in its membership in either role; a replica that is not in its membership still neither votes nor campaigns, and a learner does not campaign. A vote counts only for a candidate whose log makes the identity a voter, and that entry is appended only after the learner has caught up.

--- a/pkg/replog/core.go
+++ b/pkg/replog/core.go
@@ -140,6 +140,14 @@
 
 func (c *core) isVoter() bool { return c.membership().isVoter(c.self.Identity) }
 
+// mayVote is true for learners as well. A vote counts only for a candidate whose
+// log makes this identity a voter, which a learner cannot know until it receives
+// that entry. If it refused until then, a group whose new voter must help to
+// elect the only replica that holds the entry would stay without a leader.
+func (c *core) mayVote() bool {
+	return c.isVoter() || c.membership().isLearner(c.self.Identity)
+}
+
 func (c *core) noteMembership(n Entry) {
 	if n.Kind != EntryMembership {
 		return
--- a/pkg/replog/election.go
+++ b/pkg/replog/election.go
@@ -57,7 +57,7 @@
 // ignoresVote says whether a request for a vote must not even change the term:
 // this replica may not vote, or it hears a leader that did not hand over.
 func (c *core) ignoresVote(m Message) bool {
-	return !c.isVoter() || (!m.Transfer && c.hearsLeader())
+	return !c.mayVote() || (!m.Transfer && c.hearsLeader())
 }
 
 func (c *core) hearsLeader() bool {
@@ -157,7 +157,7 @@
 }
 
 func (c *core) stepPreVote(m Message) {
-	if !c.isVoter() {
+	if !c.mayVote() {
 		return
 	}
 	grant := Term(m.Round) > c.state.Term && !c.hearsLeader() && c.upToDate(m)
--- a/pkg/replog/property_test.go
+++ b/pkg/replog/property_test.go
@@ -36,7 +36,7 @@
 
 	leaders   map[Term]Identity
 	committed map[Index]Entry
-	appended  map[string]string
+	appended  map[place]content
 	commands  []string
 	history   []operation
 	acked     int
@@ -61,6 +61,18 @@
 	ready    map[uint64]simRead
 }
 
+// place and content are what log matching joins.
+type place struct {
+	index Index
+	term  Term
+}
+
+type content struct {
+	before Term
+	kind   EntryKind
+	data   string
+}
+
 type simWrite struct {
 	term  Term
 	start int
@@ -74,7 +86,7 @@
 func newWorld(seed uint64, lies bool, names ...ReplicaID) *world {
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, 0)), cut: map[Identity]bool{}, lies: lies,
-		leaders: map[Term]Identity{}, committed: map[Index]Entry{}, appended: map[string]string{},
+		leaders: map[Term]Identity{}, committed: map[Index]Entry{}, appended: map[place]content{},
 	}
 	var members []Member
 	for _, s := range names {
@@ -228,12 +240,14 @@
 	l := &n.engine.core.log
 	before := l.baseTerm
 	for _, e := range l.entries {
-		key := fmt.Sprintf("%d/%d", e.Index, e.Term)
-		value := fmt.Sprintf("%d %d %x", before, e.Kind, e.Data)
-		if old, ok := w.appended[key]; ok && old != value {
-			w.check(fmt.Errorf("log matching: entry %s is %s and %s", key, old, value))
+		key := place{e.Index, e.Term}
+		old, ok := w.appended[key]
+		if ok && (old.before != before || old.kind != e.Kind || old.data != string(e.Data)) {
+			w.check(fmt.Errorf("log matching: entry %v is %v and %v after term %d", key, old, e, before))
+		}
+		if !ok {
+			w.appended[key] = content{before, e.Kind, string(e.Data)}
 		}
-		w.appended[key] = value
 		before = e.Term
 	}
 }
