--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -4,6 +4,9 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
 
 	"github.com/gentiansail/gentiansail/internal/rpc"
 	"github.com/gentiansail/gentiansail/internal/wire"
@@ -45,7 +48,7 @@
 	// A request with an old base is left to the state machine, which names the
 	// change that won.
 	if r.BaseRevision == revision {
-		if err := s.Validate(current, r.Configuration); err != nil {
+		if err := s.check(current, r.Configuration); err != nil {
 			return wire.ApplyResponse{Revision: revision, Refusal: err.Error()}, nil
 		}
 	}
@@ -57,6 +60,48 @@
 	return *res.Apply, nil
 }
 
+// check applies the rules that the state machine rests on, then the rest.
+func (s *Service) check(current, next wire.Configuration) error {
+	if err := checkServices(current, next); err != nil {
+		return err
+	}
+	if s.Validate == nil {
+		return nil
+	}
+	return s.Validate(current, next)
+}
+
+// maxPartitions bounds the partitions of one service. It gives each of 3,000
+// nodes more than 20 and keeps the full routing table at some megabytes.
+const maxPartitions = 65536
+
+// checkServices refuses names that cannot be part of a partition's id, and
+// numbers of partitions that are impossible or would move most keys.
+func checkServices(current, next wire.Configuration) error {
+	counts := make(map[wire.ServiceName]int)
+	for _, v := range current.Services {
+		if v.Keyed {
+			counts[v.Name] = v.Partitions
+		}
+	}
+	seen := make(map[wire.ServiceName]bool)
+	for _, v := range next.Services {
+		old, existed := counts[v.Name]
+		switch {
+		case v.Name == "" || strings.Contains(string(v.Name), "/"):
+			return merry.Wrap(ErrConfiguration, merry.AppendMessagef("service name %q is empty or holds a slash", v.Name))
+		case seen[v.Name]:
+			return merry.Wrap(ErrConfiguration, merry.AppendMessagef("service %s appears twice", v.Name))
+		case v.Keyed && (v.Partitions < 1 || v.Partitions > maxPartitions):
+			return merry.Wrap(ErrConfiguration, merry.AppendMessagef("service %s: Partitions must be from 1 to %d", v.Name, maxPartitions))
+		case v.Keyed && existed && v.Partitions != old:
+			return merry.Wrap(ErrConfiguration, merry.AppendMessagef("service %s: Partitions is fixed at %d", v.Name, old))
+		}
+		seen[v.Name] = true
+	}
+	return nil
+}
+
 // drain marks a node, or clears its mark. A name that was never heard is
 // refused, because it is most likely mistyped.
 func (s *Service) drain(ctx context.Context, r wire.DrainRequest) (wire.Ack, error) {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -57,6 +57,11 @@
 	ErrNotLeader = merry.Sentinel("not the leader")
 	// ErrUnknown means that a command may or may not take effect.
 	ErrUnknown = merry.Sentinel("outcome of the command is unknown")
+	// ErrTooLarge means that a command does not fit into a log entry; it will
+	// never take effect.
+	ErrTooLarge = merry.Sentinel("command is too large")
+	// ErrConfiguration means that a configuration is refused.
+	ErrConfiguration = merry.Sentinel("configuration refused")
 	// ErrStart means that the process cannot start or lost its log.
 	ErrStart = merry.Sentinel("control replica failed")
 )
@@ -86,7 +91,8 @@
 	Confirm func(ctx context.Context) (wire.Version, error)
 	// Status describes the replicated log.
 	Status func() Status
-	// Validate checks a configuration against the accepted one.
+	// Validate checks a configuration against the accepted one, in addition to
+	// the rules that the state machine rests on. It may be nil.
 	Validate func(current, next wire.Configuration) error
 	// NewID returns a random id.
 	NewID    func() string
@@ -152,10 +158,10 @@
 	if s.office != nil {
 		close(s.office.ended)
 		s.office = nil
+		s.metrics.leading.Set(0)
+		s.Log.Info().Msg("no longer leading")
 	}
-	s.metrics.leading.Set(0)
 	if !leading {
-		s.Log.Info().Msg("not leading")
 		return
 	}
 	s.office = &office{
@@ -254,6 +260,8 @@
 	switch {
 	case errors.Is(err, ErrNotLeader):
 		return s.notLeader()
+	case errors.Is(err, ErrTooLarge):
+		return &rpc.Error{Code: rpc.CodeRefused, Message: err.Error()}
 	case errors.Is(err, ErrUnknown):
 		return &rpc.Error{Code: rpc.CodeUnknown, Message: err.Error()}
 	}
