--- /dev/null
+++ b/internal/control/run_test.go
@@ -0,0 +1,216 @@
+package control_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"github.com/gentiansail/gentiansail/internal/control"
+	"github.com/gentiansail/gentiansail/internal/rpc"
+	"github.com/gentiansail/gentiansail/internal/settings"
+	"github.com/gentiansail/gentiansail/internal/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// host is one control replica on loopback.
+type host struct {
+	settings settings.Control
+	stop     context.CancelFunc
+	done     chan error
+	client   *rpc.Client
+}
+
+type cluster struct {
+	t     *testing.T
+	hosts []*host
+}
+
+func newCluster(t *testing.T) *cluster {
+	c := &cluster{t: t}
+	replicas := map[wire.ReplicaID]wire.Address{}
+	var listeners []net.Listener
+	for i := range 3 {
+		l := c.listen("127.0.0.1:0")
+		listeners = append(listeners, l)
+		name := wire.ReplicaID(fmt.Sprint("control-", i))
+		replicas[name] = wire.Address(l.Addr().String())
+		c.hosts = append(c.hosts, &host{settings: settings.Control{Group: "tz", Name: name, DataFolder: t.TempDir(), Replicas: replicas}})
+	}
+	for i, h := range c.hosts {
+		h.client = rpc.NewClient(string(replicas[h.settings.Name]))
+		c.start(h, listeners[i])
+	}
+	t.Cleanup(func() {
+		for _, h := range c.hosts {
+			h.client.Close()
+			h.stop()
+		}
+		for _, h := range c.hosts {
+			qt.Check(t, <-h.done, qt.IsNil)
+		}
+	})
+	return c
+}
+
+func (c *cluster) listen(address string) net.Listener {
+	l, err := net.Listen("tcp", address)
+	qt.Assert(c.t, err, qt.IsNil)
+	return l
+}
+
+func (c *cluster) start(h *host, l net.Listener) {
+	ctx, cancel := context.WithCancel(context.Background())
+	metrics := c.listen("127.0.0.1:0")
+	h.settings.MetricsListen = wire.Address(metrics.Addr().String())
+	h.stop, h.done = cancel, make(chan error, 1)
+	go func() { h.done <- control.Runner{}.RunOn(ctx, h.settings, zerolog.Nop(), l, metrics) }()
+}
+
+// found contacts every replica and founds the group.
+func (c *cluster) found() {
+	request := wire.BootstrapRequest{Group: "tz"}
+	for _, h := range c.hosts {
+		id := ask[wire.IdentityResponse](c, h.client, wire.MethodReplicaIdentity, wire.IdentityRequest{Group: "tz"})
+		request.Members = append(request.Members, wire.ReplicaMember{Name: id.Name, Identity: id.Identity, Address: wire.Address(h.client.Address()), Voter: true})
+	}
+	for _, h := range c.hosts {
+		ask[wire.Ack](c, h.client, wire.MethodReplicaBootstrap, request)
+	}
+}
+
+// ask calls one replica until it answers.
+func ask[Response any](c *cluster, client *rpc.Client, method string, request any) Response {
+	c.t.Helper()
+	return askAny[Response](c, []*rpc.Client{client}, method, request)
+}
+
+// askLeader calls the replicas in turn until one answers.
+func askLeader[Response any](c *cluster, method string, request any) Response {
+	c.t.Helper()
+	var clients []*rpc.Client
+	for _, h := range c.hosts {
+		clients = append(clients, h.client)
+	}
+	return askAny[Response](c, clients, method, request)
+}
+
+// giveUp ends a test that would wait for ever.
+const giveUp = 20 * time.Second
+
+func askAny[Response any](c *cluster, clients []*rpc.Client, method string, request any) Response {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(c.t.Context(), giveUp)
+	defer cancel()
+	for {
+		for _, client := range clients {
+			attempt, done := context.WithTimeout(ctx, time.Second)
+			out, err := rpc.Call[Response](attempt, client, method, request)
+			done()
+			if err == nil {
+				return out
+			}
+			qt.Assert(c.t, ctx.Err(), qt.IsNil, qt.Commentf("%s: %v", method, err))
+		}
+	}
+}
+
+func (c *cluster) status() wire.StatusResponse {
+	return askLeader[wire.StatusResponse](c, wire.MethodOperatorStatus, wire.StatusRequest{Group: "tz"})
+}
+
+// awaitHealthy waits until the loss of any one replica would be survived.
+func (c *cluster) awaitHealthy() wire.StatusResponse {
+	end := time.Now().Add(giveUp)
+	for {
+		s := c.status()
+		if s.CanLoseOne && len(s.Replicas) == len(c.hosts) {
+			return s
+		}
+		qt.Assert(c.t, time.Now().Before(end), qt.IsTrue, qt.Commentf("%+v", s))
+	}
+}
+
+func (c *cluster) leader(s wire.StatusResponse) *host {
+	for _, r := range s.Replicas {
+		for _, h := range c.hosts {
+			if r.Leader && r.Name == h.settings.Name {
+				return h
+			}
+		}
+	}
+	c.t.Fatal("status names no leader")
+	return nil
+}
+
+func (c *cluster) restart(h *host) {
+	address := h.client.Address()
+	h.stop()
+	qt.Assert(c.t, <-h.done, qt.IsNil)
+	c.start(h, c.listen(address))
+}
+
+// Guards against acknowledged changes that are lost with the leader, calls that
+// a planned stop cuts off, and an emptied replica that is never admitted again.
+func TestGroupSurvivesStopOfLeaderAndLossOfAFolder(t *testing.T) {
+	c := newCluster(t)
+	c.found()
+	leader := c.leader(c.awaitHealthy())
+	apply := wire.ApplyRequest{Group: "tz", Operator: "uzi", RequestID: "r1", Configuration: wire.Configuration{
+		Services: []wire.ServiceConfig{{Name: "catalogue", Keyed: true, Partitions: 8, MoveBudget: 2}},
+	}}
+	first := askLeader[wire.ApplyResponse](c, wire.MethodOperatorApply, apply)
+	qt.Assert(t, first.Accepted, qt.IsTrue)
+	poll := make(chan error, 1)
+	go func() {
+		_, err := rpc.Call[wire.WatchResponse](context.Background(), leader.client, wire.MethodNodeWatch, wire.WatchRequest{Group: "tz", KnownVersion: 1 << 40, WaitMillis: 20000})
+		poll <- err
+	}()
+	c.restart(leader)
+	err := <-poll
+	qt.Assert(t, rpc.IsCode(err, rpc.CodeUnavailable) || rpc.IsCode(err, rpc.CodeNotLeader) || errors.Is(err, rpc.ErrConnect), qt.IsTrue, qt.Commentf("%v", err))
+	again := askLeader[wire.ApplyResponse](c, wire.MethodOperatorApply, apply)
+	qt.Assert(t, again, qt.Equals, wire.ApplyResponse{Accepted: true, Revision: 1, Replayed: true})
+	c.awaitHealthy()
+
+	emptied := c.hosts[0]
+	before := ask[wire.IdentityResponse](c, emptied.client, wire.MethodReplicaIdentity, wire.IdentityRequest{Group: "tz"})
+	emptied.settings.DataFolder = t.TempDir()
+	c.restart(emptied)
+	end := time.Now().Add(giveUp)
+	for admitted := false; !admitted; {
+		s := c.status()
+		for _, r := range s.Replicas {
+			admitted = admitted || r.Name == emptied.settings.Name && r.Identity != before.Identity && r.Voter && s.CanLoseOne
+		}
+		qt.Assert(t, time.Now().Before(end), qt.IsTrue, qt.Commentf("%+v", s))
+	}
+	data, err := json.Marshal(c.status().Services)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(data), qt.Contains, `"Partitions":8`)
+}
+
+// Guards against a health check that reports a replica without a group as able
+// to work.
+func TestHealthNeedsALeader(t *testing.T) {
+	c := newCluster(t)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	health := func(h *host) int {
+		r, err := client.Get("http://" + string(h.settings.MetricsListen) + "/healthz")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, r.Body.Close(), qt.IsNil)
+		return r.StatusCode
+	}
+	qt.Assert(t, health(c.hosts[0]), qt.Equals, http.StatusServiceUnavailable)
+	c.found()
+	qt.Assert(t, health(c.leader(c.awaitHealthy())), qt.Equals, http.StatusOK)
+}
