--- /dev/null
+++ b/internal/bench/policies/policies.go
@@ -0,0 +1,87 @@
+// Package policies compares gentiansail's decision functions with baselines on
+// model runs.
+//
+// A model run is an event-driven simulation of targets with slots and service
+// times, of ingress nodes that see only their own observations, and of callers
+// with deadlines. It is not a run of the cluster: there are no processes, no
+// log and no leases, and the time until a change of members is known is an
+// assumption. The same seed gives the same result on every host.
+//
+// The decision functions are those of pkg/limit, pkg/retry, pkg/balance,
+// pkg/partition and pkg/hotkey, driven by the model's clock.
+//
+// # Usage
+//
+//	err := policies.Run(ctx, policies.Options{}, os.Stdout)
+package policies
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// ErrOutput means that the table could not be written.
+var ErrOutput = merry.Sentinel("cannot write comparison")
+
+// defaultSeeds is the number of runs whose mean is reported.
+const defaultSeeds = 5
+
+// Options select what is compared.
+type Options struct {
+	// Seed is the first seed.
+	Seed uint64
+	// Seeds is the number of runs of each policy, with consecutive seeds; the
+	// means are reported. Zero means 5.
+	Seeds int
+	// Trace, if set, selects the traces whose name contains it.
+	Trace string
+}
+
+// Run simulates each policy on each trace and writes one Markdown table for each
+// trace. It stops with the context's error when ctx ends.
+func Run(ctx context.Context, o Options, w io.Writer) error {
+	if o.Seeds <= 0 {
+		o.Seeds = defaultSeeds
+	}
+	for _, t := range traces() {
+		if !strings.Contains(t.name, o.Trace) {
+			continue
+		}
+		if _, err := fmt.Fprintf(w, "### %s\n\n%s\n\n%s", t.name, t.about, tableHead); err != nil {
+			return merry.Wrap(ErrOutput, merry.WithCause(err))
+		}
+		for _, p := range t.policies {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			if _, err := io.WriteString(w, row(p.name, runSeeds(t, p, o))); err != nil {
+				return merry.Wrap(ErrOutput, merry.WithCause(err))
+			}
+		}
+		if _, err := io.WriteString(w, "\n"); err != nil {
+			return merry.Wrap(ErrOutput, merry.WithCause(err))
+		}
+	}
+	return nil
+}
+
+// runSeeds runs the seeds at the same time; runs share nothing, so the result
+// does not depend on their order.
+func runSeeds(t trace, p policy, o Options) result {
+	results := make([]result, o.Seeds)
+	var running sync.WaitGroup
+	for i := range o.Seeds {
+		running.Go(func() { results[i] = simulate(t, p, o.Seed+uint64(i)) })
+	}
+	running.Wait()
+	var sum result
+	for _, r := range results {
+		sum = sum.plus(r)
+	}
+	return sum.over(float64(o.Seeds))
+}
--- /dev/null
+++ b/internal/bench/policies/policies_test.go
@@ -0,0 +1,74 @@
+package policies
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+func find(t *testing.T, name string) trace {
+	t.Helper()
+	for _, v := range traces() {
+		if v.name == name {
+			// Half of the trace includes the first of its events.
+			v.duration = traceMillis / 2
+			return v
+		}
+	}
+	t.Fatalf("no trace %q", name)
+	return trace{}
+}
+
+// Guards against runs that depend on anything but their seed, such as the order
+// of a map: their figures could not be compared.
+func TestSameSeedSameResult(t *testing.T) {
+	v := find(t, "keyed: rolling restart")
+	p := v.policies[len(v.policies)-1]
+	qt.Assert(t, row("", simulate(v, p, 7)), qt.Equals, row("", simulate(v, p, 7)))
+}
+
+// Guards against a choice of targets that is no better than its baselines, on
+// the traces that decide for it.
+func TestBalanceBeatsBaselines(t *testing.T) {
+	for _, name := range []string{"choice: normal day", "choice: straggler"} {
+		v := find(t, name)
+		own := runSeeds(v, v.policies[len(v.policies)-1], Options{Seeds: 1})
+		for _, p := range v.policies[:len(v.policies)-1] {
+			other := runSeeds(v, p, Options{Seeds: 1})
+			better := own.imbalance < other.imbalance && own.p99 < other.p99 && own.goodput >= other.goodput
+			qt.Check(t, better, qt.IsTrue, qt.Commentf("%s: %s%s", name, row("balance", own), row(p.name, other)))
+		}
+	}
+}
+
+// Guards against requests that the model loses or ends twice, with any policy.
+func TestEachRequestEndsOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		all := traces()
+		v := all[rapid.IntRange(0, len(all)-1).Draw(rt, "trace")]
+		v.duration = 500
+		p := v.policies[rapid.IntRange(0, len(v.policies)-1).Draw(rt, "policy")]
+		m := newModel(v, p, rapid.Uint64().Draw(rt, "seed"))
+		m.run()
+		if len(m.record.requests) != m.arrived {
+			rt.Fatalf("%d requests ended of %d", len(m.record.requests), m.arrived)
+		}
+		for _, h := range m.targets {
+			if h.inFlight() != 0 || (h.limiter != nil && h.limiter.InFlight()+h.limiter.Waiting() != 0) {
+				rt.Fatalf("%s still holds requests", h.id)
+			}
+		}
+	})
+}
+
+// Guards against a comparison that goes on after it was canceled.
+func TestRunStopsWithContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	var b strings.Builder
+	qt.Assert(t, errors.Is(Run(ctx, Options{}, &b), context.Canceled), qt.IsTrue)
+}
--- /dev/null
+++ b/internal/bench/policies/traces.go
@@ -0,0 +1,248 @@
+package policies
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sort"
+
+	"github.com/gentiansail/gentiansail/pkg/clock"
+	"github.com/gentiansail/gentiansail/pkg/limit"
+	"github.com/gentiansail/gentiansail/pkg/retry"
+)
+
+// traceMillis is the length of a trace. Its events happen at one third and two
+// thirds of it.
+const traceMillis millis = 30_000
+
+// trace is a sequence of load and events.
+type trace struct {
+	name     string
+	about    string
+	duration millis
+	deadline millis
+	hosts    []host
+	// rate is the number of requests per second at a time.
+	rate func(now millis) float64
+	// hot returns the hot key at a time and its part of all requests.
+	hot func(now millis) (key int, part float64)
+	// happen schedules the events of the trace.
+	happen   func(m *model)
+	policies []policy
+}
+
+// policy is one combination of decision functions.
+type policy struct {
+	name    string
+	chooser newChooser
+	// assign, periodic and overrides are for keyed services, without chooser:
+	// periodic policies plan every second, overrides isolate hot keys.
+	assign    assign
+	periodic  bool
+	overrides bool
+	limiter   func(c clock.Clock, announced int) *limit.Limiter
+	retry     func(r *rand.Rand) retryPolicy
+}
+
+// keyTable draws keys by a Zipf distribution.
+type keyTable []float64
+
+func newKeyTable(n int, skew float64) keyTable {
+	t := make(keyTable, n)
+	var sum float64
+	for i := range t {
+		sum += math.Pow(float64(i+1), -skew)
+		t[i] = sum
+	}
+	return t
+}
+
+func (t keyTable) at(u float64) int {
+	return min(sort.SearchFloat64s(t, u*t[len(t)-1]), len(t)-1)
+}
+
+func learnedLimit(c clock.Clock, announced int) *limit.Limiter {
+	return limit.New(limit.Options{Clock: c, Slots: announced})
+}
+
+func fixedLimit(part float64) func(clock.Clock, int) *limit.Limiter {
+	return func(c clock.Clock, announced int) *limit.Limiter {
+		return limit.New(limit.Options{Clock: c, Slots: int(float64(announced) * part), Fixed: true})
+	}
+}
+
+func backoff(r *rand.Rand) retry.Backoff {
+	return retry.Backoff{Base: 5, Max: 200, Random: r.Float64}
+}
+
+func noRetry(r *rand.Rand) retryPolicy {
+	return retryPolicy{deposit: func() {}, withdraw: func() bool { return false }, backoff: backoff(r)}
+}
+
+func unlimitedRetry(r *rand.Rand) retryPolicy {
+	return retryPolicy{deposit: func() {}, withdraw: func() bool { return true }, backoff: backoff(r)}
+}
+
+func budgetRetry(r *rand.Rand) retryPolicy {
+	b := retry.NewBudget(retry.Options{})
+	return retryPolicy{deposit: b.Deposit, withdraw: b.Withdraw, backoff: backoff(r)}
+}
+
+func choices() []policy {
+	return []policy{
+		{name: "random", chooser: randomChoice, limiter: learnedLimit, retry: budgetRetry},
+		{name: "round robin", chooser: roundRobin, limiter: learnedLimit, retry: budgetRetry},
+		{name: "two choices", chooser: twoChoices, limiter: learnedLimit, retry: budgetRetry},
+		{name: "**balance**", chooser: picker, limiter: learnedLimit, retry: budgetRetry},
+	}
+}
+
+func limits() []policy {
+	return []policy{
+		{name: "no limit", chooser: picker, retry: budgetRetry},
+		{name: "fixed at announced", chooser: picker, limiter: fixedLimit(1), retry: budgetRetry},
+		{name: "fixed at half", chooser: picker, limiter: fixedLimit(0.5), retry: budgetRetry},
+		{name: "**learned**", chooser: picker, limiter: learnedLimit, retry: budgetRetry},
+	}
+}
+
+func retries() []policy {
+	return []policy{
+		{name: "no retry", chooser: picker, limiter: learnedLimit, retry: noRetry},
+		{name: "retry without budget", chooser: picker, limiter: learnedLimit, retry: unlimitedRetry},
+		{name: "**retry with budget**", chooser: picker, limiter: learnedLimit, retry: budgetRetry},
+		{name: "no limit, no retry", chooser: picker, retry: noRetry},
+		{name: "no limit, without budget", chooser: picker, retry: unlimitedRetry},
+		{name: "no limit, with budget", chooser: picker, retry: budgetRetry},
+	}
+}
+
+func assignments() []policy {
+	return []policy{
+		{name: "modulo", assign: modulo, limiter: learnedLimit, retry: budgetRetry},
+		{name: "rendezvous", assign: rendezvous, limiter: learnedLimit, retry: budgetRetry},
+		{name: "plan", assign: planned, periodic: true, limiter: learnedLimit, retry: budgetRetry},
+		{name: "**plan, hot keys apart**", assign: planned, periodic: true, overrides: true, limiter: learnedLimit, retry: budgetRetry},
+	}
+}
+
+// hosts returns targets of the given slots.
+func hosts(slots ...int) []host {
+	var all []host
+	for i, s := range slots {
+		all = append(all, host{id: fmt.Sprintf("target-%d", i+1), announced: s, slots: s})
+	}
+	return all
+}
+
+// mixed are five targets of unequal size, as in the Donation Mesh.
+func mixed() []host { return hosts(8, 8, 10, 12, 20) }
+
+// load returns a constant rate as a part of the hosts' capacity.
+func load(h []host, part float64) func(millis) float64 {
+	full := fullRate(h)
+	return func(millis) float64 { return part * full }
+}
+
+func fullRate(h []host) float64 {
+	var slots float64
+	for _, v := range h {
+		slots += float64(v.slots)
+	}
+	return slots * 1000 / float64(serviceMillis)
+}
+
+// day is a load that rises from 30 % to 80 % of capacity and falls again.
+func day(h []host) func(millis) float64 {
+	full := fullRate(h)
+	return func(now millis) float64 {
+		return full * (0.55 - 0.25*math.Cos(2*math.Pi*float64(now/traceMillis)))
+	}
+}
+
+func nothing(*model) {}
+
+// during runs begin at one third of the trace and end at two thirds.
+func during(begin, end func(m *model)) func(m *model) {
+	return func(m *model) {
+		m.events.at(traceMillis/3, func() { begin(m) })
+		m.events.at(2*traceMillis/3, func() { end(m) })
+	}
+}
+
+func straggler(m *model) {
+	during(func(m *model) { m.targets[2].slowness = 4 }, func(m *model) { m.targets[2].slowness = 1 })(m)
+}
+
+func hostLoss(m *model) {
+	during(func(m *model) { m.lose("target-3") }, func(m *model) { m.join("target-3") })(m)
+}
+
+func halfLoss(m *model) {
+	during(
+		func(m *model) {
+			for i := range len(m.targets) / 2 {
+				m.lose(m.targets[2*i].id)
+			}
+		},
+		func(m *model) {
+			for i := range len(m.targets) / 2 {
+				m.join(m.targets[2*i].id)
+			}
+		})(m)
+}
+
+// restarts drains, stops and starts the targets one after another.
+func restarts(m *model) {
+	for i, t := range m.targets {
+		start := traceMillis * millis(i+1) / millis(len(m.targets)+2)
+		m.events.at(start, func() { m.drain(t.id) })
+		m.events.at(start+1500, func() { m.stop(t.id) })
+		m.events.at(start+2000, func() { m.join(t.id) })
+	}
+}
+
+func hotKey(now millis) (int, float64) {
+	if now < traceMillis/3 {
+		return 0, 0
+	}
+	return keyCount / 2, 0.1
+}
+
+// overstated are targets that can run half of the slots that they announce.
+func overstated() []host {
+	h := hosts(10, 10, 10, 10, 10)
+	for i := range h {
+		h[i].announced = 2 * h[i].slots
+	}
+	return h
+}
+
+// traces returns all comparisons.
+func traces() []trace {
+	choice := func(name, about string, h []host, rate func(millis) float64, happen func(*model)) trace {
+		return trace{name: "choice: " + name, about: about, duration: traceMillis, deadline: 2000, hosts: h, rate: rate, happen: happen, policies: choices()}
+	}
+	keyed := func(name, about string, part float64, hot func(millis) (int, float64), happen func(*model)) trace {
+		return trace{name: "keyed: " + name, about: about, duration: traceMillis, deadline: 2000, hosts: mixed(), rate: load(mixed(), part), hot: hot, happen: happen, policies: assignments()}
+	}
+	limited := func(name, about string, h []host, part float64, deadline millis, p []policy, happen func(*model)) trace {
+		return trace{name: name, about: about, duration: traceMillis, deadline: deadline, hosts: h, rate: load(h, part), happen: happen, policies: p}
+	}
+	eight := hosts(10, 10, 10, 10, 10, 10, 10, 10)
+	return []trace{
+		choice("normal day", "Load from 30 % to 80 % of capacity; five targets of 8 to 20 slots.", mixed(), day(mixed()), nothing),
+		choice("straggler", "60 % load; one target is four times slower in the middle third.", mixed(), load(mixed(), 0.6), straggler),
+		choice("loss of a host", "60 % load; one target is lost at 10 s and returns cold at 20 s.", mixed(), load(mixed(), 0.6), hostLoss),
+		choice("rolling restart", "60 % load; each target drains, stops and returns cold.", mixed(), load(mixed(), 0.6), restarts),
+		keyed("normal day", "50 % load, 1,000 keys.", 0.5, nil, nothing),
+		keyed("hot key appears", "50 % load; from 10 s on one key has a further 10 % of all requests.", 0.5, hotKey, nothing),
+		keyed("loss of a host", "50 % load; one server is lost at 10 s and returns cold at 20 s.", 0.5, nil, hostLoss),
+		keyed("rolling restart", "50 % load; each server drains, stops and returns cold.", 0.5, nil, restarts),
+		limited("limits: overload at twice the capacity", "Deadline 500 ms; 10 % critical, 30 % normal, 60 % browse.", mixed(), 2, 500, limits(), nothing),
+		limited("limits: overstated slots", "90 % load; targets announce twice the slots they have, and slow down when they run more.", overstated(), 0.9, 500, limits(), nothing),
+		limited("limits: straggler", "60 % load; one target is four times slower in the middle third; deadline 500 ms.", mixed(), 0.6, 500, limits(), straggler),
+		limited("retry: loss of half the targets", "70 % load on eight targets; four are lost at 10 s and return cold at 20 s; deadline 1 s.", eight, 0.7, 1000, retries(), halfLoss),
+		limited("retry: loss of a host", "60 % load; one target is lost at 10 s and returns cold at 20 s; deadline 1 s.", mixed(), 0.6, 1000, retries(), hostLoss),
+	}
+}
