limit: let the base latency rise by time, not by window

A busy target fills 12 windows a second, so a base that rose 2 % of the way in each followed the queue within seconds and the limit never decreased. It now rises half of the way in 60 s.

--- a/pkg/limit/adjuster.go
+++ b/pkg/limit/adjuster.go
@@ -18,8 +18,10 @@
 	latencyTolerance = 2.0
 	// latencySlack keeps the 1 ms resolution of the clock from looking like load.
 	latencySlack = 2.0
-	// baseDrift lets the base follow a target that has become slower for good.
-	baseDrift = 0.02
+	// baseHalfLife is how long the base takes to rise half of the way to the mean
+	// latency of a target that has become slower for good. It must be much longer
+	// than a busy hour's peak of load lasts, or the base follows the queue.
+	baseHalfLife clock.Millis = 60_000
 	// minimumWindow is the least number of samples that a window holds.
 	minimumWindow = 10
 )
@@ -31,6 +33,7 @@
 	ceiling float64
 	// base is the latency of the target without queueing, in milliseconds.
 	base   float64
+	baseAt clock.Millis
 	window window
 	// quietUntil ends the time after a decrease in which sheds are the result of
 	// requests sent before it.
@@ -63,7 +66,7 @@
 	case r.Shed:
 		a.shed(now)
 	case !r.Failed:
-		a.sample(float64(r.Latency))
+		a.sample(now, float64(r.Latency))
 	}
 }
 
@@ -78,25 +81,27 @@
 	a.window = window{}
 }
 
-func (a *adjuster) sample(latency float64) {
+func (a *adjuster) sample(now clock.Millis, latency float64) {
 	a.window.samples++
 	a.window.sum += latency
 	if a.window.samples < max(minimumWindow, 2*a.whole()) {
 		return
 	}
 	mean := a.window.sum / float64(a.window.samples)
-	a.base = nextBase(a.base, mean)
+	a.base = nextBase(a.base, mean, now-a.baseAt)
+	a.baseAt = now
 	a.limit = nextLimit(a.limit, a.ceiling, a.base, mean, a.window.peak)
 	a.window = window{}
 }
 
-// nextBase returns the base latency after a window with the given mean. It falls
-// at once and rises slowly.
-func nextBase(base, mean float64) float64 {
+// nextBase returns the base latency after a window with the given mean that ended
+// age after the one before. It falls at once and rises slowly.
+func nextBase(base, mean float64, age clock.Millis) float64 {
 	if base == 0 || mean < base {
 		return mean
 	}
-	return base + baseDrift*(mean-base)
+	keep := math.Exp2(-float64(max(age, 0)) / float64(baseHalfLife))
+	return mean - (mean-base)*keep
 }
 
 // nextLimit returns the limit after a window without sheds. peak is the highest
