gentiansail: run control replicas and nodes; send operations during the loss

Control replicas check configurations with internal/config.

The demonstration first sent its operations only after the loss, so none was in flight at the lost host. They now begin 250 ms before it and take 30 ms each.

--- a/cmd/gentiansail/daemons.go
+++ b/cmd/gentiansail/daemons.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"os"
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/gentiansail/gentiansail/internal/config"
+	"github.com/gentiansail/gentiansail/internal/control"
+	"github.com/gentiansail/gentiansail/internal/node"
 	"github.com/gentiansail/gentiansail/internal/operator"
+	"github.com/gentiansail/gentiansail/internal/process"
 	"github.com/gentiansail/gentiansail/internal/settings"
 )
 
@@ -14,8 +19,8 @@
 	if err != nil {
 		return settingsError(err)
 	}
-	_ = s
-	return merry.New("not part of this build")
+	r := control.Runner{Validate: config.Validate}
+	return r.Run(ctx, s, process.NewLogger(os.Stderr, "control", string(s.Name)))
 }
 
 func runNode(ctx context.Context, file string) error {
@@ -23,8 +28,7 @@
 	if err != nil {
 		return settingsError(err)
 	}
-	_ = s
-	return merry.New("not part of this build")
+	return node.Run(ctx, s, process.NewLogger(os.Stderr, "node", string(s.Name)))
 }
 
 // settingsError gives wrong settings the exit code of a wrong command line, so
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -9,6 +9,8 @@
 	"slices"
 	"strings"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/gentiansail/gentiansail/internal/jsonc"
 	"github.com/gentiansail/gentiansail/internal/wire"
 )
@@ -72,6 +74,19 @@
 	return asErrors(k.problems)
 }
 
+// Validate is Check and CheckChange as one error, for a control replica.
+func Validate(current, next wire.Configuration) error {
+	errs := append(Check(next), CheckChange(current, next)...)
+	if len(errs) == 0 {
+		return nil
+	}
+	text := make([]string, len(errs))
+	for i, e := range errs {
+		text[i] = e.Error()
+	}
+	return merry.Wrap(ErrInvalid, merry.WithMessage("invalid configuration: "+strings.Join(text, "; ")))
+}
+
 func asErrors(p jsonc.Problems) []error {
 	var out []error
 	for _, q := range p {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -15,7 +15,7 @@
 //
 // On a control replica:
 //
-//	errs := append(config.Check(next), config.CheckChange(current, next)...)
+//	err := config.Validate(current, next)
 package config
 
 import (
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -85,6 +85,9 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			qt.Assert(t, len(CheckChange(test.from, test.to)) > 0, qt.Equals, test.refused)
+			if test.refused {
+				qt.Assert(t, errors.Is(Validate(test.from, test.to), ErrInvalid), qt.IsTrue)
+			}
 		})
 	}
 }
--- a/internal/integration/demo/phases.go
+++ b/internal/integration/demo/phases.go
@@ -19,8 +19,12 @@
 	lossTimeout clock.Millis = 15_000
 	// probeDelay is the time between two requests for one lost key.
 	probeDelay clock.Millis = 10
-	// operationsDuringLoss are sent while a host is lost.
-	operationsDuringLoss = 60
+	// operationsDuringLoss are sent from before the loss until after it.
+	operationsDuringLoss = 300
+	// workMillis is the time that a target works on each of them.
+	workMillis = 30
+	// underWay is the time from the first of them to the loss.
+	underWay clock.Millis = 250
 	// stopRounds is how often every key is asked for at least while a host stops.
 	stopRounds = 3
 )
@@ -83,12 +87,16 @@
 		return err
 	}
 	survivors := d.without(d.loss.host)
+	var group sync.WaitGroup
+	group.Go(func() { d.operate(ctx, survivors) })
+	// Operations are in flight at the host when it is lost.
+	if err := clock.System().Sleep(ctx, underWay); err != nil {
+		return err
+	}
 	lost := clock.System().Now()
 	d.loss.host.Target.Pause()
 	d.loss.host.Node.Kill()
-	var group sync.WaitGroup
 	group.Go(func() { d.probe(ctx, survivors, lost) })
-	group.Go(func() { d.operate(ctx, survivors) })
 	group.Wait()
 	return d.waitOwned(ctx)
 }
@@ -150,7 +158,7 @@
 func (d *demo) operate(ctx context.Context, hosts []*cluster.Host) {
 	operations := make([]*operation, operationsDuringLoss)
 	each(len(operations), func(i int) {
-		operations[i] = newOperation("/catalogue/" + keyName(i))
+		operations[i] = newOperation(fmt.Sprintf("/catalogue/%s?work=%d", keyName(i), workMillis))
 		operations[i].settle(ctx, d, hosts[i%len(hosts):])
 	})
 	d.operations = append(d.operations, operations...)
--- a/internal/integration/demo/requests.go
+++ b/internal/integration/demo/requests.go
@@ -97,7 +97,14 @@
 	return r, d.tally.add(caller, r, err)
 }
 
-func withChunks(path string) string { return fmt.Sprintf("%s?chunks=%d&delay=1", path, chunks) }
+// withChunks asks for a response in chunks.
+func withChunks(path string) string {
+	separator := "?"
+	if strings.Contains(path, "?") {
+		separator = "&"
+	}
+	return fmt.Sprintf("%s%schunks=%d&delay=1", path, separator, chunks)
+}
 
 // operation is a request that must not repeat, with all its responses.
 type operation struct {
