Stop the RPC server without a race on its count of calls

Cause: calls were counted by a WaitGroup whose Add could run beside Wait when a call arrived during a stop; the race detector reported it in TestErrorsTellNotSentFromUncertain. Ruled out: closing connections first, which would cut calls in progress. Change: the count is guarded by the server's mutex, and calls that arrive during a stop are refused as unavailable.

--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -35,12 +35,16 @@
 
 	mu    sync.Mutex
 	conns map[*jsonrpc2.Conn]struct{}
-	calls sync.WaitGroup
+	// calls is the number of calls in progress. stopped is closed when it
+	// reaches zero after stopping was set.
+	calls    int
+	stopping bool
+	stopped  chan struct{}
 }
 
 // NewServer returns a server without methods.
 func NewServer() *Server {
-	s := &Server{methods: make(map[string]method), conns: make(map[*jsonrpc2.Conn]struct{})}
+	s := &Server{methods: make(map[string]method), conns: make(map[*jsonrpc2.Conn]struct{}), stopped: make(chan struct{})}
 	Handle(s, methodPing, func(context.Context, struct{}) (struct{}, error) { return struct{}{}, nil })
 	return s
 }
@@ -95,15 +99,14 @@
 }
 
 func (s *Server) stop() {
-	done := make(chan struct{})
-	go func() {
-		s.calls.Wait()
-		close(done)
-	}()
+	s.mu.Lock()
+	s.stopping = true
+	s.closeIfIdle()
+	s.mu.Unlock()
 	timeout, cancel := context.WithTimeout(context.Background(), stopTimeout.Duration())
 	defer cancel()
 	select {
-	case <-done:
+	case <-s.stopped:
 	case <-timeout.Done():
 	}
 	s.mu.Lock()
@@ -113,6 +116,33 @@
 	}
 }
 
+// begin counts a call in. It returns false during a stop: calls on connections
+// that are still open are then refused, so that the stop comes to an end.
+func (s *Server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return false
+	}
+	s.calls++
+	return true
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls--
+	s.closeIfIdle()
+}
+
+// closeIfIdle is called with the mutex held. Calls cannot begin once stopping is
+// set, so the count reaches zero once.
+func (s *Server) closeIfIdle() {
+	if s.stopping && s.calls == 0 {
+		close(s.stopped)
+	}
+}
+
 type connHandler struct {
 	server *Server
 	slots  chan struct{}
@@ -141,9 +171,13 @@
 		_ = conn.ReplyWithError(ctx, r.ID, toWire(&Error{Code: CodeUnavailable, Message: "too many calls on this connection"}))
 		return
 	}
-	h.server.calls.Add(1)
+	if !h.server.begin() {
+		<-h.slots
+		_ = conn.ReplyWithError(ctx, r.ID, toWire(&Error{Code: CodeUnavailable, Message: "server is stopping"}))
+		return
+	}
 	go func() {
-		defer h.server.calls.Done()
+		defer h.server.end()
 		defer func() { <-h.slots }()
 		h.reply(ctx, conn, r.ID, m, params)
 	}()
