Encode routing-table changes by owner, and measure the cost of control

Cause: with 100 nodes and 1,600 partitions the group never became ready: leases expired faster than the table reached the nodes. A profile of the leader showed half of its time in copying JSON: each node received each partition as an object of its own, 240 KB for a full table. Ruled out: the leader's processor (54% of one core) and the log. Change: a list of partitions is encoded by owner, epoch and service, with ranges of numbers; only the encoding changes. internal/capacity measures a real control group with stand-in nodes over three sizes; daemons serve profiles beside their metrics. Conclusion: the size of a change is what each node pays for; keep it small.

--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,10 @@
 demo: build
 	$(GO) run ./internal/integration/demo
 
+# Measures the slopes of docs/CAPACITY.md over three sizes; takes a few minutes.
+capacity: build
+	$(GO) run ./internal/capacity
+
 generate:
 	$(GO) generate ./...
 
--- /dev/null
+++ b/internal/capacity/fleet.go
@@ -0,0 +1,209 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+
+	"github.com/google/uuid"
+
+	"github.com/gentiansail/gentiansail/internal/rpc"
+	"github.com/gentiansail/gentiansail/internal/table"
+	"github.com/gentiansail/gentiansail/internal/wire"
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+const (
+	// heartbeatEvery is the interval of a node's heartbeats.
+	heartbeatEvery clock.Millis = 200
+	// watchWait is how long a node lets the leader hold a watch.
+	watchWait clock.Millis = 2000
+	// callTimeout bounds a call besides the time that a watch is held.
+	callTimeout clock.Millis = 2000
+)
+
+// standinNode does what a node does towards the control group.
+type standinNode struct {
+	id       wire.NodeID
+	group    wire.GroupID
+	service  wire.ServiceName
+	domain   wire.FailureDomain
+	process  wire.ProcessID
+	control  []wire.Address
+	routes   *table.Table
+	mu       sync.Mutex
+	clients  map[wire.Address]*rpc.Client
+	leader   wire.Address
+	member   wire.Announcement
+	failures int
+}
+
+// announce starts a new incarnation, as a node does when its lease is refused.
+func (v *standinNode) announce() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.member = wire.Announcement{
+		Incarnation: wire.Incarnation(uuid.NewString()), Service: v.service,
+		Slots: 10, Connections: 130, ChecksGrants: true, Sequence: v.member.Sequence + 1,
+	}
+}
+
+func (v *standinNode) announcement() wire.Announcement {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.member
+}
+
+// client returns a client of the replica that is taken for the leader.
+func (v *standinNode) client() *rpc.Client {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	c := v.clients[v.leader]
+	if c == nil {
+		c = rpc.NewClient(string(v.leader))
+		v.clients[v.leader] = c
+	}
+	return c
+}
+
+// fleet is a set of stand-in nodes.
+type fleet struct {
+	nodes []*standinNode
+	stop  context.CancelFunc
+	ends  sync.WaitGroup
+}
+
+func startFleet(ctx context.Context, n int, group wire.GroupID, service wire.ServiceName, control []wire.Address) *fleet {
+	ctx, stop := context.WithCancel(ctx)
+	f := &fleet{stop: stop}
+	for i := range n {
+		v := &standinNode{
+			id: wire.NodeID(fmt.Sprintf("node-%d", i)), group: group, service: service,
+			domain:  wire.FailureDomain([]string{"dsm-a", "dsm-b", "dsm-c"}[i%3]),
+			process: wire.ProcessID(uuid.NewString()),
+			control: control, leader: control[0], clients: make(map[wire.Address]*rpc.Client),
+			routes: table.New(),
+		}
+		v.announce()
+		f.nodes = append(f.nodes, v)
+		// Spread heartbeats over the interval, as independent nodes would.
+		delay := heartbeatEvery * clock.Millis(i) / clock.Millis(n)
+		f.ends.Go(func() { v.heartbeat(ctx, delay) })
+		f.ends.Go(func() { v.watch(ctx) })
+	}
+	return f
+}
+
+func (f *fleet) close() {
+	f.stop()
+	f.ends.Wait()
+	for _, v := range f.nodes {
+		for _, c := range v.clients {
+			c.Close()
+		}
+	}
+}
+
+func (f *fleet) traffic() (sent, received float64) {
+	for _, v := range f.nodes {
+		v.mu.Lock()
+		for _, c := range v.clients {
+			s, r := c.Traffic()
+			sent += float64(s)
+			received += float64(r)
+		}
+		v.mu.Unlock()
+	}
+	return sent, received
+}
+
+func (f *fleet) failed() int {
+	sum := 0
+	for _, v := range f.nodes {
+		v.mu.Lock()
+		sum += v.failures
+		v.mu.Unlock()
+	}
+	return sum
+}
+
+// lowestRevision returns the lowest revision that any node has in its table.
+func (f *fleet) lowestRevision() wire.Revision {
+	low := f.nodes[0].routes.Snapshot().Revision()
+	for _, v := range f.nodes {
+		low = min(low, v.routes.Snapshot().Revision())
+	}
+	return low
+}
+
+func (v *standinNode) heartbeat(ctx context.Context, delay clock.Millis) {
+	c := clock.System()
+	for c.Sleep(ctx, delay) == nil {
+		delay = heartbeatEvery
+		s := v.routes.Snapshot()
+		member, client := v.announcement(), v.client()
+		request := wire.HeartbeatRequest{
+			Group: v.group, Node: v.id, Process: v.process, Address: "127.0.0.1:1", FailureDomain: v.domain,
+			KnownVersion: s.Version(), RevisionInForce: s.Revision(), Member: &member,
+			Released: []wire.Grant{}, Loads: []wire.PartitionLoad{}, HotKeys: []wire.HotKey{},
+		}
+		timed, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+		response, err := rpc.Call[wire.HeartbeatResponse](timed, client, wire.MethodNodeHeartbeat, request)
+		cancel()
+		v.note(ctx, client, err)
+		if err != nil {
+			continue
+		}
+		if !response.Granted {
+			v.note(ctx, client, errors.New(response.Refusal))
+			v.announce()
+		}
+		v.apply(response.Delta)
+	}
+}
+
+func (v *standinNode) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		request := wire.WatchRequest{Group: v.group, Node: v.id, KnownVersion: v.routes.Snapshot().Version(), WaitMillis: wire.Millis(watchWait)}
+		client := v.client()
+		timed, cancel := context.WithTimeout(ctx, (watchWait + callTimeout).Duration())
+		response, err := rpc.Call[wire.WatchResponse](timed, client, wire.MethodNodeWatch, request)
+		cancel()
+		v.note(ctx, client, err)
+		if err != nil {
+			_ = clock.System().Sleep(ctx, heartbeatEvery)
+			continue
+		}
+		v.apply(response.Delta)
+	}
+}
+
+// note counts a failed call and chooses another replica for the next one.
+func (v *standinNode) note(ctx context.Context, asked *rpc.Client, err error) {
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.failures++
+	if v.leader != wire.Address(asked.Address()) {
+		return
+	}
+	var e *rpc.Error
+	if errors.As(err, &e) && e.Leader != "" {
+		v.leader = wire.Address(e.Leader)
+		return
+	}
+	i := slices.Index(v.control, v.leader)
+	v.leader = v.control[(i+1)%len(v.control)]
+}
+
+// apply brings the table forward. Heartbeat and watch may carry the same
+// changes; the table refuses the second as stale.
+func (v *standinNode) apply(d wire.Delta) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	_ = v.routes.Apply(d)
+}
--- a/internal/integration/cluster/process.go
+++ b/internal/integration/cluster/process.go
@@ -37,6 +37,16 @@
 // Addr returns the address that the process listens on.
 func (p *Process) Addr() wire.Address { return p.address }
 
+// PID returns the process id, or 0 before the first start.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.child == nil {
+		return 0
+	}
+	return p.child.Process.Pid
+}
+
 // Start starts the process and returns once it listens.
 func (p *Process) Start(ctx context.Context) error {
 	if err := p.launch(); err != nil {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -14,6 +14,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"os"
 	"os/signal"
 	"syscall"
@@ -43,7 +44,7 @@
 	return signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 }
 
-// ServeMetrics serves /metrics and /healthz on l until ctx ends. health returns
+// ServeMetrics serves /metrics, /healthz and /debug/pprof on l until ctx ends. health returns
 // nil while the process can do its work.
 func ServeMetrics(ctx context.Context, l net.Listener, g prometheus.Gatherer, health func() error) error {
 	r := chi.NewRouter()
@@ -55,6 +56,10 @@
 		}
 		_, _ = io.WriteString(w, "ok\n")
 	})
+	// Profiles answer the question of where a process under load spends its time
+	// without a restart.
+	r.HandleFunc("/debug/pprof/*", pprof.Index)
+	r.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	return ServeHTTP(ctx, l, &http.Server{Handler: r, ReadHeaderTimeout: 5 * time.Second}, metricsStopTimeout)
 }
 
--- /dev/null
+++ b/internal/wire/partition_list_test.go
@@ -0,0 +1,65 @@
+package wire
+
+import (
+	"encoding/json"
+	"slices"
+	"sort"
+	"strconv"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// Guards against a partition that is lost, invented or given to another owner
+// by the encoding of tables.
+func TestPartitionListRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := rapid.SliceOfNDistinct(rapid.IntRange(0, 60), 0, 40, rapid.ID[int]).Draw(t, "numbers")
+		list := PartitionList{}
+		for _, n := range ids {
+			p := Partition{
+				Partition: PartitionID("catalogue/" + strconv.Itoa(n)), Service: "catalogue",
+				Owner:    Incarnation(rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "owner")),
+				Epoch:    Epoch(rapid.IntRange(0, 2).Draw(t, "epoch")),
+				MovingTo: Incarnation(rapid.SampledFrom([]string{"", "c"}).Draw(t, "to")),
+			}
+			if n%10 == 7 {
+				p.Partition = PartitionID("catalogue/k" + strconv.Itoa(n))
+			}
+			if n%10 == 8 {
+				p.Partition = PartitionID("catalogue/0" + strconv.Itoa(n))
+			}
+			list = append(list, p)
+		}
+		data, err := json.Marshal(list)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var back PartitionList
+		if err := json.Unmarshal(data, &back); err != nil {
+			t.Fatal(err)
+		}
+		byID := func(l PartitionList) PartitionList {
+			sort.Slice(l, func(i, j int) bool { return l[i].Partition < l[j].Partition })
+			return l
+		}
+		if !slices.Equal(byID(back), byID(list)) {
+			t.Fatalf("got %v, want %v", back, list)
+		}
+	})
+}
+
+// Guards against a damaged message that reserves memory for billions of
+// partitions, or that is read as something else.
+func TestPartitionListRefusesDamage(t *testing.T) {
+	for name, numbers := range map[string]string{
+		"huge range": "0-99999999999", "reversed": "9-2", "negative": "-4", "letters": "a-b", "empty part": "1,,2",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var l PartitionList
+			err := json.Unmarshal([]byte(`[{"Service":"c","Numbers":"`+numbers+`"}]`), &l)
+			qt.Assert(t, err, qt.IsNotNil)
+		})
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -302,7 +302,7 @@
 	Members []Member `json:"Members"`
 
 	// Partitions corresponds to the JSON schema field "Partitions".
-	Partitions []Partition `json:"Partitions"`
+	Partitions PartitionList `json:"Partitions"`
 
 	// RemovedMembers corresponds to the JSON schema field "RemovedMembers".
 	RemovedMembers []Incarnation `json:"RemovedMembers"`
