--- a/internal/state/operations.go
+++ b/internal/state/operations.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"encoding/json"
 	"slices"
 
 	"github.com/ansel1/merry/v2"
@@ -65,7 +66,7 @@
 	case t > m.Now+unixMillis(MaxKeyAhead):
 		return decision(wire.DecisionFuture, nil)
 	}
-	o, known := m.Operations[r.Key]
+	o, known := m.operation(r.Key)
 	if known && !o.matches(r) {
 		return decision(wire.DecisionMismatch, nil)
 	}
@@ -78,7 +79,7 @@
 	if !m.serves(r.Incarnation, r.Service) {
 		return Result{Err: merry.Wrap(ErrStale, merry.AppendMessagef("incarnation %s is gone", r.Incarnation))}
 	}
-	m.open(o, r, t, known)
+	m.open(o, r, t)
 	return decision(wire.DecisionRun, nil)
 }
 
@@ -104,13 +105,10 @@
 	return decision(wire.DecisionLost, nil)
 }
 
-func (m *Machine) open(o operation, r wire.BeginRequest, t wire.UnixMillis, known bool) {
+func (m *Machine) open(o operation, r wire.BeginRequest, t wire.UnixMillis) {
 	o.Service, o.Caller, o.Fingerprint = r.Service, r.Caller, r.Fingerprint
 	o.Execution, o.Incarnation = r.Execution, r.Incarnation
-	m.Operations[r.Key] = o
-	if !known {
-		heap.Push(&m.expiry, timedKey{at: t, key: r.Key})
-	}
+	m.putOperation(r.Key, t, o)
 }
 
 func decision(d wire.Decision, r *wire.OperationResult) Result {
@@ -127,12 +125,12 @@
 	if t < m.Now-unixMillis(OperationRetention) {
 		return merry.Wrap(ErrStale, merry.AppendMessage("key has expired"))
 	}
-	o, known := m.Operations[f.Key]
+	o, known := m.operation(f.Key)
 	if known && o.Service != f.Service {
 		return merry.Wrap(ErrStale, merry.AppendMessage("key belongs to another service"))
 	}
 	if f.Result.Outcome == wire.OutcomeNotRun {
-		return m.release(f, o, t, known)
+		return m.release(f, o, t)
 	}
 	if !known || o.Execution != f.Execution {
 		return merry.Wrap(ErrStale, merry.AppendMessage("another execution holds the key"))
@@ -145,13 +143,13 @@
 		r.Body, r.BodyKept = "", false
 	}
 	o.Result = &r
-	m.Operations[f.Key] = o
+	m.putOperation(f.Key, t, o)
 	return nil
 }
 
 // release frees the key for another execution. The release may be applied
 // before the Begin that it belongs to, when that one was delayed.
-func (m *Machine) release(f wire.FinishRequest, o operation, t wire.UnixMillis, known bool) error {
+func (m *Machine) release(f wire.FinishRequest, o operation, t wire.UnixMillis) error {
 	if o.Result != nil {
 		return merry.Wrap(ErrStale, merry.AppendMessage("operation has finished"))
 	}
@@ -166,10 +164,7 @@
 	if len(o.Released) > maxReleased {
 		o.Released = o.Released[1:]
 	}
-	m.Operations[f.Key] = o
-	if !known {
-		heap.Push(&m.expiry, timedKey{at: t, key: f.Key})
-	}
+	m.putOperation(f.Key, t, o)
 	return nil
 }
 
@@ -182,13 +177,29 @@
 	}
 }
 
-func (m *Machine) rebuildExpiry() {
-	m.expiry = m.expiry[:0]
-	for k := range m.Operations {
-		t, _ := KeyTime(k)
-		m.expiry = append(m.expiry, timedKey{at: t, key: k})
+// operation returns the record of a key.
+func (m *Machine) operation(k wire.OperationKey) (operation, bool) {
+	var o operation
+	record, known := m.Operations[k]
+	if !known {
+		return o, false
+	}
+	if err := json.Unmarshal(record, &o); err != nil {
+		panic("state: record of operation " + string(k) + ": " + err.Error())
+	}
+	return o, true
+}
+
+// putOperation stores the record of a key with the given time.
+func (m *Machine) putOperation(k wire.OperationKey, t wire.UnixMillis, o operation) {
+	record, err := json.Marshal(o)
+	if err != nil {
+		panic("state: record of operation " + string(k) + ": " + err.Error())
+	}
+	if _, known := m.Operations[k]; !known {
+		heap.Push(&m.expiry, timedKey{at: t, key: k})
 	}
-	heap.Init(&m.expiry)
+	m.Operations[k] = record
 }
 
 type timedKey struct {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -94,10 +94,12 @@
 	Ended         map[wire.Incarnation]ended
 	Draining      map[wire.NodeID]bool
 	Partitions    map[wire.PartitionID]wire.Partition
-	Operations    map[wire.OperationKey]operation
-	Suspects      map[wire.Fingerprint]suspect
-	Audit         []wire.AuditRecord
-	History       []change
+	// Operations holds encoded records, because a day's worth of them is most of
+	// the state: a snapshot copies them and need not encode them again.
+	Operations map[wire.OperationKey][]byte `json:"-"`
+	Suspects   map[wire.Fingerprint]suspect
+	Audit      []wire.AuditRecord
+	History    []change
 	// HistoryStart is the version from which History is complete.
 	HistoryStart wire.Version
 }
@@ -118,7 +120,7 @@
 		Ended:         make(map[wire.Incarnation]ended),
 		Draining:      make(map[wire.NodeID]bool),
 		Partitions:    make(map[wire.PartitionID]wire.Partition),
-		Operations:    make(map[wire.OperationKey]operation),
+		Operations:    make(map[wire.OperationKey][]byte),
 		Suspects:      make(map[wire.Fingerprint]suspect),
 	}
 }
@@ -209,28 +211,3 @@
 	m.Session = l.Session
 	return nil
 }
-
-// Snapshot returns the whole state. Equal states give equal bytes.
-func (m *Machine) Snapshot() ([]byte, error) {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
-	return json.Marshal(m.contents)
-}
-
-// Restore replaces the state by a snapshot. On error the state is unchanged.
-func (m *Machine) Restore(data []byte) error {
-	c := emptyContents()
-	if err := json.Unmarshal(data, &c); err != nil {
-		return merry.Wrap(ErrSnapshot, merry.WithCause(err), merry.AppendMessage(err.Error()))
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if c.Group != m.Group {
-		return merry.Wrap(ErrSnapshot, merry.AppendMessagef("group is %q, expected %q", c.Group, m.Group))
-	}
-	m.contents = c
-	m.rebuildExpiry()
-	close(m.changed)
-	m.changed = make(chan struct{})
-	return nil
-}
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -396,3 +396,24 @@
 	_, exists := g.machine.Partition(id)
 	qt.Assert(t, exists, qt.IsFalse)
 }
+
+// Guards against a damaged snapshot that replaces part of the state.
+func TestRestoreRefusesDamagedSnapshot(t *testing.T) {
+	g := newGroup()
+	g.apply(wire.Command{RegisterMember: member("n", "i1", "pledges")})
+	g.apply(wire.Command{Begin: &wire.BeginRequest{Service: "pledges", Key: key(5, 1), Execution: "e", Incarnation: "i1"}})
+	good, err := g.machine.Snapshot()
+	qt.Assert(t, err, qt.IsNil)
+	damaged := map[string][]byte{
+		"empty":            {},
+		"half a head":      good[:20],
+		"cut operation":    good[:len(good)-3],
+		"not a record":     append(good[:len(good):len(good)], "key record\n"...),
+		"of another group": []byte("{\"Group\":\"ch\"}\n"),
+	}
+	for name, data := range damaged {
+		qt.Assert(t, errors.Is(g.machine.Restore(data), state.ErrSnapshot), qt.IsTrue, qt.Commentf("%s", name))
+		now, _ := g.machine.Snapshot()
+		qt.Assert(t, string(now), qt.Equals, string(good), qt.Commentf("%s", name))
+	}
+}
