Test that partitions follow members through loss and change of leader

Stand-in nodes renew over loopback; a planned stop of the leader leaves every epoch as it was. The audit trail names the deciding replica and the moves that the end of a member cancels.

--- a/internal/control/run_test.go
+++ b/internal/control/run_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"testing"
@@ -17,7 +18,9 @@
 	"github.com/gentiansail/gentiansail/internal/control"
 	"github.com/gentiansail/gentiansail/internal/rpc"
 	"github.com/gentiansail/gentiansail/internal/settings"
+	"github.com/gentiansail/gentiansail/internal/table"
 	"github.com/gentiansail/gentiansail/internal/wire"
+	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -214,3 +217,81 @@
 	c.found()
 	qt.Assert(t, health(c.leader(c.awaitHealthy())), qt.Equals, http.StatusOK)
 }
+
+// node stands in for a node process: it renews its lease and keeps a table.
+type node struct {
+	name   string
+	table  *table.Table
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func (c *cluster) startNode(name string) *node {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node{name: name, table: table.New(), cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(n.done)
+		for i := 0; clock.System().Sleep(ctx, 100) == nil; {
+			if !n.beat(ctx, c.hosts[i%len(c.hosts)].client) {
+				i++
+			}
+		}
+	}()
+	c.t.Cleanup(n.stop)
+	return n
+}
+
+func (n *node) stop() {
+	n.cancel()
+	<-n.done
+}
+
+func (n *node) beat(ctx context.Context, client *rpc.Client) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	request := wire.HeartbeatRequest{
+		Group: "tz", Node: wire.NodeID(n.name), Process: wire.ProcessID(n.name), KnownVersion: n.table.Snapshot().Version(),
+		Member: &wire.Announcement{Incarnation: wire.Incarnation(n.name), Service: "catalogue", Slots: 10, Sequence: 1},
+	}
+	out, err := rpc.Call[wire.HeartbeatResponse](ctx, client, wire.MethodNodeHeartbeat, request)
+	return err == nil && n.table.Apply(out.Delta) == nil
+}
+
+// await waits until the node's table gives the members these numbers of
+// partitions.
+func (n *node) await(t *testing.T, want map[wire.Incarnation]int) {
+	t.Helper()
+	begin := time.Now()
+	for {
+		got := map[wire.Incarnation]int{}
+		for i := range want {
+			got[i] = len(n.table.Snapshot().Owned(i))
+		}
+		if maps.Equal(got, want) {
+			t.Logf("%v after %v", want, time.Since(begin))
+			return
+		}
+		qt.Assert(t, time.Since(begin) < giveUp, qt.IsTrue, qt.Commentf("%v", got))
+		qt.Assert(t, clock.System().Sleep(t.Context(), 5), qt.IsNil)
+	}
+}
+
+// Guards against partitions that stay with a lost member, and against a leader
+// change that takes partitions from members that renew their leases.
+func TestPartitionsFollowMembersThroughLossAndChangeOfLeader(t *testing.T) {
+	c := newCluster(t)
+	c.found()
+	leader := c.leader(c.awaitHealthy())
+	a, b := c.startNode("i1"), c.startNode("i2")
+	askLeader[wire.ApplyResponse](c, wire.MethodOperatorApply, wire.ApplyRequest{Group: "tz", Operator: "uzi", RequestID: "r1", Configuration: wire.Configuration{
+		Services: []wire.ServiceConfig{{Name: "catalogue", Keyed: true, Partitions: 8, MoveBudget: 2}},
+	}})
+	b.await(t, map[wire.Incarnation]int{"i1": 4, "i2": 4})
+	epochs := b.table.Snapshot().Owned("i1")
+	c.restart(leader)
+	c.awaitHealthy()
+	b.await(t, map[wire.Incarnation]int{"i1": 4, "i2": 4})
+	qt.Assert(t, b.table.Snapshot().Owned("i1"), qt.DeepEquals, epochs)
+	a.stop()
+	b.await(t, map[wire.Incarnation]int{"i1": 0, "i2": 8})
+}
--- a/internal/state/history.go
+++ b/internal/state/history.go
@@ -43,6 +43,9 @@
 	}
 }
 
+// leaderName is who decides on assignments, for the audit trail.
+func (m *Machine) leaderName() string { return "control replica " + string(m.Leader) }
+
 // Delta returns what changed in the routing table after the known version. It
 // is full when the history does not reach back that far, or when the known
 // version is not one of this state.
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -86,7 +86,7 @@
 	m.Ended[v.Incarnation] = ended{At: m.Now, Node: v.Node, Service: v.Service}
 	m.pruneEnded()
 	c := change{Members: []wire.Incarnation{v.Incarnation}}
-	released := 0
+	released, cancelled := 0, 0
 	for _, id := range slices.Sorted(maps.Keys(m.Partitions)) {
 		p := m.Partitions[id]
 		if p.Owner != v.Incarnation && p.MovingTo != v.Incarnation {
@@ -96,13 +96,16 @@
 			p.Owner = ""
 			released++
 		}
+		if p.MovingTo != "" {
+			cancelled++
+		}
 		// Without its owner or its new owner the planned move is over.
 		p.MovingTo = ""
 		m.Partitions[id] = p
 		c.Partitions = append(c.Partitions, id)
 	}
 	m.change(c)
-	m.audit(string(v.Node), "member ended: "+reason, string(v.Incarnation), partitionCount(released))
+	m.audit(string(v.Node), "member ended: "+reason, string(v.Incarnation), partitionCounts(released, cancelled))
 }
 
 func (m *Machine) pruneEnded() {
--- a/internal/state/partitions.go
+++ b/internal/state/partitions.go
@@ -43,7 +43,7 @@
 		p.MovingTo = v.To
 		m.Partitions[v.Partition] = p
 		c.Partitions = append(c.Partitions, v.Partition)
-		m.audit("leader", "move started: "+string(v.Partition), string(p.Owner), string(v.To))
+		m.audit(m.leaderName(), "move started: "+string(v.Partition), string(p.Owner), string(v.To))
 	}
 	return m.changeOrStale(c)
 }
@@ -80,7 +80,7 @@
 		p.Owner, p.MovingTo, p.Epoch = v.To, "", wire.Epoch(m.Index)
 		m.Partitions[v.Partition] = p
 		c.Partitions = append(c.Partitions, v.Partition)
-		m.audit("leader", "assigned: "+string(v.Partition)+": "+a.Reason, "", string(v.To))
+		m.audit(m.leaderName(), "assigned: "+string(v.Partition)+": "+a.Reason, "", string(v.To))
 	}
 	return m.changeOrStale(c)
 }
@@ -132,7 +132,7 @@
 	p.Epoch = wire.Epoch(m.Index)
 	m.Partitions[id] = p
 	m.change(change{Partitions: []wire.PartitionID{id}})
-	m.audit("leader", "override set: "+string(id), string(base.Partition), string(id))
+	m.audit(m.leaderName(), "override set: "+string(id), string(base.Partition), string(id))
 	return nil
 }
 
@@ -142,7 +142,7 @@
 	}
 	delete(m.Partitions, own.Partition)
 	m.change(change{Partitions: []wire.PartitionID{own.Partition}})
-	m.audit("leader", "override cleared: "+string(own.Partition), string(own.Partition), string(base.Partition))
+	m.audit(m.leaderName(), "override cleared: "+string(own.Partition), string(own.Partition), string(base.Partition))
 	return nil
 }
 
--- a/internal/state/read.go
+++ b/internal/state/read.go
@@ -153,7 +153,9 @@
 
 func boolText(b bool) string { return strconv.FormatBool(b) }
 
-func partitionCount(n int) string { return itoa(n) + " partitions released" }
+func partitionCounts(released, cancelled int) string {
+	return itoa(released) + " partitions released, " + itoa(cancelled) + " moves cancelled"
+}
 
 // describe renders what a target may announce anew.
 func describe(v wire.Member) string {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -86,6 +86,7 @@
 	TableVersion  wire.Version
 	Now           wire.UnixMillis
 	Session       wire.SessionID
+	Leader        wire.ReplicaID
 	Revision      wire.Revision
 	Configuration wire.Configuration
 	Answers       []answer
@@ -208,6 +209,6 @@
 		return nil
 	}
 	m.audit(string(l.Replica), "leader started", string(m.Session), string(l.Session))
-	m.Session = l.Session
+	m.Session, m.Leader = l.Session, l.Replica
 	return nil
 }
