--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -98,8 +98,8 @@
 // whose target may still run work that it was given, so its partitions stay its
 // own until its lease has expired; superseded refuses its renewals.
 func (s *Service) registerMember(ctx context.Context, wanted wire.Member) (string, error) {
-	for _, v := range s.Machine.MemberList() {
-		if v.Node != wanted.Node || !sameProcess(v, wanted) {
+	for _, v := range s.Machine.MembersOfNode(wanted.Node) {
+		if !sameProcess(v, wanted) {
 			continue
 		}
 		if v.Sequence >= wanted.Sequence {
@@ -130,8 +130,8 @@
 // superseded reports whether another process of the same node has registered
 // since. Its rule needs the log alone, so it holds across leaders.
 func (s *Service) superseded(v wire.Member) bool {
-	for _, w := range s.Machine.MemberList() {
-		if w.Node == v.Node && !sameProcess(v, w) && w.RegisteredAt > v.RegisteredAt {
+	for _, w := range s.Machine.MembersOfNode(v.Node) {
+		if w.Incarnation != v.Incarnation && !sameProcess(v, w) && w.RegisteredAt > v.RegisteredAt {
 			return true
 		}
 	}
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -118,8 +118,7 @@
 
 func (s *Service) knowsNode(o *office, n wire.NodeID) bool {
 	_, heard := o.node(n)
-	hasMember := slices.ContainsFunc(s.Machine.MemberList(), func(v wire.Member) bool { return v.Node == n })
-	return heard || hasMember || s.Machine.IsDraining(n)
+	return heard || len(s.Machine.MembersOfNode(n)) > 0 || s.Machine.IsDraining(n)
 }
 
 func (s *Service) owner(ctx context.Context, r wire.OwnerRequest) (wire.OwnerResponse, error) {
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -47,6 +47,9 @@
 		return nil
 	}
 	m.Members[v.Incarnation] = v
+	if !known {
+		m.byNode[v.Node] = append(m.byNode[v.Node], v.Incarnation)
+	}
 	m.change(change{Members: []wire.Incarnation{v.Incarnation}})
 	m.auditMember(old, known, v)
 	return nil
@@ -83,6 +86,10 @@
 
 func (m *Machine) end(v wire.Member, reason string) {
 	delete(m.Members, v.Incarnation)
+	m.byNode[v.Node] = slices.DeleteFunc(m.byNode[v.Node], func(i wire.Incarnation) bool { return i == v.Incarnation })
+	if len(m.byNode[v.Node]) == 0 {
+		delete(m.byNode, v.Node)
+	}
 	m.Ended[v.Incarnation] = ended{At: m.Now, Node: v.Node, Service: v.Service}
 	m.pruneEnded()
 	c := change{Members: []wire.Incarnation{v.Incarnation}}
@@ -122,6 +129,13 @@
 	}
 }
 
+func (m *Machine) rebuildByNode() {
+	m.byNode = make(map[wire.NodeID][]wire.Incarnation, len(m.Members))
+	for i, v := range m.Members {
+		m.byNode[v.Node] = append(m.byNode[v.Node], i)
+	}
+}
+
 // drain sets or clears an operator's mark on a node.
 func (m *Machine) drain(d wire.DrainRequest) error {
 	if d.Node == "" {
@@ -140,11 +154,7 @@
 		delete(m.Draining, d.Node)
 	}
 	var c change
-	for _, i := range slices.Sorted(maps.Keys(m.Members)) {
-		if m.Members[i].Node == d.Node {
-			c.Members = append(c.Members, i)
-		}
-	}
+	c.Members = slices.Sorted(slices.Values(m.byNode[d.Node]))
 	m.change(c)
 	m.audit(string(d.Operator), "drain "+string(d.Node), boolText(old), boolText(d.Drain))
 	return nil
--- a/internal/state/read.go
+++ b/internal/state/read.go
@@ -91,6 +91,15 @@
 	return present
 }
 
+// MembersOfNode returns the live members of a node in the order of their
+// incarnations.
+func (m *Machine) MembersOfNode(n wire.NodeID) []wire.Member {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	present, _ := m.memberChanges(slices.Sorted(slices.Values(m.byNode[n])))
+	return present
+}
+
 // PartitionList returns the partitions in the order of their ids.
 func (m *Machine) PartitionList() []wire.Partition {
 	m.mu.RLock()
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -50,6 +50,7 @@
 		return merry.Wrap(ErrSnapshot, merry.AppendMessagef("group is %q, expected %q", c.Group, m.Group))
 	}
 	m.contents, m.expiry = c, expiry
+	m.rebuildByNode()
 	close(m.changed)
 	m.changed = make(chan struct{})
 	return nil
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -76,6 +76,8 @@
 	contents
 	changed chan struct{}
 	expiry  keyHeap
+	// byNode lists the live incarnations of each node. It follows from Members.
+	byNode map[wire.NodeID][]wire.Incarnation
 }
 
 // contents is what a snapshot holds. Maps are never nil, so that equal states
@@ -107,7 +109,7 @@
 
 // New returns the state of a group before its first command.
 func New(g wire.GroupID) *Machine {
-	m := &Machine{changed: make(chan struct{})}
+	m := &Machine{changed: make(chan struct{}), byNode: make(map[wire.NodeID][]wire.Incarnation)}
 	m.contents = emptyContents()
 	m.Group = g
 	return m
