--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 
@@ -117,8 +118,7 @@
 
 func (s *Service) knowsNode(o *office, n wire.NodeID) bool {
 	_, heard := o.node(n)
-	hasMember := slices.ContainsFunc(s.Machine.MemberList(), func(v wire.Member) bool { return v.Node == n })
-	return heard || hasMember || s.Machine.IsDraining(n)
+	return heard || len(s.Machine.MembersOfNode(n)) > 0 || s.Machine.IsDraining(n)
 }
 
 func (s *Service) owner(ctx context.Context, r wire.OwnerRequest) (wire.OwnerResponse, error) {
@@ -136,11 +136,16 @@
 	return out, nil
 }
 
+// audit returns the records after an index, all of them without a limit.
 func (s *Service) audit(ctx context.Context, r wire.AuditRequest) (wire.AuditResponse, error) {
 	if _, err := s.enterConfirmed(ctx, r.Group); err != nil {
 		return wire.AuditResponse{}, err
 	}
-	return wire.AuditResponse{Records: s.Machine.AuditAfter(r.After, r.Limit)}, nil
+	limit := r.Limit
+	if limit <= 0 {
+		limit = math.MaxInt
+	}
+	return wire.AuditResponse{Records: s.Machine.AuditAfter(r.After, limit)}, nil
 }
 
 func (s *Service) quarantine(ctx context.Context, r wire.QuarantineRequest) (wire.QuarantineResponse, error) {
