node: check the lease right before the first byte, survive silent connections

The last check ran before a connection was taken from the pool, which can take as long as the deadline. exchange now calls BeforeWrite when the connection is ready. The check reads the end of the lease before the table: read last, it could be a lease renewed, together with a newer table, while the process was paused between the two.

Silence within a response is decided by asking the owning node over a new connection how much it has written, as no interim response can be sent any more.

Writing to a caller that does not read now ends 5 s after the deadline.

--- a/internal/exchange/do.go
+++ b/internal/exchange/do.go
@@ -45,6 +45,12 @@
 		x.written <- err
 		return nil, merry.Wrap(ErrWrite, merry.WithCause(err), merry.AppendMessage(err.Error()))
 	}
+	if x.request.BeforeWrite != nil {
+		if err := x.request.BeforeWrite(); err != nil {
+			x.written <- err
+			return nil, merry.Wrap(ErrBefore, merry.WithCause(err), merry.AppendMessage(err.Error()))
+		}
+	}
 	if err := x.write(); err != nil {
 		return nil, err
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -49,6 +49,8 @@
 	ErrRefusedConnection = merry.Sentinel("connection refused")
 	// ErrPool means that no connection was free before the context ended.
 	ErrPool = merry.Sentinel("no free connection")
+	// ErrBefore means that BeforeWrite refused the request.
+	ErrBefore = merry.Sentinel("request was refused before it was written")
 	// ErrWrite means that the request could not be written.
 	ErrWrite = merry.Sentinel("cannot write request")
 	// ErrResponse means that no valid response header arrived.
@@ -117,6 +119,10 @@
 	// Fresh uses a new connection, so that the server cannot have closed it
 	// while it was idle.
 	Fresh bool
+	// BeforeWrite, if set, is called when the connection is ready and nothing has
+	// been written. Its error ends the request with Progress NotSent. Waiting for
+	// a connection takes time, so that earlier checks may be outdated.
+	BeforeWrite func() error
 	// Silence bounds the wait for each read; 0 leaves only the context.
 	Silence clock.Millis
 	// OnSilence, if set, decides after Silence passed without a byte whether to
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -200,6 +200,10 @@
 	c.Assert(err, qt.ErrorIs, ErrRefusedConnection)
 	c.Assert(ProgressOf(err), qt.Equals, NotSent)
 
+	_, err = send(t, p, Request{Address: s.address, BeforeWrite: func() error { return io.EOF }})
+	c.Assert(err, qt.ErrorIs, ErrBefore)
+	c.Assert(ProgressOf(err), qt.Equals, NotSent)
+
 	ctx, cancel := context.WithCancel(context.Background())
 	ends := make(chan error, 3)
 	for range 3 {
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -120,7 +120,8 @@
 		return false
 	}
 	if !q.keyed {
-		return true // another member is chosen at once
+		// Another member is chosen, the first time at once.
+		return q.attempt == 1 || n.clock.Sleep(ctx, min(left, n.backoff.Delay(q.attempt))) == nil
 	}
 	changed := n.routing.changed()
 	if p, ok := n.routing.snapshot().PartitionOfHash(q.route.Service, q.key); ok && p.Epoch != q.epoch {
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -45,15 +45,9 @@
 		return refuse(http.StatusBadRequest, reasonBadRequest)
 	}
 	t.ticket = m.inFlight.toTarget(t.mark, q.partition)
-	// The last look at lease, epoch and suspects before the target gets the
-	// request.
-	if why := t.recheck(); why != "" {
-		t.end(limit.Result{Failed: true})
-		return unavailable(why)
-	}
 	t.sent = n.clock.Now()
 	response, err := m.pool.Do(ctx, exchange.Request{
-		Address: string(m.target.Address), HTTP: r, RequestID: q.id,
+		Address: string(m.target.Address), HTTP: r, RequestID: q.id, BeforeWrite: t.recheck,
 		// A server may close an idle connection at any time, which would make
 		// the outcome of a request that must not repeat unknown.
 		Fresh: !q.route.Repeatable,
@@ -102,13 +96,26 @@
 	return known == t.alone && !suspect.Quarantined
 }
 
-// recheck is evaluated after the request counts as being at the target, so that
-// a target that dies from here on makes it a suspect.
-func (t *turn) recheck() reason {
-	if !t.stillAsAdmitted() {
-		return reasonNotOwner
+// errRefusedLate carries the reason of a refusal out of an exchange.
+type errRefusedLate struct{ why reason }
+
+// Error implements error.
+func (e errRefusedLate) Error() string { return string(e.why) }
+
+// recheck is the last look at lease, epoch and suspects before the request is
+// written. The request counts as being at the target already, so that a target
+// that dies from here on makes it a suspect.
+func (t *turn) recheck() error {
+	why := t.node.underLease(t.member, func() reason {
+		if !t.stillAsAdmitted() {
+			return reasonNotOwner
+		}
+		return t.node.owns(t.member, t.q)
+	})
+	if why != "" {
+		return errRefusedLate{why: why}
 	}
-	return t.node.check(t.member, t.q)
+	return nil
 }
 
 func limited(err error) *reply {
@@ -160,6 +167,11 @@
 // failed translates an exchange without a response.
 func (t *turn) failed(ctx context.Context, err error) *reply {
 	n := t.node
+	var late errRefusedLate
+	if errors.As(err, &late) {
+		t.end(limit.Result{Failed: true})
+		return unavailable(late.why)
+	}
 	n.metrics.exchangeErrors.WithLabelValues("target").Inc()
 	if exchange.ProgressOf(err) == exchange.NotSent {
 		t.member.probes.now()
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -39,6 +39,8 @@
 	mu     sync.Mutex
 	index  wire.Version
 	silent bool // refuses all calls
+	// behind gives peer addresses that replace those the nodes state.
+	behind map[wire.NodeID]wire.Address
 }
 
 func startControl(t *testing.T) *fakeControl {
@@ -119,6 +121,21 @@
 	f.silent = v
 }
 
+func (f *fakeControl) advertise(n wire.NodeID, a wire.Address) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.behind = map[wire.NodeID]wire.Address{n: a}
+}
+
+func (f *fakeControl) peerAddress(r wire.HeartbeatRequest) wire.Address {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if a, ok := f.behind[r.Node]; ok {
+		return a
+	}
+	return r.Address
+}
+
 func (f *fakeControl) unavailable() error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -134,7 +151,7 @@
 	}
 	out := wire.HeartbeatResponse{Granted: true, LeaseMillis: 900}
 	if a := r.Member; a != nil {
-		m := wire.Member{Incarnation: a.Incarnation, Node: r.Node, Address: r.Address, Service: a.Service, Slots: a.Slots, Connections: a.Connections, ChecksGrants: a.ChecksGrants, Draining: r.Stopping}
+		m := wire.Member{Incarnation: a.Incarnation, Node: r.Node, Address: f.peerAddress(r), Service: a.Service, Slots: a.Slots, Connections: a.Connections, ChecksGrants: a.ChecksGrants, Draining: r.Stopping}
 		if err := f.commit(wire.Command{RegisterMember: &wire.RegisterMember{Member: m}}).Err; errors.Is(err, state.ErrEnded) {
 			out.Granted, out.Refusal = false, "incarnation has ended"
 		}
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/google/uuid"
@@ -27,7 +28,7 @@
 func (n *node) serveCaller(w http.ResponseWriter, r *http.Request) {
 	n.ingress.Add(1)
 	defer n.ingress.Add(-1)
-	q, p := n.accept(r)
+	q, p := n.accept(w, r)
 	if p != nil {
 		n.deliver(w, q, p)
 		return
@@ -38,7 +39,7 @@
 }
 
 // accept reads what a caller asks for, or returns a refusal.
-func (n *node) accept(r *http.Request) (*request, *reply) {
+func (n *node) accept(w http.ResponseWriter, r *http.Request) (*request, *reply) {
 	q := &request{
 		id: requestID(r.Header), method: r.Method, path: r.URL.EscapedPath(), query: r.URL.RawQuery, host: r.Host,
 		header: endToEnd(r.Header), caller: wire.CallerID(r.Header.Get(header.Caller)), attempt: 1,
@@ -59,7 +60,7 @@
 	if !n.keyOf(s, route, r, q) {
 		return q, refuse(http.StatusBadRequest, reasonNoKey)
 	}
-	if p := q.read(r); p != nil {
+	if p := q.read(w, r, q.deadline-n.clock.Now()); p != nil {
 		return q, p
 	}
 	return q, nil
@@ -81,8 +82,9 @@
 	return true
 }
 
-// read reads the body ahead: all of it when the request must not repeat.
-func (q *request) read(r *http.Request) *reply {
+// read reads the body ahead: all of it when the request must not repeat. A
+// sender that goes silent is given up at the deadline.
+func (q *request) read(w http.ResponseWriter, r *http.Request, left clock.Millis) *reply {
 	limit := int64(prefixBytes)
 	if !q.route.Repeatable {
 		if _, ok := operationKey(q.header); !ok {
@@ -91,6 +93,11 @@
 		limit = onceBytes
 	}
 	var err error
+	if r.Body != nil && r.Body != http.NoBody {
+		control := http.NewResponseController(w)
+		_ = control.SetReadDeadline(time.Now().Add(left.Duration()))
+		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	}
 	q.body, err = readBody(r, limit)
 	if err != nil {
 		return refuse(http.StatusBadRequest, reasonBadRequest)
@@ -115,7 +122,7 @@
 	p.header.Del(header.InFlight)
 	p.header.Del(header.Limit)
 	p.writeHeader(w, q)
-	if err := p.writeBody(w, func(int) {}); err != nil {
+	if err := p.writeBody(w, q.deadline-n.clock.Now(), func(int) {}); err != nil {
 		n.metrics.aborted.Inc()
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -30,7 +30,7 @@
 
 func (n *node) ownEntered(ctx context.Context, m *member, q *request) *reply {
 	n.catchUp(ctx, q)
-	if why := n.check(m, q); why != "" {
+	if why := n.underLease(m, func() reason { return n.owns(m, q) }); why != "" {
 		return unavailable(why)
 	}
 	if q.route.Repeatable {
@@ -39,17 +39,28 @@
 	return n.once(ctx, m, q)
 }
 
-// check is the owner's condition for forwarding a request to its target. It is
-// evaluated on entry, and again as the last step before the target gets it.
-func (n *node) check(m *member, q *request) reason {
-	if !m.alive() || m.lease.Remaining() < leaseReserve {
+// underLease evaluates a condition on the routing table while the lease holds.
+// The end of the lease is read first: the table is applied before the lease
+// counts as renewed, so the table that the condition reads is at least as new as
+// this lease implies. A lease read last could be one that was renewed, together
+// with a newer table, while the process was paused in between.
+func (n *node) underLease(m *member, condition func() reason) reason {
+	now := n.clock.Now()
+	until := now + m.lease.Remaining()
+	why := condition()
+	if !m.alive() || n.clock.Now()+leaseReserve > until {
 		return reasonNotOwner
 	}
+	return why
+}
+
+// owns is the owner's condition for forwarding a request to its target.
+func (n *node) owns(m *member, q *request) reason {
 	if m.refusing.Load() {
 		return reasonStopping
 	}
 	if q.partition == "" {
-		return n.checkNotKeyed(m, q)
+		return n.ownsNotKeyed(m, q)
 	}
 	p, ok := n.routing.snapshot().PartitionOfHash(q.route.Service, q.key)
 	switch {
@@ -61,9 +72,9 @@
 	return ""
 }
 
-// checkNotKeyed refuses new work for a draining member at once, because any
+// ownsNotKeyed refuses new work for a draining member at once, because any
 // other member can take it.
-func (n *node) checkNotKeyed(m *member, q *request) reason {
+func (n *node) ownsNotKeyed(m *member, q *request) reason {
 	snapshot := n.routing.snapshot()
 	if known, _ := snapshot.Member(m.incarnation); known.Draining || m.draining.Load() {
 		return reasonStopping
--- a/internal/node/peer_client.go
+++ b/internal/node/peer_client.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 
+	"github.com/google/uuid"
+
 	"github.com/gentiansail/gentiansail/internal/exchange"
 	"github.com/gentiansail/gentiansail/internal/header"
 	"github.com/gentiansail/gentiansail/internal/wire"
@@ -23,13 +25,13 @@
 	if err != nil {
 		return refuse(http.StatusBadRequest, reasonBadRequest)
 	}
-	relay := relayID(q)
+	relay := uuid.NewString()
 	r.Header.Set(header.Service, string(q.route.Service))
 	r.Header.Set(header.Route, string(q.route.Name))
 	r.Header.Set(header.Member, string(q.member))
 	r.Header.Set(header.Attempt, strconv.Itoa(q.attempt))
 	r.Header.Set(relayField, relay)
-	check := &relayCheck{node: n, address: address, id: relay, ctx: ctx}
+	check := &relayCheck{node: n, address: address, id: relay, ctx: ctx, repeatable: q.route.Repeatable}
 	response, err := n.peers.Do(ctx, exchange.Request{
 		Address: address, HTTP: r, RequestID: q.id, EchoRequired: true,
 		Silence: peerSilence, OnSilence: check.waitOn,
--- a/internal/node/peer_server.go
+++ b/internal/node/peer_server.go
@@ -21,6 +21,7 @@
 func (n *node) peerHandler() http.Handler {
 	r := chi.NewRouter()
 	r.Get("/v1/relays/{id}", n.relays.serve)
+	r.Delete("/v1/relays/{id}", n.relays.serveCancel)
 	r.NotFound(n.servePeer)
 	r.MethodNotAllowed(n.servePeer)
 	return r
@@ -30,23 +31,25 @@
 func (n *node) servePeer(w http.ResponseWriter, r *http.Request) {
 	alive := keepAlive(w)
 	defer alive.stop()
-	q, p := n.acceptPeer(r)
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	relay, end := n.relays.begin(r.Header.Get(relayField), cancel)
+	defer end()
+	q, p := n.acceptPeer(w, r)
 	if p == nil {
-		ctx, cancel := context.WithTimeout(r.Context(), (q.deadline - n.clock.Now()).Duration())
+		ctx, cancel := context.WithTimeout(ctx, (q.deadline - n.clock.Now()).Duration())
 		defer cancel()
 		p = n.own(ctx, q)
 	}
 	alive.stop()
-	written, end := n.relays.begin(r.Header.Get(relayField))
-	defer end()
 	p.writeHeader(w, q)
-	if err := p.writeBody(w, func(c int) { written.Add(int64(c)) }); err != nil {
+	if err := p.writeBody(w, q.deadline-n.clock.Now(), func(c int) { relay.written.Add(int64(c)) }); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
 
 // acceptPeer reads what the ingress node asks for.
-func (n *node) acceptPeer(r *http.Request) (*request, *reply) {
+func (n *node) acceptPeer(w http.ResponseWriter, r *http.Request) (*request, *reply) {
 	h := r.Header
 	q := &request{
 		id: requestID(h), method: r.Method, path: r.URL.EscapedPath(), query: r.URL.RawQuery, host: r.Host,
@@ -67,7 +70,7 @@
 	if !n.keyOf(s, route, r, q) || q.keyed != (q.partition != "") {
 		return q, unavailable(reasonNotOwner)
 	}
-	if p := q.read(r); p != nil {
+	if p := q.read(w, r, q.deadline-n.clock.Now()); p != nil {
 		return q, p
 	}
 	return q, nil
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 
 	"github.com/go-chi/chi/v5"
-	"github.com/google/uuid"
 
 	"github.com/gentiansail/gentiansail/internal/exchange"
 	"github.com/gentiansail/gentiansail/pkg/clock"
@@ -21,35 +20,56 @@
 // relayTimeout bounds the question about a relay.
 const relayTimeout clock.Millis = 500
 
-func relayID(*request) string { return uuid.NewString() }
-
 // relays are the responses that this node is sending to ingress nodes. A target
 // may pause in the middle of a response for longer than a connection may stay
 // silent, and no interim response can be sent any more. The ingress node then
 // asks over a new connection how far the response has got.
+//
+// An ingress node that gives up such a connection says so over a new one,
+// because this node would otherwise not notice before the deadline.
 type relays struct {
 	mu  sync.Mutex
-	all map[string]*atomic.Int64
+	all map[string]*relay
+}
+
+// relay is one request that came through an ingress node.
+type relay struct {
+	// written is the number of body bytes of the response that were written.
+	written atomic.Int64
+	cancel  context.CancelFunc
 }
 
-func newRelays() *relays { return &relays{all: make(map[string]*atomic.Int64)} }
+func newRelays() *relays { return &relays{all: make(map[string]*relay)} }
 
-// begin counts the bytes of a response until end is called.
-func (r *relays) begin(id string) (count *atomic.Int64, end func()) {
-	count = new(atomic.Int64)
+// begin makes a request known until end is called.
+func (r *relays) begin(id string, cancel context.CancelFunc) (v *relay, end func()) {
+	v = &relay{cancel: cancel}
 	if id == "" {
-		return count, func() {}
+		return v, func() {}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.all[id] = count
-	return count, func() {
+	r.all[id] = v
+	return v, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		delete(r.all, id)
 	}
 }
 
+func (r *relays) find(q *http.Request) *relay {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.all[chi.URLParam(q, "id")]
+}
+
+func (r *relays) serveCancel(w http.ResponseWriter, q *http.Request) {
+	if v := r.find(q); v != nil {
+		v.cancel()
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // relayState is the response to GET /v1/relays/{id}.
 type relayState struct {
 	// Written is the number of body bytes that have been written.
@@ -57,15 +77,13 @@
 }
 
 func (r *relays) serve(w http.ResponseWriter, q *http.Request) {
-	r.mu.Lock()
-	v := r.all[chi.URLParam(q, "id")]
-	r.mu.Unlock()
+	v := r.find(q)
 	if v == nil {
 		http.NotFound(w, q)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(relayState{Written: v.Load()})
+	_ = json.NewEncoder(w).Encode(relayState{Written: v.written.Load()})
 }
 
 // relayCheck decides what silence on a connection to the owning node means.
@@ -74,27 +92,48 @@
 	address string
 	id      string
 	ctx     context.Context
+	// repeatable allows the request to be cancelled: another attempt does not
+	// ask for this one's outcome.
+	repeatable bool
 }
 
 // waitOn reports whether to wait on. Before the response header, interim
 // responses are due and silence means a dead connection. After it, the owning
 // node must still be sending, and must not have written more than arrived.
 func (c *relayCheck) waitOn(started bool, received int64) bool {
-	if !started {
-		return false
+	if started {
+		written, ok := c.ask()
+		if ok && written <= received {
+			return true
+		}
+	}
+	if c.repeatable {
+		c.node.background.Go(c.cancel)
+	}
+	return false
+}
+
+func (c *relayCheck) cancel() {
+	ctx, stop := context.WithTimeout(c.node.alive, relayTimeout.Duration())
+	defer stop()
+	response, err := c.call(ctx, http.MethodDelete)
+	if err == nil {
+		_ = response.Body.Close()
 	}
-	written, ok := c.ask()
-	return ok && written <= received
+}
+
+func (c *relayCheck) call(ctx context.Context, method string) (*http.Response, error) {
+	r, err := http.NewRequest(method, "http://"+c.address+"/v1/relays/"+c.id, nil)
+	if err != nil {
+		return nil, err
+	}
+	return c.node.peerChecks.Do(ctx, exchange.Request{Address: c.address, HTTP: r, Fresh: true})
 }
 
 func (c *relayCheck) ask() (int64, bool) {
 	ctx, cancel := context.WithTimeout(c.ctx, relayTimeout.Duration())
 	defer cancel()
-	r, err := http.NewRequest(http.MethodGet, "http://"+c.address+"/v1/relays/"+c.id, nil)
-	if err != nil {
-		return 0, false
-	}
-	response, err := c.node.peerChecks.Do(ctx, exchange.Request{Address: c.address, HTTP: r, Fresh: true})
+	response, err := c.call(ctx, http.MethodGet)
 	if err != nil {
 		return 0, false
 	}
--- a/internal/node/reply.go
+++ b/internal/node/reply.go
@@ -6,9 +6,11 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/gentiansail/gentiansail/internal/header"
 	"github.com/gentiansail/gentiansail/internal/wire"
+	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
 // reason says in one word why the system itself responded.
@@ -121,21 +123,30 @@
 		h.Set(header.RequestID, q.id)
 		h.Set(header.Attempt, strconv.Itoa(q.attempt))
 	}
-	if p.length >= 0 {
+	if p.length >= 0 && p.status != http.StatusNoContent && p.status != http.StatusNotModified {
 		h.Set("Content-Length", strconv.FormatInt(p.length, 10))
 	}
 	w.WriteHeader(p.status)
 }
 
+// writeGrace is the time after the deadline in which the rest of a response may
+// be written.
+const writeGrace clock.Millis = 5000
+
 // copyBufferBytes is the size of one read of a response body.
 const copyBufferBytes = 16 << 10
 
 // writeBody streams the body and flushes after each read, so that partial
 // results arrive early. The error is that of the source or of the receiver; the
 // response must then be aborted, not ended.
-func (p *reply) writeBody(w http.ResponseWriter, written func(n int)) error {
+//
+// Writing ends at the deadline even when the receiver does not read, because an
+// unfinished response holds up planned moves and stops.
+func (p *reply) writeBody(w http.ResponseWriter, left clock.Millis, written func(n int)) error {
 	defer p.close()
 	flush := http.NewResponseController(w)
+	_ = flush.SetWriteDeadline(time.Now().Add((max(left, 0) + writeGrace).Duration()))
+	defer func() { _ = flush.SetWriteDeadline(time.Time{}) }()
 	buffer := make([]byte, copyBufferBytes)
 	for {
 		n, err := p.body.Read(buffer)
@@ -147,7 +158,7 @@
 		}
 		if err == io.EOF {
 			p.writeTrailer(w)
-			return nil
+			return flush.Flush()
 		}
 		if err != nil {
 			return err
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -125,10 +125,14 @@
 	}
 }
 
+// idleTimeout closes connections that callers leave idle. It is far above the
+// time after which other nodes' pools close theirs.
+const idleTimeout = 75 * time.Second
+
 // serve serves until ctx ends, then finishes requests in flight. Each has a
 // deadline of at most maxDeadline.
 func serve(ctx context.Context, l net.Listener, h http.Handler) error {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, ErrorLog: quietLog}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: idleTimeout, ErrorLog: quietLog}
 	return process.ServeHTTP(ctx, l, s, maxDeadline.Duration())
 }
 
