--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -73,15 +73,7 @@
 	rpc.Handle(s, wire.MethodSuspectClear, func(_ context.Context, r wire.ClearSuspectRequest) (wire.Ack, error) {
 		return wire.Ack{}, refusal(f.commit(wire.Command{ClearSuspect: &r}).Err)
 	})
-	// Serve is ended by its listener, not by its context: Server.stop waits on a
-	// WaitGroup while connections still add to it, which the race detector
-	// reports (a fault of internal/rpc). The nodes close all connections.
-	background(t, func(ctx context.Context) error {
-		stop := context.AfterFunc(ctx, func() { _ = l.Close() })
-		defer stop()
-		_ = s.Serve(context.Background(), l)
-		return nil
-	})
+	background(t, func(ctx context.Context) error { return s.Serve(ctx, l) })
 	return f
 }
 
