operator: show the newest audit records, and whole log entries

Cause: one log entry can have hundreds of audit records, as when all partitions are assigned. A limit on the request could cut such an entry in two, and the next page, which begins after its index, then left out the rest. The default also showed the oldest records.

The command reads the trail after the given index, which has 10,000 records at most, and prints the newest.

--- a/cmd/gentiansail/command_line.go
+++ b/cmd/gentiansail/command_line.go
@@ -160,7 +160,7 @@
 		return o.Audit(ctx, wire.Version(c.after), c.limit)
 	}))
 	s.Int(&c.after, "", "after", "only records with a later index")
-	s.Int(&c.limit, "", "limit", "at most this many records")
+	s.Int(&c.limit, "", "limit", "the newest records, at most this many")
 	c.addQuarantine()
 }
 
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -91,13 +91,18 @@
 	return s.print(r, func(t *table) { t.owner(r) })
 }
 
-// Audit prints at most limit records of the audit trail with a log index after
-// the given one, oldest first.
+// auditRecords is the length of the audit trail that the control group keeps.
+const auditRecords = 10_000
+
+// Audit prints the newest records of the audit trail, at most limit, with a log
+// index after the given one, oldest first. One log entry can have many records,
+// so the whole trail is read: a limit on the request could cut an entry in two.
 func (s *Session) Audit(ctx context.Context, after wire.Version, limit int) error {
-	r, err := call[wire.AuditResponse](ctx, s, wire.MethodOperatorAudit, wire.AuditRequest{Group: s.Group, After: after, Limit: limit})
+	r, err := call[wire.AuditResponse](ctx, s, wire.MethodOperatorAudit, wire.AuditRequest{Group: s.Group, After: after, Limit: auditRecords})
 	if err != nil {
 		return err
 	}
+	r.Records = r.Records[len(r.Records)-min(max(limit, 0), len(r.Records)):]
 	return s.print(r, func(t *table) { t.audit(r) })
 }
 
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -219,6 +219,25 @@
 	qt.Assert(t, g.calls, qt.DeepEquals, []string{"b"})
 }
 
+// Guards against an audit that cuts a log entry with many records in two, or
+// that shows the oldest changes in place of the newest.
+func TestAuditShowsNewestRecords(t *testing.T) {
+	records := []wire.AuditRecord{{Index: 7, What: "first"}, {Index: 7, What: "second"}, {Index: 8, What: "third"}}
+	a := serve(t, func(s *rpc.Server) {
+		rpc.Handle(s, wire.MethodOperatorAudit, func(_ context.Context, r wire.AuditRequest) (wire.AuditResponse, error) {
+			return wire.AuditResponse{Records: records[:min(r.Limit, len(records))]}, nil
+		})
+	})
+	for limit, want := range map[int][]wire.AuditRecord{-1: {}, 2: records[1:], 100: records} {
+		s, out, _ := session(a)
+		s.Output = JSON
+		qt.Assert(t, s.Audit(t.Context(), 0, limit), qt.IsNil)
+		var got wire.AuditResponse
+		qt.Assert(t, json.Unmarshal(out.Bytes(), &got), qt.IsNil)
+		qt.Assert(t, got.Records, qt.DeepEquals, want)
+	}
+}
+
 // Guards against a table that leaves out what an operator must act on.
 func TestStatusNamesWhatNeedsAction(t *testing.T) {
 	s, out, _ := session(leader(t, &group{revision: 6}))
