--- a/internal/integration/commands_test.go
+++ b/internal/integration/commands_test.go
@@ -145,3 +145,17 @@
 	command(t, c, "apply", config, "--base", "2", "--request-id", "lost").assert(t, operator.ExitOK, "revision 3 accepted")
 	command(t, c, "config").assert(t, operator.ExitOK, "// Revision 3.\n")
 }
+
+// Guards against a load tool whose flags do not reach it, or that finds broken
+// promises where there are none.
+func TestBench(t *testing.T) {
+	ctx, c := start(t)
+	qt.Assert(t, c.Bootstrap(ctx), qt.IsNil)
+	qt.Assert(t, c.Apply(ctx, config), qt.IsNil)
+	qt.Assert(t, c.WaitReady(ctx), qt.IsNil)
+	addresses := string(c.Hosts[0].Caller) + "," + string(c.Hosts[1].Caller)
+	targets := string(c.Hosts[0].Target.Addr()) + "," + string(c.Hosts[1].Target.Addr())
+	command(t, c, "bench", "--addresses", addresses, "--targets", targets, "--rate", "100", "--duration", "1s",
+		"--route", "browse:catalogue:GET:/catalogue/{key}:9", "--route", "reserve:catalogue:POST:/catalogue/{key}:1:once").assert(t, operator.ExitOK, "")
+	command(t, c, "bench", "--addresses", addresses, "--route", "browse").assert(t, operator.ExitUsage, "browse")
+}
