limit: take back decreases that do not lower latency

A target that is slow for reasons other than its number of requests kept its latency at any limit, so the limit fell to 1 and took the throughput with it. A series of decreases is now judged at 70 % of where it began: unless the latency fell to 85 %, the limit returns and the latency becomes the base.

--- a/internal/bench/policies/traces.go
+++ b/internal/bench/policies/traces.go
@@ -174,6 +174,10 @@
 	during(func(m *model) { m.targets[2].slowness = 4 }, func(m *model) { m.targets[2].slowness = 1 })(m)
 }
 
+func slowOwner(m *model) {
+	during(func(m *model) { m.targets[0].slowness = 2 }, func(m *model) { m.targets[0].slowness = 1 })(m)
+}
+
 func hostLoss(m *model) {
 	during(func(m *model) { m.lose("target-3") }, func(m *model) { m.join("target-3") })(m)
 }
@@ -242,6 +246,7 @@
 		limited("limits: overload at twice the capacity", "Deadline 500 ms; 10 % critical, 30 % normal, 60 % browse.", mixed(), 2, 500, limits(), nothing),
 		limited("limits: overstated slots", "90 % load; targets announce twice the slots they have, and slow down when they run more.", overstated(), 0.9, 500, limits(), nothing),
 		limited("limits: straggler", "60 % load; one target is four times slower in the middle third; deadline 500 ms.", mixed(), 0.6, 500, limits(), straggler),
+		limited("limits: single slow owner", "40 % load on one target, as for keys that only it may serve; it is twice as slow in the middle third; deadline 500 ms.", hosts(10), 0.4, 500, limits(), slowOwner),
 		limited("retry: loss of half the targets", "70 % load on eight targets; four are lost at 10 s and return cold at 20 s; deadline 1 s.", eight, 0.7, 1000, retries(), halfLoss),
 		limited("retry: loss of a host", "60 % load; one target is lost at 10 s and returns cold at 20 s; deadline 1 s.", mixed(), 0.6, 1000, retries(), hostLoss),
 	}
--- a/pkg/limit/adjuster.go
+++ b/pkg/limit/adjuster.go
@@ -22,6 +22,14 @@
 	// latency of a target that has become slower for good. It must be much longer
 	// than a busy hour's peak of load lasts, or the base follows the queue.
 	baseHalfLife clock.Millis = 60_000
+	// trialDepth is how far a series of decreases goes before its effect is judged.
+	// Single steps of 10 % drown in the variation of service times.
+	trialDepth = 0.7
+	// trialEffect is the part of the first latency that must remain at most after
+	// a series of decreases. Where requests hinder each other, latency falls at
+	// least in proportion to the limit; where it stays, the target is slow for
+	// another reason, and a lower limit would only take throughput away.
+	trialEffect = 0.85
 	// minimumWindow is the least number of samples that a window holds.
 	minimumWindow = 10
 )
@@ -35,11 +43,19 @@
 	base   float64
 	baseAt clock.Millis
 	window window
+	trial  trial
 	// quietUntil ends the time after a decrease in which sheds are the result of
 	// requests sent before it.
 	quietUntil clock.Millis
 }
 
+// trial is a series of decreases: the limit and mean latency that it began with.
+// A limit of zero means that none is under way.
+type trial struct {
+	limit float64
+	mean  float64
+}
+
 // window collects the samples between two adjustments.
 type window struct {
 	samples int
@@ -90,10 +106,32 @@
 	mean := a.window.sum / float64(a.window.samples)
 	a.base = nextBase(a.base, mean, now-a.baseAt)
 	a.baseAt = now
+	before := a.limit
 	a.limit = nextLimit(a.limit, a.ceiling, a.base, mean, a.window.peak)
+	a.judge(before, mean)
 	a.window = window{}
 }
 
+// judge follows a series of decreases and takes it back if it had no effect.
+func (a *adjuster) judge(before, mean float64) {
+	if a.limit >= before && a.limit > 1 {
+		a.trial = trial{}
+		return
+	}
+	if a.trial.limit == 0 {
+		a.trial = trial{limit: before, mean: mean}
+		return
+	}
+	if before > a.trial.limit*trialDepth && a.limit > 1 {
+		return
+	}
+	if mean > a.trial.mean*trialEffect {
+		a.limit = clamp(a.trial.limit, a.ceiling)
+		a.base = mean
+	}
+	a.trial = trial{}
+}
+
 // nextBase returns the base latency after a window with the given mean that ended
 // age after the one before. It falls at once and rises slowly.
 func nextBase(base, mean float64, age clock.Millis) float64 {
