--- a/pkg/limit/adjuster.go
+++ b/pkg/limit/adjuster.go
@@ -15,7 +15,7 @@
 	increaseStep = 1.0
 	// latencyTolerance is how far a window's mean latency may exceed the base
 	// before the limit decreases.
-	latencyTolerance = 2.0
+	latencyTolerance = 1.6
 	// latencySlack keeps the 1 ms resolution of the clock from looking like load.
 	latencySlack = 2.0
 	// baseHalfLife is how long the base takes to rise half of the way to the mean
