balance: count the slow start in the draw only

A cold target was drawn less often and its cost was also raised for the same reason, while its measured latency already shows how slow it is. It received less than it could serve.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -231,8 +231,7 @@
 }
 
 func (p *Picker) cost(t *target, now clock.Millis) float64 {
-	capacity := t.capacity * p.warmth(t, now)
-	return t.read().cost(now, float64(t.inFlight.Load()), capacity)
+	return t.read().cost(now, float64(t.inFlight.Load()), t.capacity)
 }
 
 func (t *target) read() observation {
