bench: add a trace of a straggler that recovers under light load

Tried and not kept: halving a target's latency in 1 s or 5 s without samples, so that an avoided straggler is tried again.

--- a/internal/bench/policies/traces.go
+++ b/internal/bench/policies/traces.go
@@ -174,6 +174,10 @@
 	during(func(m *model) { m.targets[2].slowness = 4 }, func(m *model) { m.targets[2].slowness = 1 })(m)
 }
 
+func lightStraggler(m *model) {
+	during(func(m *model) { m.targets[2].slowness = 10 }, func(m *model) { m.targets[2].slowness = 1 })(m)
+}
+
 func slowOwner(m *model) {
 	during(func(m *model) { m.targets[0].slowness = 2 }, func(m *model) { m.targets[0].slowness = 1 })(m)
 }
@@ -237,6 +241,7 @@
 	return []trace{
 		choice("normal day", "Load from 30 % to 80 % of capacity; five targets of 8 to 20 slots.", mixed(), day(mixed()), nothing),
 		choice("straggler", "60 % load; one target is four times slower in the middle third.", mixed(), load(mixed(), 0.6), straggler),
+		choice("light load, straggler recovers", "15 % load on three targets; one is ten times slower in the middle third.", hosts(10, 10, 10), load(hosts(10, 10, 10), 0.15), lightStraggler),
 		choice("loss of a host", "60 % load; one target is lost at 10 s and returns cold at 20 s.", mixed(), load(mixed(), 0.6), hostLoss),
 		choice("rolling restart", "60 % load; each target drains, stops and returns cold.", mixed(), load(mixed(), 0.6), restarts),
 		keyed("normal day", "50 % load, 1,000 keys.", 0.5, nil, nothing),
