--- a/internal/bench/policies/model.go
+++ b/internal/bench/policies/model.go
@@ -33,6 +33,7 @@
 	deadline millis
 	key      int
 	class    limit.Class
+	caller   int
 	ingress  *ingress
 	attempts int
 	tried    []string
@@ -42,6 +43,7 @@
 type ingress struct {
 	chooser chooser
 	retry   retryPolicy
+	callers callerPolicy
 }
 
 // model is one run.
@@ -91,6 +93,7 @@
 	m.trace.happen(m)
 	m.arrivals()
 	m.windows()
+	m.exchangeDemand()
 	m.events.run()
 }
 
@@ -100,7 +103,11 @@
 	if m.policy.chooser != nil {
 		c = m.policy.chooser(m.events.clock(), r)
 	}
-	return &ingress{chooser: c, retry: m.policy.retry(r)}
+	g := &ingress{chooser: c, retry: m.policy.retry(r)}
+	if m.policy.callers != nil {
+		g.callers = m.policy.callers(m.events.clock())
+	}
+	return g
 }
 
 // announce tells all ingress nodes the present members.
@@ -169,6 +176,13 @@
 	if m.owners != nil {
 		m.owners.observe(r.key)
 	}
+	if m.trace.flood != nil {
+		r.caller = m.drawCaller(now)
+	}
+	if !r.ingress.callers.admits(r.caller, r.class) {
+		m.record.ended(now, r, shed)
+		return
+	}
 	r.ingress.retry.deposit()
 	m.attempt(r)
 }
@@ -183,6 +197,13 @@
 	return m.keys.at(m.random.Float64())
 }
 
+func (m *model) drawCaller(now millis) int {
+	if m.random.Float64() < m.trace.flood(now) {
+		return flooder
+	}
+	return m.random.IntN(callerCount)
+}
+
 func drawClass(u float64) limit.Class {
 	switch {
 	case u < 0.1:
--- a/internal/bench/policies/policies_test.go
+++ b/internal/bench/policies/policies_test.go
@@ -54,8 +54,8 @@
 		p := v.policies[rapid.IntRange(0, len(v.policies)-1).Draw(rt, "policy")]
 		m := newModel(v, p, rapid.Uint64().Draw(rt, "seed"))
 		m.run()
-		if len(m.record.requests) != m.arrived {
-			rt.Fatalf("%d requests ended of %d", len(m.record.requests), m.arrived)
+		if len(m.record.requests)+m.record.flooded != m.arrived {
+			rt.Fatalf("%d requests ended of %d", len(m.record.requests)+m.record.flooded, m.arrived)
 		}
 		for _, h := range m.targets {
 			if h.inFlight() != 0 || (h.limiter != nil && h.limiter.InFlight()+h.limiter.Waiting() != 0) {
--- a/internal/bench/policies/record.go
+++ b/internal/bench/policies/record.go
@@ -22,9 +22,16 @@
 	imbalances []float64
 	sheds      int
 	retries    int
+	// flooded counts the requests of a flooding caller, which count in no other
+	// measure.
+	flooded int
 }
 
 func (r *recorder) ended(now millis, q *request, a answer) {
+	if q.caller == flooder {
+		r.flooded++
+		return
+	}
 	good := a == answered && now <= q.deadline
 	r.requests = append(r.requests, measure.Request{Key: q.key, Due: q.due, Ended: now, Good: good})
 	if q.class == limit.Critical {
--- a/internal/bench/policies/traces.go
+++ b/internal/bench/policies/traces.go
@@ -26,6 +26,9 @@
 	rate func(now millis) float64
 	// hot returns the hot key at a time and its part of all requests.
 	hot func(now millis) (key int, part float64)
+	// flood returns the part of requests that come from one caller. That caller
+	// counts in no measure.
+	flood func(now millis) float64
 	// happen schedules the events of the trace.
 	happen   func(m *model)
 	policies []policy
@@ -42,6 +45,7 @@
 	overrides bool
 	limiter   func(c clock.Clock, announced int) *limit.Limiter
 	retry     func(r *rand.Rand) retryPolicy
+	callers   func(c clock.Clock) callerPolicy
 }
 
 // keyTable draws keys by a Zipf distribution.
@@ -237,6 +241,8 @@
 	limited := func(name, about string, h []host, part float64, deadline millis, p []policy, happen func(*model)) trace {
 		return trace{name: name, about: about, duration: traceMillis, deadline: deadline, hosts: h, rate: load(h, part), happen: happen, policies: p}
 	}
+	flooded := limited("callers: one floods", "50 % load from 100 callers; in the middle third one more caller sends as much as the whole capacity. Measures are those of the 100; deadline 500 ms.", mixed(), 0, 500, callers(), nothing)
+	flooded.rate, flooded.flood = floodRate(mixed()), flood
 	eight := hosts(10, 10, 10, 10, 10, 10, 10, 10)
 	return []trace{
 		choice("normal day", "Load from 30 % to 80 % of capacity; five targets of 8 to 20 slots.", mixed(), day(mixed()), nothing),
@@ -252,6 +258,7 @@
 		limited("limits: overstated slots", "90 % load; targets announce twice the slots they have, and slow down when they run more.", overstated(), 0.9, 500, limits(), nothing),
 		limited("limits: straggler", "60 % load; one target is four times slower in the middle third; deadline 500 ms.", mixed(), 0.6, 500, limits(), straggler),
 		limited("limits: single slow owner", "40 % load on one target, as for keys that only it may serve; it is twice as slow in the middle third; deadline 500 ms.", hosts(10), 0.4, 500, limits(), slowOwner),
+		flooded,
 		limited("retry: loss of half the targets", "70 % load on eight targets; four are lost at 10 s and return cold at 20 s; deadline 1 s.", eight, 0.7, 1000, retries(), halfLoss),
 		limited("retry: loss of a host", "60 % load; one target is lost at 10 s and returns cold at 20 s; deadline 1 s.", mixed(), 0.6, 1000, retries(), hostLoss),
 	}
