bench: plan keyed assignment by the speed of servers

The plan counted a slow or cold server at its announced capacity and kept giving it keys that it could not serve.

--- a/internal/bench/policies/ownership.go
+++ b/internal/bench/policies/ownership.go
@@ -41,14 +41,16 @@
 	assign    assign
 	overrides bool
 	periodic  bool
-	servers   []partition.Server
-	owner     map[partition.ID]string
-	readyAt   map[partition.ID]millis
-	seen      partition.Load
-	rate      partition.Load
-	sketch    *hotkey.Sketch
-	ids       []partition.ID // by key, fixed
-	hot       map[uint64]partition.ID
+	// speed, if set, is the part of its capacity that a server can use now.
+	speed   func(id string) float64
+	servers []partition.Server
+	owner   map[partition.ID]string
+	readyAt map[partition.ID]millis
+	seen    partition.Load
+	rate    partition.Load
+	sketch  *hotkey.Sketch
+	ids     []partition.ID // by key, fixed
+	hot     map[uint64]partition.ID
 	// moved counts changes of owner, needed those of partitions whose server
 	// was lost or drained, or that even a joining server must receive.
 	moved, needed float64
@@ -162,7 +164,7 @@
 	if len(o.servers) == 0 {
 		return
 	}
-	next := o.assign(o.owner, o.servers, o.rate)
+	next := o.assign(o.owner, o.usable(), o.rate)
 	for _, id := range o.sorted() {
 		owner := o.owner[id]
 		if next[id] == owner {
@@ -178,6 +180,18 @@
 	}
 }
 
+// usable returns the servers with the capacity that they can use now.
+func (o *ownership) usable() []partition.Server {
+	if o.speed == nil {
+		return o.servers
+	}
+	all := slices.Clone(o.servers)
+	for i := range all {
+		all[i].Capacity *= o.speed(all[i].ID)
+	}
+	return all
+}
+
 func (o *ownership) sorted() []partition.ID {
 	ids := make([]partition.ID, 0, len(o.owner))
 	for id := range o.owner {
--- a/internal/bench/policies/target.go
+++ b/internal/bench/policies/target.go
@@ -67,6 +67,8 @@
 	waiting  [3][]*waitingJob
 	running  []*job
 	queue    []*job
+	// latency is the moving mean of the time at the target, in milliseconds.
+	latency float64
 	// served counts requests since the last window.
 	served float64
 }
@@ -214,6 +216,9 @@
 
 func (t *target) finish(j *job, a answer) {
 	j.ended = true
+	if a == answered {
+		t.sample(float64(t.events.now - j.started))
+	}
 	j.reply(a)
 	if j.permit == nil {
 		return
@@ -226,6 +231,16 @@
 	t.granted()
 }
 
+// latencyWeight is the weight of one request in a target's mean latency.
+const latencyWeight = 0.01
+
+func (t *target) sample(latency float64) {
+	if t.latency == 0 {
+		t.latency = latency
+	}
+	t.latency += latencyWeight * (latency - t.latency)
+}
+
 // fail stops the target. All its requests break.
 func (t *target) fail() {
 	t.up = false
@@ -247,6 +262,7 @@
 func (t *target) recover() {
 	t.up = true
 	t.coldFrom = t.events.now
+	t.latency = 0
 }
 
 func (t *target) inFlight() int { return len(t.running) + len(t.queue) }
--- a/internal/bench/policies/traces.go
+++ b/internal/bench/policies/traces.go
@@ -43,9 +43,11 @@
 	assign    assign
 	periodic  bool
 	overrides bool
-	limiter   func(c clock.Clock, announced int) *limit.Limiter
-	retry     func(r *rand.Rand) retryPolicy
-	callers   func(c clock.Clock) callerPolicy
+	// bySpeed counts servers as what their latency says they can do.
+	bySpeed bool
+	limiter func(c clock.Clock, announced int) *limit.Limiter
+	retry   func(r *rand.Rand) retryPolicy
+	callers func(c clock.Clock) callerPolicy
 }
 
 // keyTable draws keys by a Zipf distribution.
@@ -127,6 +129,7 @@
 		{name: "rendezvous", assign: rendezvous, limiter: learnedLimit, retry: budgetRetry},
 		{name: "plan", assign: planned, periodic: true, limiter: learnedLimit, retry: budgetRetry},
 		{name: "**plan, hot keys apart**", assign: planned, periodic: true, overrides: true, limiter: learnedLimit, retry: budgetRetry},
+		{name: "plan, hot keys apart, by speed", assign: planned, periodic: true, overrides: true, bySpeed: true, limiter: learnedLimit, retry: budgetRetry},
 	}
 }
 
@@ -252,6 +255,7 @@
 		choice("rolling restart", "60 % load; each target drains, stops and returns cold.", mixed(), load(mixed(), 0.6), restarts),
 		keyed("normal day", "50 % load, 1,000 keys.", 0.5, nil, nothing),
 		keyed("hot key appears", "50 % load; from 10 s on one key has a further 10 % of all requests.", 0.5, hotKey, nothing),
+		keyed("straggler", "50 % load; one server is four times slower in the middle third.", 0.5, nil, straggler),
 		keyed("loss of a host", "50 % load; one server is lost at 10 s and returns cold at 20 s.", 0.5, nil, hostLoss),
 		keyed("rolling restart", "50 % load; each server drains, stops and returns cold.", 0.5, nil, restarts),
 		limited("limits: overload at twice the capacity", "Deadline 500 ms; 10 % critical, 30 % normal, 60 % browse.", mixed(), 2, 500, limits(), nothing),
