--- a/internal/bench/policies/model.go
+++ b/internal/bench/policies/model.go
@@ -23,8 +23,6 @@
 	// keyCount and keySkew describe the keys of all traces.
 	keyCount = 1000
 	keySkew  = 0.9
-	// slowestSpeed keeps a very slow target among those that are given keys.
-	slowestSpeed = 0.1
 	// attemptsMax bounds the attempts of one request with any retry policy.
 	attemptsMax = 5
 )
@@ -84,7 +82,7 @@
 	if p.assign != nil {
 		m.owners = newOwnership(&m.events, p)
 		if p.bySpeed {
-			m.owners.speed = m.speed
+			m.owners.speeds = m.speeds
 		}
 	}
 	for range ingressNodes {
@@ -131,20 +129,15 @@
 	}
 }
 
-// speed estimates which part of its capacity a target can use, from the latency
-// of its requests against that of the fastest target.
-func (m *model) speed(id string) float64 {
-	fastest := math.Inf(1)
+// speeds estimates which part of its capacity each target can use.
+func (m *model) speeds() map[string]float64 {
+	latencies := make(map[string]float64)
 	for _, t := range m.targets {
-		if t.latency > 0 {
-			fastest = math.Min(fastest, t.latency)
+		if t.up {
+			latencies[t.id] = t.latency
 		}
 	}
-	t := m.byID[id]
-	if t.latency == 0 {
-		return 1
-	}
-	return math.Max(fastest/t.latency, slowestSpeed)
+	return balance.Speeds(latencies)
 }
 
 func (m *model) lose(id string) {
--- a/internal/bench/policies/ownership.go
+++ b/internal/bench/policies/ownership.go
@@ -41,8 +41,8 @@
 	assign    assign
 	overrides bool
 	periodic  bool
-	// speed, if set, is the part of its capacity that a server can use now.
-	speed   func(id string) float64
+	// speeds, if set, returns the part of its capacity that each server can use.
+	speeds  func() map[string]float64
 	servers []partition.Server
 	owner   map[partition.ID]string
 	readyAt map[partition.ID]millis
@@ -182,12 +182,13 @@
 
 // usable returns the servers with the capacity that they can use now.
 func (o *ownership) usable() []partition.Server {
-	if o.speed == nil {
+	if o.speeds == nil {
 		return o.servers
 	}
 	all := slices.Clone(o.servers)
+	speeds := o.speeds()
 	for i := range all {
-		all[i].Capacity *= o.speed(all[i].ID)
+		all[i].Capacity *= speeds[all[i].ID]
 	}
 	return all
 }
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -34,6 +34,22 @@
 	})
 }
 
+// Guards against a slower target counting for more than a faster one, and
+// against a part of capacity outside [0.1, 1].
+func TestSpeedFallsWithLatency(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		latencies := rapid.MapOf(rapid.String(), rapid.Float64Range(0, 1e6)).Draw(t, "latencies")
+		speeds := Speeds(latencies)
+		for a, x := range latencies {
+			for b, y := range latencies {
+				if !(speeds[a] >= leastSpeed && speeds[a] <= 1) || (x > 0 && x < y && speeds[a] < speeds[b]) {
+					t.Fatalf("speeds %v of %v", speeds, latencies)
+				}
+			}
+		}
+	})
+}
+
 // Guards against picking an excluded or removed target, and against finding none
 // while one is usable.
 func TestPickHonoursExclusion(t *testing.T) {
