--- a/internal/bench/policies/traces.go
+++ b/internal/bench/policies/traces.go
@@ -26,6 +26,9 @@
 	rate func(now millis) float64
 	// hot returns the hot key at a time and its part of all requests.
 	hot func(now millis) (key int, part float64)
+	// flood returns the part of requests that come from one caller. That caller
+	// counts in no measure.
+	flood func(now millis) float64
 	// happen schedules the events of the trace.
 	happen   func(m *model)
 	policies []policy
@@ -40,8 +43,11 @@
 	assign    assign
 	periodic  bool
 	overrides bool
-	limiter   func(c clock.Clock, announced int) *limit.Limiter
-	retry     func(r *rand.Rand) retryPolicy
+	// bySpeed counts servers as what their latency says they can do.
+	bySpeed bool
+	limiter func(c clock.Clock, announced int) *limit.Limiter
+	retry   func(r *rand.Rand) retryPolicy
+	callers func(c clock.Clock) callerPolicy
 }
 
 // keyTable draws keys by a Zipf distribution.
@@ -123,6 +129,7 @@
 		{name: "rendezvous", assign: rendezvous, limiter: learnedLimit, retry: budgetRetry},
 		{name: "plan", assign: planned, periodic: true, limiter: learnedLimit, retry: budgetRetry},
 		{name: "**plan, hot keys apart**", assign: planned, periodic: true, overrides: true, limiter: learnedLimit, retry: budgetRetry},
+		{name: "plan, hot keys apart, by speed", assign: planned, periodic: true, overrides: true, bySpeed: true, limiter: learnedLimit, retry: budgetRetry},
 	}
 }
 
@@ -174,6 +181,14 @@
 	during(func(m *model) { m.targets[2].slowness = 4 }, func(m *model) { m.targets[2].slowness = 1 })(m)
 }
 
+func lightStraggler(m *model) {
+	during(func(m *model) { m.targets[2].slowness = 10 }, func(m *model) { m.targets[2].slowness = 1 })(m)
+}
+
+func slowOwner(m *model) {
+	during(func(m *model) { m.targets[0].slowness = 2 }, func(m *model) { m.targets[0].slowness = 1 })(m)
+}
+
 func hostLoss(m *model) {
 	during(func(m *model) { m.lose("target-3") }, func(m *model) { m.join("target-3") })(m)
 }
@@ -229,19 +244,25 @@
 	limited := func(name, about string, h []host, part float64, deadline millis, p []policy, happen func(*model)) trace {
 		return trace{name: name, about: about, duration: traceMillis, deadline: deadline, hosts: h, rate: load(h, part), happen: happen, policies: p}
 	}
+	flooded := limited("callers: one floods", "50 % load from 100 callers; in the middle third one more caller sends as much as the whole capacity. Measures are those of the 100; deadline 500 ms.", mixed(), 0, 500, callers(), nothing)
+	flooded.rate, flooded.flood = floodRate(mixed()), flood
 	eight := hosts(10, 10, 10, 10, 10, 10, 10, 10)
 	return []trace{
 		choice("normal day", "Load from 30 % to 80 % of capacity; five targets of 8 to 20 slots.", mixed(), day(mixed()), nothing),
 		choice("straggler", "60 % load; one target is four times slower in the middle third.", mixed(), load(mixed(), 0.6), straggler),
+		choice("light load, straggler recovers", "15 % load on three targets; one is ten times slower in the middle third.", hosts(10, 10, 10), load(hosts(10, 10, 10), 0.15), lightStraggler),
 		choice("loss of a host", "60 % load; one target is lost at 10 s and returns cold at 20 s.", mixed(), load(mixed(), 0.6), hostLoss),
 		choice("rolling restart", "60 % load; each target drains, stops and returns cold.", mixed(), load(mixed(), 0.6), restarts),
 		keyed("normal day", "50 % load, 1,000 keys.", 0.5, nil, nothing),
 		keyed("hot key appears", "50 % load; from 10 s on one key has a further 10 % of all requests.", 0.5, hotKey, nothing),
+		keyed("straggler", "50 % load; one server is four times slower in the middle third.", 0.5, nil, straggler),
 		keyed("loss of a host", "50 % load; one server is lost at 10 s and returns cold at 20 s.", 0.5, nil, hostLoss),
 		keyed("rolling restart", "50 % load; each server drains, stops and returns cold.", 0.5, nil, restarts),
 		limited("limits: overload at twice the capacity", "Deadline 500 ms; 10 % critical, 30 % normal, 60 % browse.", mixed(), 2, 500, limits(), nothing),
 		limited("limits: overstated slots", "90 % load; targets announce twice the slots they have, and slow down when they run more.", overstated(), 0.9, 500, limits(), nothing),
 		limited("limits: straggler", "60 % load; one target is four times slower in the middle third; deadline 500 ms.", mixed(), 0.6, 500, limits(), straggler),
+		limited("limits: single slow owner", "40 % load on one target, as for keys that only it may serve; it is twice as slow in the middle third; deadline 500 ms.", hosts(10), 0.4, 500, limits(), slowOwner),
+		flooded,
 		limited("retry: loss of half the targets", "70 % load on eight targets; four are lost at 10 s and return cold at 20 s; deadline 1 s.", eight, 0.7, 1000, retries(), halfLoss),
 		limited("retry: loss of a host", "60 % load; one target is lost at 10 s and returns cold at 20 s; deadline 1 s.", mixed(), 0.6, 1000, retries(), hostLoss),
 	}
