--- a/internal/integration/runbook_test.go
+++ b/internal/integration/runbook_test.go
@@ -27,6 +27,14 @@
 	replaced := c.Replicas[0]
 	qt.Assert(t, replaced.Stop(ctx), qt.IsNil)
 	qt.Assert(t, os.RemoveAll(replaced.DataFolder), qt.IsNil)
+	// A replica counts as heard for one election timeout after it has gone.
+	err = c.WaitStatus(ctx, func(s wire.StatusResponse) error {
+		if s.CanLoseOne {
+			return errNotYet
+		}
+		return nil
+	})
+	qt.Assert(t, err, qt.IsNil)
 	command(t, c, "status").assert(t, operator.ExitOK, "warning: the control group would lose its majority")
 	qt.Assert(t, replaced.Start(ctx), qt.IsNil)
 	err = c.WaitStatus(ctx, func(s wire.StatusResponse) error {
