--- a/internal/control/confirmer.go
+++ b/internal/control/confirmer.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/gentiansail/gentiansail/internal/wire"
 )
 
@@ -14,6 +16,8 @@
 	confirm func(ctx context.Context) (wire.Version, error)
 	counted func()
 	wake    chan struct{}
+	// ended is closed when no more rounds take place.
+	ended chan struct{}
 
 	mu   sync.Mutex
 	next *round
@@ -25,7 +29,7 @@
 }
 
 func newConfirmer(confirm func(context.Context) (wire.Version, error), counted func()) *confirmer {
-	return &confirmer{confirm: confirm, counted: counted, wake: make(chan struct{}, 1)}
+	return &confirmer{confirm: confirm, counted: counted, wake: make(chan struct{}, 1), ended: make(chan struct{})}
 }
 
 // wait returns after a round that began after the call.
@@ -34,6 +38,8 @@
 	select {
 	case <-r.done:
 		return r.err
+	case <-c.ended:
+		return merry.Wrap(ErrNotLeader, merry.AppendMessage("this replica is ending"))
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -57,8 +63,9 @@
 	return r
 }
 
-// run performs rounds until ctx ends. Calls that wait then get its error.
+// run performs rounds until ctx ends. It is called once.
 func (c *confirmer) run(ctx context.Context) error {
+	defer close(c.ended)
 	for {
 		select {
 		case <-c.wake:
--- a/internal/control/expire.go
+++ b/internal/control/expire.go
@@ -14,11 +14,7 @@
 	if !o.granter.WaitedOut() {
 		return
 	}
-	var live []wire.Incarnation
-	for _, v := range s.Machine.MemberList() {
-		live = append(live, v.Incarnation)
-	}
-	gone := o.granter.Expire(live)
+	gone := o.granter.Expire(s.Machine.Incarnations())
 	// A lost rack ends many members; one after the other they would wait for
 	// many commits.
 	var wg sync.WaitGroup
--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -198,6 +198,8 @@
 // have ended.
 func (p *parts) serve(ctx context.Context, server *rpc.Server, l net.Listener) error {
 	defer close(p.served)
+	stopped := context.AfterFunc(ctx, p.service.Stop)
+	defer stopped()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
--- a/internal/state/read.go
+++ b/internal/state/read.go
@@ -91,6 +91,13 @@
 	return present
 }
 
+// Incarnations returns the live incarnations in no particular order.
+func (m *Machine) Incarnations() []wire.Incarnation {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return slices.Collect(maps.Keys(m.Members))
+}
+
 // MembersOfNode returns the live members of a node in the order of their
 // incarnations.
 func (m *Machine) MembersOfNode(n wire.NodeID) []wire.Member {
