node: never report not run after an attempt that may have run

Such a refusal is now an unknown outcome.

Causes: probes of a failing target were 300 ms apart instead of 150 ms; requests in the limiter's queue waited until those in flight got their verdict; and Node.Down was called with 350 ms although the leader waits out the lease, which closed the connection that the heartbeat shares.

A node that has just started holds requests until its first table.

--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/gentiansail/gentiansail/internal/wire"
 	"github.com/gentiansail/gentiansail/pkg/clock"
@@ -30,30 +31,31 @@
 	}
 	tried := make(map[wire.Incarnation]bool)
 	until := min(n.clock.Now()+ownerWait, q.deadline)
-	var last *reply
+	mayHaveRun := false
 	for q.attempt = 1; ; q.attempt++ {
 		m, p := n.place(ctx, q, tried)
 		if p != nil {
-			return firstOf(last, p)
+			return truthful(p, mayHaveRun)
 		}
-		last = n.send(ctx, q, m)
-		if !n.again(ctx, q, last, until) {
-			return last
+		p = n.send(ctx, q, m)
+		if !n.again(ctx, q, p, until) {
+			return truthful(p, mayHaveRun)
 		}
-		last.close()
+		p.close()
+		mayHaveRun = mayHaveRun || !p.notRun()
 		n.metrics.retries.Inc()
 		tried[m.Incarnation] = true
 	}
 }
 
-// firstOf prefers what a target or owner answered over the finding that there
-// is nobody else to ask.
-func firstOf(last, p *reply) *reply {
-	if last == nil {
+// truthful turns the refusal of a late attempt into an unknown outcome when an
+// earlier attempt of the same request may have run.
+func truthful(p *reply, mayHaveRun bool) *reply {
+	if !mayHaveRun || !p.notRun() {
 		return p
 	}
-	// The earlier reply has been closed; only a generated one can be rebuilt.
-	return system(last.status, last.outcome, last.reason)
+	p.close()
+	return unknown(http.StatusBadGateway, reasonNoResponse)
 }
 
 // again decides whether another attempt follows, and waits until it is due.
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -98,10 +98,10 @@
 // calls of a node may be repeated: they carry the execution or incarnation that
 // they are about. The error wraps errMayTakeEffect when an attempt may have
 // arrived.
-func callControl[Response any](ctx context.Context, c *controlClient, method string, request any) (Response, error) {
+func callControl[Response any](ctx context.Context, c *controlClient, method string, request any, timeout clock.Millis) (Response, error) {
 	uncertain := false
 	for {
-		out, err := tryCall[Response](ctx, c, method, request, attemptTimeout)
+		out, err := tryCall[Response](ctx, c, method, request, timeout)
 		if err == nil || definite(err) {
 			return out, err
 		}
--- a/internal/node/down.go
+++ b/internal/node/down.go
@@ -8,6 +8,10 @@
 	"github.com/gentiansail/gentiansail/pkg/lease"
 )
 
+// downTimeout covers the lease duration that the leader waits out when the
+// target may still run, and the commit.
+const downTimeout clock.Millis = 1500
+
 // verdictWait covers failed probes, the commit and one lease duration.
 const verdictWait clock.Millis = 3000
 
@@ -25,6 +29,8 @@
 		m.life.end()
 	}
 	m.term.end()
+	// Requests that wait for a permit have another owner soon.
+	m.queue.end()
 	n.background.Go(func() {
 		defer m.stop()
 		defer close(m.verdict)
@@ -42,7 +48,7 @@
 		Group: n.settings.Group, Node: n.settings.Name, Incarnation: m.incarnation,
 		Reason: e.why, Crashed: e.crashed, MayStillRun: e.mayStillRun, InFlight: suspects,
 	}
-	_, err := callControl[wire.DownResponse](n.alive, n.control, wire.MethodNodeDown, request)
+	_, err := callControl[wire.DownResponse](n.alive, n.control, wire.MethodNodeDown, request, downTimeout)
 	if err != nil {
 		n.log.Warn().Err(err).Str("Incarnation", string(m.incarnation)).Msg("end of target not recorded")
 	}
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -67,7 +67,12 @@
 // admit waits for a permit. A suspect runs alone; a quarantined request does
 // not run.
 func (t *turn) admit(ctx context.Context) *reply {
+	ctx, leave := t.member.queue.enter(ctx)
+	defer leave()
 	for {
+		if !t.member.alive() {
+			return unavailable(reasonNotOwner)
+		}
 		suspect, known := t.node.routing.snapshot().Suspect(t.mark.Fingerprint)
 		if known && suspect.Quarantined {
 			return refuse(http.StatusUnprocessableEntity, reasonQuarantined)
@@ -79,6 +84,9 @@
 		} else {
 			t.permit, err = t.member.limiter.Acquire(ctx, classOf(t.q.route.Class), t.q.deadline)
 		}
+		if err != nil && !t.member.alive() {
+			return unavailable(reasonNotOwner)
+		}
 		if err != nil {
 			return limited(err)
 		}
@@ -275,7 +283,7 @@
 func (n *node) clearSuspect(m *member, f wire.Fingerprint) {
 	n.background.Go(func() {
 		request := wire.ClearSuspectRequest{Group: n.settings.Group, Fingerprint: f, Incarnation: m.incarnation}
-		_, err := callControl[wire.Ack](n.alive, n.control, wire.MethodSuspectClear, request)
+		_, err := callControl[wire.Ack](n.alive, n.control, wire.MethodSuspectClear, request, attemptTimeout)
 		if err != nil {
 			n.log.Warn().Err(err).Str("Fingerprint", string(f)).Msg("suspect not cleared")
 		}
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -44,7 +44,7 @@
 		id: requestID(r.Header), method: r.Method, path: r.URL.EscapedPath(), query: r.URL.RawQuery, host: r.Host,
 		header: endToEnd(r.Header), caller: wire.CallerID(r.Header.Get(header.Caller)), attempt: 1,
 	}
-	if !n.routing.usable() {
+	if !n.awaitTable(r.Context()) {
 		return q, unavailable(reasonStaleTable)
 	}
 	s := n.routing.snapshot()
@@ -66,6 +66,21 @@
 	return q, nil
 }
 
+// awaitTable waits for a usable table, as after a start, like for the owner of a
+// moving partition.
+func (n *node) awaitTable(ctx context.Context) bool {
+	end := n.clock.Now() + moveWait
+	for {
+		changed := n.routing.changed()
+		if n.routing.usable() {
+			return true
+		}
+		if n.queue(ctx, changed, end, reasonStaleTable) != nil {
+			return false
+		}
+	}
+}
+
 // keyOf finds the request's key. It returns false when a keyed service is asked
 // for without one.
 func (n *node) keyOf(s *table.Snapshot, route *table.Route, r *http.Request, q *request) bool {
--- a/internal/node/member.go
+++ b/internal/node/member.go
@@ -67,9 +67,9 @@
 	refusing atomic.Bool
 	// stop ends the goroutines of this incarnation.
 	stop context.CancelFunc
-	// term ends with the lease, life with the target.
-	term scope
-	life scope
+	// term ends with the lease, life with the target, and queue with the
+	// incarnation.
+	term, life, queue scope
 
 	mu sync.Mutex
 	// releases are moved-away grants that the control group may not know of yet.
--- a/internal/node/once.go
+++ b/internal/node/once.go
@@ -72,7 +72,7 @@
 	}
 	pause := runningPause
 	for {
-		response, err := callControl[wire.BeginResponse](ctx, n.control, wire.MethodOperationBegin, request)
+		response, err := callControl[wire.BeginResponse](ctx, n.control, wire.MethodOperationBegin, request, attemptTimeout)
 		if err != nil || response.Decision != wire.DecisionRunning {
 			return response, err
 		}
@@ -169,7 +169,7 @@
 	request := wire.FinishRequest{
 		Group: n.settings.Group, Service: o.q.route.Service, Key: o.key, Execution: o.execution, Result: r,
 	}
-	_, err := callControl[wire.Ack](ctx, n.control, wire.MethodOperationFinish, request)
+	_, err := callControl[wire.Ack](ctx, n.control, wire.MethodOperationFinish, request, attemptTimeout)
 	if err != nil {
 		n.metrics.unrecorded.Inc()
 	}
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// probeEvery and probeFailures end the incarnation of a frozen target after
-	// about half a second, so that its keys are served again within 2 s.
+	// probeEvery is the time between the starts of two probes. Together with
+	// probeFailures it ends the incarnation of a frozen target after about half a
+	// second; its lease lasts up to 0.9 s more, and its keys are to be served
+	// again within 2 s.
 	probeEvery clock.Millis = 150
 	// probeTimeout bounds one probe.
 	probeTimeout clock.Millis = 150
@@ -73,6 +75,7 @@
 func (m *member) probe(ctx context.Context, dead func(e ending)) error {
 	failures := 0
 	for ctx.Err() == nil {
+		next := m.clock.Now() + probeEvery
 		done := m.probes.begin()
 		err := m.probeOnce(ctx)
 		var e ending
@@ -92,18 +95,18 @@
 			return nil
 		}
 		done(err == nil)
-		m.waitProbe(ctx, failures > 0)
+		m.waitProbe(ctx, next, failures > 0)
 	}
 	return nil
 }
 
 // waitProbe waits until the next probe is due or asked for.
-func (m *member) waitProbe(ctx context.Context, failing bool) {
+func (m *member) waitProbe(ctx context.Context, next clock.Millis, failing bool) {
 	timed, cancel := context.WithCancel(ctx)
 	defer cancel()
 	due := make(chan struct{})
 	go func() {
-		_ = m.clock.Sleep(timed, probeEvery)
+		_ = m.clock.Sleep(timed, next-m.clock.Now())
 		close(due)
 	}()
 	kick := m.probes.kick
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -68,8 +68,12 @@
 func (r *routing) refreshed(sent clock.Millis) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.confirmed = true
 	r.freshAt = max(r.freshAt, sent)
+	if !r.confirmed {
+		r.confirmed = true
+		close(r.change)
+		r.change = make(chan struct{})
+	}
 }
 
 // usable reports whether the table is young enough to route by.
