bench: let requests wait for an owner on model runs

A request whose owner was lost used up its attempts within 40 ms of backoff, long before the lease of 900 ms ended. A variant keeps it at the ingress node until its partition has another owner, at most until its deadline, and counts no retry, since no target sees it meanwhile.

--- a/internal/bench/policies/model.go
+++ b/internal/bench/policies/model.go
@@ -23,6 +23,8 @@
 	// keyCount and keySkew describe the keys of all traces.
 	keyCount = 1000
 	keySkew  = 0.9
+	// ownerPoll is how soon an ingress node acts on a change of its table.
+	ownerPoll millis = 5
 	// attemptsMax bounds the attempts of one request with any retry policy.
 	attemptsMax = 5
 )
@@ -271,6 +273,10 @@
 	if a == shed {
 		m.record.sheds++
 	}
+	if a == unreachable && m.policy.waitForOwner {
+		m.waitForOwner(r)
+		return
+	}
 	delay := millis(r.ingress.retry.backoff.Delay(r.attempts))
 	inTime := m.events.now+delay < r.deadline
 	if r.attempts >= attemptsMax || !inTime || !r.ingress.retry.withdraw() {
@@ -281,6 +287,29 @@
 	m.events.after(delay, func() { m.attempt(r) })
 }
 
+// waitForOwner keeps a request that reached no owner until its partition has
+// another one or can be served again. It costs no retry, since no target sees it
+// meanwhile.
+func (m *model) waitForOwner(r *request) {
+	id := m.owners.partitionOf(r.key)
+	owner := m.owners.owner[id]
+	var poll func()
+	poll = func() {
+		ready := m.events.now >= m.owners.readyAt[id]
+		switch {
+		case m.events.now >= r.deadline:
+			m.record.ended(m.events.now, r, unreachable)
+		case ready && (m.owners.owner[id] != owner || m.byID[owner].up):
+			// The attempts before were not refused for load.
+			r.attempts = 0
+			m.attempt(r)
+		default:
+			m.events.after(ownerPoll, poll)
+		}
+	}
+	m.events.after(ownerPoll, poll)
+}
+
 func (m *model) windows() {
 	m.record.window(m.targets)
 	if m.owners != nil {
--- a/internal/bench/policies/traces.go
+++ b/internal/bench/policies/traces.go
@@ -45,9 +45,11 @@
 	overrides bool
 	// bySpeed counts servers as what their latency says they can do.
 	bySpeed bool
-	limiter func(c clock.Clock, announced int) *limit.Limiter
-	retry   func(r *rand.Rand) retryPolicy
-	callers func(c clock.Clock) callerPolicy
+	// waitForOwner keeps requests that reach no owner until there is another.
+	waitForOwner bool
+	limiter      func(c clock.Clock, announced int) *limit.Limiter
+	retry        func(r *rand.Rand) retryPolicy
+	callers      func(c clock.Clock) callerPolicy
 }
 
 // keyTable draws keys by a Zipf distribution.
@@ -130,6 +132,7 @@
 		{name: "plan", assign: planned, periodic: true, limiter: learnedLimit, retry: budgetRetry},
 		{name: "**plan, hot keys apart**", assign: planned, periodic: true, overrides: true, limiter: learnedLimit, retry: budgetRetry},
 		{name: "plan, hot keys apart, by speed", assign: planned, periodic: true, overrides: true, bySpeed: true, limiter: learnedLimit, retry: budgetRetry},
+		{name: "as before, requests wait for an owner", assign: planned, periodic: true, overrides: true, bySpeed: true, waitForOwner: true, limiter: learnedLimit, retry: budgetRetry},
 	}
 }
 
