bench: add traces of requests that take several slots' worth

Tried and not kept: weighted request cost, a limiter in which a browse request counts as the three slots that it takes. It also needs a weight for each class that operators would have to know, and their configuration has no field for it.

--- a/internal/bench/policies/model.go
+++ b/internal/bench/policies/model.go
@@ -249,13 +249,16 @@
 	c.begin(id)
 	sent := m.events.now
 	t := m.byID[id]
-	j := &job{deadline: r.deadline, class: r.class}
+	j := &job{deadline: r.deadline, class: r.class, weight: 1}
+	if r.class == limit.Browse && m.trace.browseWeight > 0 {
+		j.weight = m.trace.browseWeight
+	}
 	j.reply = func(a answer) {
-		inFlight, limit := t.inFlight(), t.reportedLimit()
+		inFlight, slots := t.inFlight(), t.reportedLimit()
 		m.events.after(hopMillis, func() {
 			c.end(id, balance.Result{
 				Latency: m.events.clock().Now() - clockMillis(sent), Failed: a == unreachable || a == broken, Shed: a == shed,
-				InFlight: inFlight, Limit: limit,
+				InFlight: inFlight, Limit: slots,
 			})
 			if a == answered || a == expired {
 				m.record.ended(m.events.now, r, a)
--- a/internal/bench/policies/target.go
+++ b/internal/bench/policies/target.go
@@ -49,6 +49,7 @@
 type job struct {
 	deadline millis
 	class    limit.Class
+	weight   float64 // slots' worth of the target's resources
 	permit   *limit.Permit
 	started  millis
 	ended    bool
@@ -177,7 +178,7 @@
 	t.running = append(t.running, j)
 	t.served++
 	mean := float64(serviceMillis) * t.factor()
-	crowd := math.Max(1, float64(len(t.running))/float64(t.slots))
+	crowd := math.Max(1, t.weight()/float64(t.slots))
 	// The mean of a log-normal variable is exp(mu + sigma²/2).
 	spread := math.Exp(serviceSpread*t.random.NormFloat64() - serviceSpread*serviceSpread/2)
 	end := t.events.now + millis(mean*spread*math.Pow(crowd, contention))
@@ -188,6 +189,15 @@
 	t.events.at(end, func() { t.end(j, answered) })
 }
 
+// weight is the number of slots' worth of resources in use.
+func (t *target) weight() float64 {
+	var sum float64
+	for _, j := range t.running {
+		sum += j.weight
+	}
+	return sum
+}
+
 func (t *target) end(j *job, a answer) {
 	if j.ended {
 		return
--- a/internal/bench/policies/traces.go
+++ b/internal/bench/policies/traces.go
@@ -29,6 +29,9 @@
 	// flood returns the part of requests that come from one caller. That caller
 	// counts in no measure.
 	flood func(now millis) float64
+	// browseWeight is the number of slots' worth of resources that a browse
+	// request takes. Zero means 1.
+	browseWeight float64
 	// happen schedules the events of the trace.
 	happen   func(m *model)
 	policies []policy
@@ -249,6 +252,12 @@
 	}
 	flooded := limited("callers: one floods", "50 % load from 100 callers; in the middle third one more caller sends as much as the whole capacity. Measures are those of the 100; deadline 500 ms.", mixed(), 0, 500, callers(), nothing)
 	flooded.rate, flooded.flood = floodRate(mixed()), flood
+	heavy := func(name string, part float64) trace {
+		// 40 % of requests weigh 1, 60 % weigh 3: 2.2 on average.
+		t := limited("limits: "+name, "Browse requests take three slots' worth of a target's resources; the load counts that; deadline 500 ms.", mixed(), part/2.2, 500, limits(), nothing)
+		t.browseWeight = 3
+		return t
+	}
 	eight := hosts(10, 10, 10, 10, 10, 10, 10, 10)
 	return []trace{
 		choice("normal day", "Load from 30 % to 80 % of capacity; five targets of 8 to 20 slots.", mixed(), day(mixed()), nothing),
@@ -265,6 +274,8 @@
 		limited("limits: overstated slots", "90 % load; targets announce twice the slots they have, and slow down when they run more.", overstated(), 0.9, 500, limits(), nothing),
 		limited("limits: straggler", "60 % load; one target is four times slower in the middle third; deadline 500 ms.", mixed(), 0.6, 500, limits(), straggler),
 		limited("limits: single slow owner", "40 % load on one target, as for keys that only it may serve; it is twice as slow in the middle third; deadline 500 ms.", hosts(10), 0.4, 500, limits(), slowOwner),
+		heavy("heavy browsing at 90 % load", 0.9),
+		heavy("heavy browsing at 150 % load", 1.5),
 		flooded,
 		limited("retry: loss of half the targets", "70 % load on eight targets; four are lost at 10 s and return cold at 20 s; deadline 1 s.", eight, 0.7, 1000, retries(), halfLoss),
 		limited("retry: loss of a host", "60 % load; one target is lost at 10 s and returns cold at 20 s; deadline 1 s.", mixed(), 0.6, 1000, retries(), hostLoss),
