replog: test replication in small messages; delay the first election

A member that had been idle before Bootstrap started an election before the others were bootstrapped.

--- a/pkg/replog/applier.go
+++ b/pkg/replog/applier.go
@@ -108,6 +108,9 @@
 	if err != nil {
 		return nil, merry.Wrap(ErrState, merry.WithCause(err), merry.AppendMessagef("take snapshot: %v", err))
 	}
+	if len(b) > maxSnapshotBytes {
+		return nil, merry.Wrap(ErrState, merry.AppendMessagef("snapshot has %d bytes, at most %d", len(b), maxSnapshotBytes))
+	}
 	last := ts[len(ts)-1].Entry
 	s := &Snapshot{Index: a.applied, Term: last.Term, Membership: a.membership, Initial: a.initial, Data: b}
 	if err := a.store.saveSnapshot(s); err != nil {
--- a/pkg/replog/core.go
+++ b/pkg/replog/core.go
@@ -17,6 +17,9 @@
 	electionTimeout clock.Millis
 	random          *rand.Rand
 	now             clock.Millis
+	// appendBytes and chunkBytes bound the content of one message.
+	appendBytes int
+	chunkBytes  uint64
 
 	// state must be durable before any message of the same batch is sent.
 	state      hardState
@@ -86,7 +89,7 @@
 	c := &core{
 		group: group, self: self, heartbeatEvery: heartbeat, electionTimeout: timeout,
 		random: random, now: now, state: l.state, log: l.log, snapshot: l.snapshot,
-		members: []memberAt{{}},
+		members: []memberAt{{}}, appendBytes: maxAppendBytes, chunkBytes: snapshotChunkBytes,
 	}
 	c.stable = c.log.last()
 	if s := l.snapshot; s != nil {
@@ -227,6 +230,8 @@
 		c.enterTerm(1)
 		c.setRole(Follower)
 	}
+	// Leaves time to start the other members before the first election.
+	c.resetElection()
 	return nil
 }
 
--- a/pkg/replog/leader.go
+++ b/pkg/replog/leader.go
@@ -161,7 +161,7 @@
 func (c *core) sendAppend(to Member, p *peer) {
 	var es []Entry
 	if !p.probing && p.next-p.match <= maxUnanswered {
-		es = c.log.batch(p.next-1, maxAppendEntries, maxAppendBytes)
+		es = c.log.batch(p.next-1, maxAppendEntries, c.appendBytes)
 	}
 	probe := p.probing && !p.waiting
 	if len(es) == 0 && !probe && !p.heartbeatDue {
@@ -186,7 +186,7 @@
 		Offset: p.offset, Total: uint64(len(s.Data)), Round: c.lead.confirm.round,
 	}
 	if !p.waiting {
-		m.Chunk = s.Data[p.offset:min(p.offset+snapshotChunkBytes, m.Total)]
+		m.Chunk = s.Data[p.offset:min(p.offset+c.chunkBytes, m.Total)]
 		p.chunkSent = c.now
 	}
 	c.out.Early = append(c.out.Early, c.stamp(m))
--- a/pkg/replog/property_test.go
+++ b/pkg/replog/property_test.go
@@ -139,6 +139,8 @@
 	}
 	self := Member{Name: n.name, Identity: l.identity}
 	c := newCore("g", self, l, simHeartbeat, simTimeout, w.random, w.now)
+	// Small messages, so that entries and snapshots need several of them.
+	c.appendBytes, c.chunkBytes = 64, 256
 	n.engine = &engine{core: c, store: s, send: func(m Message) { w.network = append(w.network, m.Encode()) }}
 }
 
--- a/pkg/replog/replica.go
+++ b/pkg/replog/replica.go
@@ -63,7 +63,7 @@
 
 // Open opens or creates the replica's files and starts it. The end of ctx is a
 // planned stop: a leader hands over leadership first, for at most one election
-// timeout. Errors are ErrOptions, ErrStorage, ErrCorrupt and ErrState.
+// timeout, so Send and Deliver must work until Done reports. Errors are ErrOptions, ErrStorage, ErrCorrupt and ErrState.
 func Open(ctx context.Context, o Options) (*Replica, error) {
 	return open(ctx, o, osFiles())
 }
--- a/pkg/replog/types.go
+++ b/pkg/replog/types.go
@@ -139,7 +139,8 @@
 	Send func(m Message)
 	// Apply is called in order, once for each committed EntryCommand, from the
 	// goroutine that also calls Snapshot and Restore.
-	Apply    func(e Entry) any
+	Apply func(e Entry) any
+	// Snapshot returns the machine's state, at most 1 GiB.
 	Snapshot func() ([]byte, error)
 	Restore  func([]byte) error
 	// OnRole is told about each change of role or term. It must not block.
