bench: count the wait of late responses as unavailable time

A run of real processes that lost a host showed no unavailable time, because the nodes held its requests for up to 0.9 s until their keys had another owner. The key could not be served meanwhile, so the wait counts when it exceeds 500 ms. The members of a service are known without the field Gentiansail-Member too, by the instance that stand-in targets state; responses to callers carry no such field at present, so the report had no imbalance.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -58,6 +58,7 @@
 	defaultDuration clock.Millis = 10_000
 	defaultWindow   clock.Millis = 1000
 	defaultDeadline clock.Millis = 10_000
+	defaultWithin   clock.Millis = 500
 )
 
 // keyPlaceholder stands for the key in a route's path.
@@ -98,8 +99,11 @@
 	Seed uint64
 	// Window is the length of the time windows of the report. Zero means 1 s.
 	Window clock.Millis
+	// ServeWithin is the latency from which a complete response counts its key as
+	// unavailable while the caller waited. Zero means 500 ms.
+	ServeWithin clock.Millis
 	// Capacities gives the capacity of members by the name in the response field
-	// Gentiansail-Member. Members without one count as 1, so leave it empty when
+	// Gentiansail-Member, or by the stand-in target's instance without it. Members without one count as 1, so leave it empty when
 	// all are of one size.
 	Capacities map[string]float64
 	// Targets are addresses of stand-in targets. Their records are read after
@@ -178,6 +182,7 @@
 	o.Callers = orDefault(o.Callers, defaultCallers)
 	o.Workers = orDefault(o.Workers, defaultWorkers)
 	o.Window = orDefault(o.Window, defaultWindow)
+	o.ServeWithin = orDefault(o.ServeWithin, defaultWithin)
 	o.Format = orDefault(o.Format, Text)
 	if o.time.now == nil {
 		o.time = systemTiming()
--- a/internal/bench/check.go
+++ b/internal/bench/check.go
@@ -33,6 +33,18 @@
 	RequestID string
 	Key       string
 	Body      string
+	// Instance names the target's process.
+	Instance string
+}
+
+// instanceOf returns the target's name for itself, or "".
+func instanceOf(body []byte) string {
+	first, _, _ := bytes.Cut(body, []byte("\n"))
+	var e echo
+	if json.Unmarshal(first, &e) != nil {
+		return ""
+	}
+	return e.Instance
 }
 
 // check returns the problem of a response, or "".
--- a/internal/bench/measure/measure.go
+++ b/internal/bench/measure/measure.go
@@ -21,11 +21,14 @@
 	Due, Ended Millis
 	// Good reports a complete and correct response.
 	Good bool
+	// Late reports that a good response took so long that the key counts as
+	// unavailable while its caller waited.
+	Late bool
 }
 
 // Unavailable is the time during which keys could not be served. A key is
 // unavailable from when the first of its requests was due that did not end well,
-// until the next one ended that did.
+// until the next one ended that did, and while the caller of a late one waited.
 type Unavailable struct {
 	// Sum is the total over all keys, Worst that of WorstKey.
 	Sum, Worst Millis
@@ -70,11 +73,11 @@
 
 func (k *key) add(r Request) {
 	k.last = max(k.last, r.Ended)
-	switch {
-	case !r.Good && !k.down:
+	if (!r.Good || r.Late) && !k.down {
 		k.down, k.ever = true, true
 		k.since = max(r.Due, k.upTo)
-	case r.Good && k.down:
+	}
+	if r.Good && k.down {
 		k.down = false
 		k.spent += max(r.Ended-k.since, 0)
 		k.upTo = max(r.Ended, k.since)
--- a/internal/bench/measure/measure_test.go
+++ b/internal/bench/measure/measure_test.go
@@ -22,6 +22,10 @@
 				failed[r.Key] = true
 			}
 			end = max(end, r.Ended)
+			if r.Good && rapid.Bool().Draw(t, "late") {
+				r.Late = true
+				failed[r.Key] = true
+			}
 			requests = append(requests, r)
 		}
 		u := UnavailableTime(requests)
--- a/internal/bench/measures.go
+++ b/internal/bench/measures.go
@@ -32,10 +32,10 @@
 }
 
 // unavailable expects samples sorted by when they were due.
-func unavailable(samples []sample) Unavailable {
+func unavailable(samples []sample, within micros) Unavailable {
 	requests := make([]measure.Request, len(samples))
 	for i, s := range samples {
-		requests[i] = measure.Request{Key: s.key, Due: measure.Millis(s.due.millis()), Ended: measure.Millis(s.ended.millis()), Good: s.good()}
+		requests[i] = measure.Request{Key: s.key, Due: measure.Millis(s.due.millis()), Ended: measure.Millis(s.ended.millis()), Good: s.good(), Late: latency(s) > within}
 	}
 	u := measure.UnavailableTime(requests)
 	if u.Keys == 0 {
--- a/internal/bench/policies/record.go
+++ b/internal/bench/policies/record.go
@@ -13,6 +13,10 @@
 
 func clockMillis(m millis) clock.Millis { return clock.Millis(m) }
 
+// serveWithin is the latency from which a key counts as unavailable while the
+// caller waited, as in the load tool.
+const serveWithin millis = 500
+
 // recorder collects the measures of one run.
 type recorder struct {
 	duration   millis
@@ -33,7 +37,7 @@
 		return
 	}
 	good := a == answered && now <= q.deadline
-	r.requests = append(r.requests, measure.Request{Key: q.key, Due: q.due, Ended: now, Good: good})
+	r.requests = append(r.requests, measure.Request{Key: q.key, Due: q.due, Ended: now, Good: good, Late: now-q.due > serveWithin})
 	if q.class == limit.Critical {
 		r.critical[0]++
 	}
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -97,7 +97,7 @@
 	for i, v := range o.Routes {
 		r.Routes[v.Name] = summarizeRoute(filter(samples, func(s sample) bool { return s.route == i }))
 	}
-	r.Unavailable = unavailable(samples)
+	r.Unavailable = unavailable(samples, fromMillis(o.ServeWithin))
 	r.Services = serviceImbalance(o, samples, names)
 	r.Windows = summarizeWindows(o, samples, names)
 	return r
--- a/internal/bench/send.go
+++ b/internal/bench/send.go
@@ -107,7 +107,6 @@
 	h := response.Header
 	s.attempts, _ = strconv.Atoi(h.Get(header.Attempt))
 	s.limit, _ = strconv.Atoi(h.Get(header.Limit))
-	s.member = g.names.number(h.Get(header.Member))
 	s.reason = h.Get(header.Reason)
 	if s.reason == "" {
 		s.reason = h.Get(header.Refused)
@@ -117,6 +116,10 @@
 	if err != nil {
 		return
 	}
+	// A replayed response was produced by an earlier run, which is not load.
+	if !s.replayed {
+		s.member = g.names.number(orDefault(h.Get(header.Member), instanceOf(body)))
+	}
 	s.outcome = outcomeOf(wire.Outcome(h.Get(header.Outcome)), response.StatusCode)
 	if s.outcome == wire.OutcomeComplete {
 		s.problem = check(expectation{requestID: s.requestID, key: keyName(s.key), route: r, replayed: s.replayed}, h.Get(header.RequestID), body)
