--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
@@ -10,7 +12,6 @@
 	"github.com/google/uuid"
 
 	"github.com/gentiansail/gentiansail/internal/rpc"
-	"github.com/gentiansail/gentiansail/internal/table"
 	"github.com/gentiansail/gentiansail/internal/wire"
 	"github.com/gentiansail/gentiansail/pkg/clock"
 )
@@ -32,14 +33,41 @@
 	domain   wire.FailureDomain
 	process  wire.ProcessID
 	control  []wire.Address
-	routes   *table.Table
 	mu       sync.Mutex
 	clients  map[wire.Address]*rpc.Client
 	leader   wire.Address
 	member   wire.Announcement
+	view     view
 	failures int
 }
 
+// view is what a stand-in keeps of the routing table. 300 whole tables in one
+// process would cost more than the control group that is measured.
+type view struct {
+	version  wire.Version
+	revision wire.Revision
+	moving   map[wire.PartitionID]wire.Epoch
+}
+
+// change is the part of a wire.Delta that a stand-in reads.
+type change struct {
+	FromVersion wire.Version
+	ToVersion   wire.Version
+	Full        bool
+	Revision    wire.Revision
+	Partitions  json.RawMessage
+}
+
+type heartbeatResponse struct {
+	Granted bool
+	Refusal string
+	Delta   change
+}
+
+type watchResponse struct {
+	Delta change
+}
+
 // announce starts a new incarnation, as a node does when its lease is refused.
 func (v *standinNode) announce() {
 	v.mu.Lock()
@@ -84,7 +112,7 @@
 			domain:  wire.FailureDomain([]string{"dsm-a", "dsm-b", "dsm-c"}[i%3]),
 			process: wire.ProcessID(uuid.NewString()),
 			control: control, leader: control[0], clients: make(map[wire.Address]*rpc.Client),
-			routes: table.New(),
+			view: view{moving: make(map[wire.PartitionID]wire.Epoch)},
 		}
 		v.announce()
 		f.nodes = append(f.nodes, v)
@@ -131,26 +159,39 @@
 
 // lowestRevision returns the lowest revision that any node has in its table.
 func (f *fleet) lowestRevision() wire.Revision {
-	low := f.nodes[0].routes.Snapshot().Revision()
+	_, low, _ := f.nodes[0].seen()
 	for _, v := range f.nodes {
-		low = min(low, v.routes.Snapshot().Revision())
+		_, revision, _ := v.seen()
+		low = min(low, revision)
 	}
 	return low
 }
 
+// seen returns the version and revision of the view, and the grants that are
+// moving away. A stand-in has no requests in flight, so it releases at once.
+func (v *standinNode) seen() (wire.Version, wire.Revision, []wire.Grant) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	grants := []wire.Grant{}
+	for p, e := range v.view.moving {
+		grants = append(grants, wire.Grant{Partition: p, Epoch: e})
+	}
+	return v.view.version, v.view.revision, grants
+}
+
 func (v *standinNode) heartbeat(ctx context.Context, delay clock.Millis) {
 	c := clock.System()
 	for c.Sleep(ctx, delay) == nil {
 		delay = heartbeatEvery
-		s := v.routes.Snapshot()
+		version, revision, grants := v.seen()
 		member, client := v.announcement(), v.client()
 		request := wire.HeartbeatRequest{
 			Group: v.group, Node: v.id, Process: v.process, Address: "127.0.0.1:1", FailureDomain: v.domain,
-			KnownVersion: s.Version(), RevisionInForce: s.Revision(), Member: &member,
-			Released: []wire.Grant{}, Loads: []wire.PartitionLoad{}, HotKeys: []wire.HotKey{},
+			KnownVersion: version, RevisionInForce: revision, Member: &member,
+			Released: grants, Loads: []wire.PartitionLoad{}, HotKeys: []wire.HotKey{},
 		}
 		timed, cancel := context.WithTimeout(ctx, callTimeout.Duration())
-		response, err := rpc.Call[wire.HeartbeatResponse](timed, client, wire.MethodNodeHeartbeat, request)
+		response, err := rpc.Call[heartbeatResponse](timed, client, wire.MethodNodeHeartbeat, request)
 		cancel()
 		v.note(ctx, client, err)
 		if err != nil {
@@ -166,10 +207,11 @@
 
 func (v *standinNode) watch(ctx context.Context) {
 	for ctx.Err() == nil {
-		request := wire.WatchRequest{Group: v.group, Node: v.id, KnownVersion: v.routes.Snapshot().Version(), WaitMillis: wire.Millis(watchWait)}
+		version, _, _ := v.seen()
+		request := wire.WatchRequest{Group: v.group, Node: v.id, KnownVersion: version, WaitMillis: wire.Millis(watchWait)}
 		client := v.client()
 		timed, cancel := context.WithTimeout(ctx, (watchWait + callTimeout).Duration())
-		response, err := rpc.Call[wire.WatchResponse](timed, client, wire.MethodNodeWatch, request)
+		response, err := rpc.Call[watchResponse](timed, client, wire.MethodNodeWatch, request)
 		cancel()
 		v.note(ctx, client, err)
 		if err != nil {
@@ -200,10 +242,29 @@
 	v.leader = v.control[(i+1)%len(v.control)]
 }
 
-// apply brings the table forward. Heartbeat and watch may carry the same
-// changes; the table refuses the second as stale.
-func (v *standinNode) apply(d wire.Delta) {
+// apply brings the view forward. Heartbeat and watch may carry the same changes;
+// the second has no effect.
+func (v *standinNode) apply(d change) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	_ = v.routes.Apply(d)
+	if d.ToVersion < v.view.version || (!d.Full && d.FromVersion > v.view.version) {
+		return
+	}
+	v.view.version, v.view.revision = d.ToVersion, d.Revision
+	if d.Full {
+		clear(v.view.moving)
+	}
+	if len(v.view.moving) == 0 && !bytes.Contains(d.Partitions, []byte(v.member.Incarnation)) {
+		return
+	}
+	var partitions wire.PartitionList
+	if json.Unmarshal(d.Partitions, &partitions) != nil {
+		return
+	}
+	for _, p := range partitions {
+		delete(v.view.moving, p.Partition)
+		if p.Owner == v.member.Incarnation && p.MovingTo != "" {
+			v.view.moving[p.Partition] = p.Epoch
+		}
+	}
 }
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -61,23 +61,9 @@
 	if err := c.Bootstrap(ctx); err != nil {
 		return err
 	}
-	status, err := c.Operator().FetchStatus(ctx)
-	if err != nil {
+	if err := b.findLeader(ctx); err != nil {
 		return err
 	}
-	for _, r := range status.Replicas {
-		if r.Leader {
-			b.client = rpc.NewClient(string(r.Address))
-		}
-	}
-	if b.client == nil {
-		return errNoLeader
-	}
-	for _, r := range c.Replicas {
-		if string(r.Addr()) == b.client.Address() {
-			b.leader = r
-		}
-	}
 	if _, err := b.apply(ctx, 0, configuration(nodes*o.partitionsPerNode, 1)); err != nil {
 		return err
 	}
@@ -122,19 +108,54 @@
 	}
 }
 
+// apply makes a configuration the accepted one. It follows the leader, which may
+// change on a busy host, and repeats the same request until it is answered.
 func (b *bench) apply(ctx context.Context, base wire.Revision, c wire.Configuration) (wire.Revision, error) {
-	timed, cancel := context.WithTimeout(ctx, callTimeout.Duration())
-	defer cancel()
-	r, err := rpc.Call[wire.ApplyResponse](timed, b.client, wire.MethodOperatorApply, wire.ApplyRequest{
+	request := wire.ApplyRequest{
 		Group: group, Operator: "capacity", RequestID: wire.RequestID(uuid.NewString()), BaseRevision: base, Configuration: c,
-	})
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout.Duration())
+	defer cancel()
+	for {
+		timed, stop := context.WithTimeout(ctx, callTimeout.Duration())
+		r, err := rpc.Call[wire.ApplyResponse](timed, b.client, wire.MethodOperatorApply, request)
+		stop()
+		switch {
+		case err == nil && !r.Accepted:
+			return 0, errors.New(r.Refusal)
+		case err == nil:
+			return r.Revision, nil
+		}
+		if findErr := b.findLeader(ctx); findErr != nil {
+			return 0, errors.Join(err, findErr)
+		}
+	}
+}
+
+// findLeader points the client at the current leader.
+func (b *bench) findLeader(ctx context.Context) error {
+	status, err := b.cluster.Operator().FetchStatus(ctx)
 	if err != nil {
-		return 0, err
+		return err
 	}
-	if !r.Accepted {
-		return 0, errors.New(r.Refusal)
+	for _, r := range status.Replicas {
+		if !r.Leader || (b.client != nil && b.client.Address() == string(r.Address)) {
+			continue
+		}
+		if b.client != nil {
+			b.client.Close()
+		}
+		b.client = rpc.NewClient(string(r.Address))
+	}
+	if b.client == nil {
+		return errNoLeader
+	}
+	for _, r := range b.cluster.Replicas {
+		if string(r.Addr()) == b.client.Address() {
+			b.leader = r
+		}
 	}
-	return r.Revision, nil
+	return nil
 }
 
 func (b *bench) waitAssigned(ctx context.Context, nodes int) error {
--- /dev/null
+++ b/internal/control/delta_cache.go
@@ -0,0 +1,102 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"github.com/gentiansail/gentiansail/internal/state"
+	"github.com/gentiansail/gentiansail/internal/wire"
+)
+
+// maxCachedDeltas bounds the encoded changes that are kept for one version. Most
+// nodes know the same few versions; a node that was away is served without the
+// cache's help.
+const maxCachedDeltas = 32
+
+// deltaCache encodes a change of the routing table once for all nodes that know
+// the same version. Without it the leader spends most of its time on encoding
+// the same change for each node.
+type deltaCache struct {
+	machine *state.Machine
+
+	mu sync.Mutex
+	// version is the last change that the cached encodings contain.
+	version wire.Version
+	byKnown map[wire.Version]*encoding
+}
+
+// encoding is one change; done is closed when the rest is set.
+type encoding struct {
+	done chan struct{}
+	data json.RawMessage
+	err  error
+}
+
+func newDeltaCache(m *state.Machine) *deltaCache {
+	return &deltaCache{machine: m, byKnown: make(map[wire.Version]*encoding)}
+}
+
+// get returns the encoded delta from the known version to one that is at least
+// as new as the call.
+func (c *deltaCache) get(known wire.Version) (json.RawMessage, error) {
+	e, first := c.entry(known)
+	if first {
+		e.data, e.err = json.Marshal(c.machine.Delta(known))
+		close(e.done)
+	}
+	<-e.done
+	return e.data, e.err
+}
+
+// entry returns the encoding to use, and whether the caller must fill it.
+func (c *deltaCache) entry(known wire.Version) (*encoding, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// Read under the mutex and before the delta is made: an entry of this version
+	// then contains at least this change.
+	if v := c.machine.LastChange(); v != c.version {
+		c.version = v
+		clear(c.byKnown)
+	}
+	if e, ok := c.byKnown[known]; ok {
+		return e, false
+	}
+	e := &encoding{done: make(chan struct{})}
+	if len(c.byKnown) < maxCachedDeltas {
+		c.byKnown[known] = e
+	}
+	return e, true
+}
+
+// encodedHeartbeat and encodedWatch have the encodings of wire.HeartbeatResponse
+// and wire.WatchResponse, with a delta that is encoded already.
+type encodedHeartbeat struct {
+	Granted     bool
+	LeaseMillis wire.Millis
+	Refusal     string
+	Delta       json.RawMessage
+}
+
+type encodedWatch struct {
+	Delta json.RawMessage
+}
+
+func (s *Service) serveHeartbeat(ctx context.Context, r wire.HeartbeatRequest) (encodedHeartbeat, error) {
+	response, err := s.answerHeartbeat(ctx, r)
+	if err != nil {
+		return encodedHeartbeat{}, err
+	}
+	delta, err := s.deltas.get(r.KnownVersion)
+	return encodedHeartbeat{
+		Granted: response.Granted, LeaseMillis: response.LeaseMillis, Refusal: response.Refusal, Delta: delta,
+	}, err
+}
+
+func (s *Service) serveWatch(ctx context.Context, r wire.WatchRequest) (encodedWatch, error) {
+	if err := s.answerWatch(ctx, r, watchSettle); err != nil {
+		return encodedWatch{}, err
+	}
+	delta, err := s.deltas.get(r.KnownVersion)
+	return encodedWatch{Delta: delta}, err
+}
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -16,8 +16,8 @@
 // Register registers the methods of nodes and operators. Those of other
 // replicas belong to Run.
 func (s *Service) Register(server *rpc.Server) {
-	rpc.Handle(server, wire.MethodNodeHeartbeat, s.heartbeat)
-	rpc.Handle(server, wire.MethodNodeWatch, s.watch)
+	rpc.Handle(server, wire.MethodNodeHeartbeat, s.serveHeartbeat)
+	rpc.Handle(server, wire.MethodNodeWatch, s.serveWatch)
 	rpc.Handle(server, wire.MethodNodeDown, s.down)
 	rpc.Handle(server, wire.MethodOperationBegin, s.begin)
 	rpc.Handle(server, wire.MethodOperationFinish, s.finish)
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -115,6 +115,7 @@
 	Options
 	metrics   *metrics
 	confirmer *confirmer
+	deltas    *deltaCache
 	stopping  chan struct{}
 	stopOnce  sync.Once
 
@@ -124,7 +125,7 @@
 
 // New returns a service that does not lead.
 func New(o Options) *Service {
-	s := &Service{Options: o, stopping: make(chan struct{})}
+	s := &Service{Options: o, deltas: newDeltaCache(o.Machine), stopping: make(chan struct{})}
 	s.metrics = newMetrics(o.Registry, o.Machine)
 	s.confirmer = newConfirmer(o.Confirm, s.metrics.confirmRounds.Inc)
 	return s
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -12,21 +12,37 @@
 // occupy a call for long.
 const maxWatch clock.Millis = 30000
 
+// watchSettle bounds the responses to one node to 40 a second while many members
+// register or end at once. It adds to the time until a moved key is served, of
+// which the budget leaves 300 ms for commit, grant and delivery.
+const watchSettle clock.Millis = 25
+
 // watch answers as soon as the routing table is later than the known version.
 // Before it answers it confirms leadership, so that a node never learns a table
 // from a replica that has been deposed.
 func (s *Service) watch(ctx context.Context, r wire.WatchRequest) (wire.WatchResponse, error) {
+	if err := s.answerWatch(ctx, r, 0); err != nil {
+		return wire.WatchResponse{}, err
+	}
+	return wire.WatchResponse{Delta: s.Machine.Delta(r.KnownVersion)}, nil
+}
+
+// answerWatch is watch without the routing table. It waits for settle after a
+// change, so that changes that follow each other closely travel together.
+func (s *Service) answerWatch(ctx context.Context, r wire.WatchRequest, settle clock.Millis) error {
 	o, err := s.enter(r.Group)
 	if err != nil {
-		return wire.WatchResponse{}, err
+		return err
 	}
 	if err := s.awaitChange(ctx, o, r); err != nil {
-		return wire.WatchResponse{}, err
+		return err
 	}
-	if err := s.confirm(ctx, o); err != nil {
-		return wire.WatchResponse{}, err
+	if settle > 0 {
+		if err := s.Clock.Sleep(ctx, settle); err != nil {
+			return err
+		}
 	}
-	return wire.WatchResponse{Delta: s.Machine.Delta(r.KnownVersion)}, nil
+	return s.confirm(ctx, o)
 }
 
 func (s *Service) awaitChange(ctx context.Context, o *office, r wire.WatchRequest) error {
--- a/internal/state/history.go
+++ b/internal/state/history.go
@@ -55,7 +55,9 @@
 	if known <= 0 || known < m.HistoryStart || known > m.Index {
 		return m.full()
 	}
-	d := wire.Delta{FromVersion: known, ToVersion: m.Index, Revision: m.Revision}
+	// The version of the last change, not of the last entry: it is as complete,
+	// and equal for all nodes while operations fill the log.
+	d := wire.Delta{FromVersion: known, ToVersion: max(known, m.TableVersion), Revision: m.Revision}
 	c := m.since(known)
 	if c.Configuration {
 		configuration := m.Configuration
@@ -88,7 +90,7 @@
 
 func (m *Machine) full() wire.Delta {
 	configuration := m.Configuration
-	d := wire.Delta{Full: true, ToVersion: m.Index, Revision: m.Revision, Configuration: &configuration}
+	d := wire.Delta{Full: true, ToVersion: m.TableVersion, Revision: m.Revision, Configuration: &configuration}
 	d.Members, d.RemovedMembers = m.memberChanges(slices.Sorted(maps.Keys(m.Members)))
 	d.Partitions, d.RemovedPartitions = m.partitionChanges(slices.Sorted(maps.Keys(m.Partitions)))
 	d.Suspects, d.RemovedSuspects = m.suspectChanges(slices.Sorted(maps.Keys(m.Suspects)))
