Take loads and hot keys from reports that come every two seconds

Nodes leave the lists of other heartbeats empty, which counted as no load and as no hot key: means came out at a tenth and keys were forgotten after 200 ms. Means now weigh a report by the time that it covers, and an empty list is no news. Tests report at that pace.

--- a/internal/control/hot_keys.go
+++ b/internal/control/hot_keys.go
@@ -127,7 +127,7 @@
 	defer o.mu.Unlock()
 	sum := make(map[hotKey]float64)
 	for _, n := range o.nodes {
-		if now-n.heard > reportLife {
+		if now-n.hotKeysAt > reportLife {
 			continue
 		}
 		for _, k := range n.hotKeys {
--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -10,12 +10,14 @@
 )
 
 const (
-	// reportLife is how long a node's last report of hot keys counts.
-	reportLife clock.Millis = 2000
-	// loadSamples is the number of one-second samples that the running mean of a
-	// partition's load covers. Shorter means follow chance: with 100 requests/s
-	// at an upstream, one second varies by 10%, half a minute by 2%.
-	loadSamples = 30
+	// reportLife is how long a node's last report counts. Nodes report every two
+	// seconds, and leave the lists of their other heartbeats empty; one report
+	// may be lost.
+	reportLife clock.Millis = 5000
+	// loadWindow is the time that the running mean of a partition's load covers.
+	// Shorter means follow chance: with 100 requests/s at an upstream, one second
+	// varies by 10%, half a minute by 2%.
+	loadWindow clock.Millis = 30000
 	// priorRequests is how many requests of a member weigh as much as the
 	// assumption that all partitions are equal. It keeps the standard deviation
 	// of a member's weight under 1/(2·√500) = 2.2% at any rate of independent
@@ -24,10 +26,11 @@
 	priorRequests = 500
 )
 
-// sampledLoad is the running mean of a partition's request rate.
+// sampledLoad is the running mean of a partition's request rate, and the time
+// that it covers.
 type sampledLoad struct {
 	mean    float64
-	samples int
+	covered clock.Millis
 }
 
 // observation is what a leader heard from one node during its time in office.
@@ -40,9 +43,14 @@
 	revision    wire.Revision
 	version     wire.Version
 	hotKeys     []wire.HotKey
-	// sums and reports collect the reported rates since the last sample.
-	sums    partition.Load
-	reports int
+	hotKeysAt   clock.Millis
+	// sums and reports collect the rates that were reported since the last
+	// sample. The latest report came at loadsAt, the one before the last sample
+	// at sampledAt.
+	sums      partition.Load
+	reports   int
+	loadsAt   clock.Millis
+	sampledAt clock.Millis
 }
 
 func (o *office) observe(r wire.HeartbeatRequest, received clock.Millis) {
@@ -50,53 +58,95 @@
 	defer o.mu.Unlock()
 	n, ok := o.nodes[r.Node]
 	if !ok {
-		n = &observation{first: received, sums: make(partition.Load)}
+		n = &observation{first: received, sums: make(partition.Load), sampledAt: received}
 		o.nodes[r.Node] = n
 	}
 	if received < n.heard {
 		return
 	}
 	n.heard, n.address, n.domain = received, r.Address, r.FailureDomain
-	n.revision, n.version, n.hotKeys = r.RevisionInForce, r.KnownVersion, r.HotKeys
-	n.incarnation = ""
-	if r.Member != nil {
-		n.incarnation = r.Member.Incarnation
+	n.revision, n.version = r.RevisionInForce, r.KnownVersion
+	n.observeMember(r.Member, received)
+	n.observeReports(r, received)
+}
+
+func (n *observation) observeMember(a *wire.Announcement, received clock.Millis) {
+	i := wire.Incarnation("")
+	if a != nil {
+		i = a.Incarnation
+	}
+	if i == n.incarnation {
+		return
+	}
+	n.incarnation, n.sampledAt = i, received
+	n.sums, n.reports = make(partition.Load), 0
+}
+
+func (n *observation) observeReports(r wire.HeartbeatRequest, received clock.Millis) {
+	if len(r.HotKeys) > 0 {
+		n.hotKeys, n.hotKeysAt = r.HotKeys, received
+	}
+	if len(r.Loads) == 0 {
+		return
 	}
 	n.reports++
+	n.loadsAt = received
 	for _, l := range r.Loads {
 		n.sums[partition.ID(l.Partition)] += max(0, l.RequestsPerSecond)
 	}
 }
 
+// sample is what a node reported between two samples.
+type sample struct {
+	rates   partition.Load
+	reports float64
+	covered clock.Millis
+}
+
+// takeSample returns false while there is nothing new. A member that is heard
+// but has reported no load for long has none.
+func (n *observation) takeSample(now clock.Millis) (sample, bool) {
+	silent := now - n.sampledAt
+	switch {
+	case n.reports > 0:
+		v := sample{rates: n.sums, reports: float64(n.reports), covered: min(reportLife, max(1, n.loadsAt-n.sampledAt))}
+		n.sums, n.reports, n.sampledAt = make(partition.Load), 0, n.loadsAt
+		return v, true
+	case silent > reportLife && now-n.heard < reportLife:
+		n.sampledAt = now
+		return sample{reports: 1, covered: reportLife}, true
+	}
+	return sample{}, false
+}
+
 // sample folds the reports since the last sample into the running means. Only
 // the owner's report of a partition counts; a partition that it leaves out had
 // no requests. Without a report the mean stays, so that the partitions of a lost
 // owner are assigned by their last known load.
-func (o *office) sample(partitions []wire.Partition) {
+func (o *office) sample(partitions []wire.Partition, now clock.Millis) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	byMember := make(map[wire.Incarnation]*observation, len(o.nodes))
+	samples := make(map[wire.Incarnation]sample, len(o.nodes))
 	for _, n := range o.nodes {
-		byMember[n.incarnation] = n
+		if v, ok := n.takeSample(now); ok {
+			samples[n.incarnation] = v
+		}
 	}
 	means := make(map[wire.PartitionID]sampledLoad, len(partitions))
 	for _, p := range partitions {
 		mean := o.means[p.Partition]
-		if n, ok := byMember[p.Owner]; ok && p.Owner != "" && n.reports > 0 {
-			mean = mean.add(n.sums[partition.ID(p.Partition)] / float64(n.reports))
+		if v, ok := samples[p.Owner]; ok && p.Owner != "" {
+			mean = mean.add(v.rates[partition.ID(p.Partition)]/v.reports, v.covered)
 		}
 		means[p.Partition] = mean
 	}
 	o.means = means
-	for _, n := range o.nodes {
-		n.sums, n.reports = make(partition.Load), 0
-	}
 }
 
-// add gives the first samples equal weight, and later ones a fixed share.
-func (l sampledLoad) add(rate float64) sampledLoad {
-	l.samples = min(l.samples+1, loadSamples)
-	l.mean += (rate - l.mean) / float64(l.samples)
+// add weighs a rate by the part of the window that it covers.
+func (l sampledLoad) add(rate float64, covered clock.Millis) sampledLoad {
+	l.covered = min(l.covered+covered, loadWindow)
+	l.mean += (rate - l.mean) * float64(covered) / float64(l.covered)
 	return l
 }
 
@@ -116,7 +166,7 @@
 	requests := 0.0
 	for _, p := range ps {
 		l := o.means[p.Partition]
-		requests += l.mean * float64(l.samples)
+		requests += l.mean * l.covered.Duration().Seconds()
 	}
 	if requests == 0 {
 		return partition.DefaultIdleShare
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -208,7 +208,7 @@
 	sampled := now-o.sampled >= sampleEvery
 	if sampled {
 		o.sampled = now
-		o.sample(s.Machine.PartitionList())
+		o.sample(s.Machine.PartitionList(), now)
 	}
 	// Decisions that rest on load wait until every member can have reported.
 	byLoad := sampled && o.granter.WaitedOut()
--- a/internal/control/service_test.go
+++ b/internal/control/service_test.go
@@ -362,8 +362,13 @@
 		return ok
 	}
 	run := func(v float64, seconds int) {
-		for range seconds * 5 {
-			r.pass(200, rate(v), r.releasing(b))
+		for i := range seconds * 5 {
+			h := rate(v)
+			// Nodes report every two seconds, not with each heartbeat.
+			if i%10 > 0 {
+				h.HotKeys = nil
+			}
+			r.pass(200, h, r.releasing(b))
 		}
 	}
 	run(100, 1)
@@ -417,11 +422,11 @@
 	for _, p := range r.owned("i1") {
 		busy[p.Partition] = true
 	}
-	for range 100 {
+	for round := range 100 {
 		for i, h := range nodes {
 			nodes[i] = r.releasing(beat(string(h.Node), string(h.Process), string(h.Member.Incarnation), 1))
 			for _, p := range r.owned(h.Member.Incarnation) {
-				if busy[p.Partition] {
+				if busy[p.Partition] && round%10 == 0 {
 					nodes[i].Loads = append(nodes[i].Loads, wire.PartitionLoad{Partition: p.Partition, RequestsPerSecond: 50})
 				}
 			}
