End an earlier incarnation at once only where its process vouches for it

A node process may announce a new target while a frozen one of an earlier incarnation still holds accepted work; ending that one at once freed its partitions while it could run. Announcement.EarlierEnded states that none runs any more; without it the partitions stay until the lease has expired or Node.Down reports the end.

--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -65,7 +65,7 @@
 	if _, _, ended := s.Machine.NodeOf(wanted.Incarnation); ended {
 		return "incarnation has ended", nil
 	}
-	return s.registerMember(ctx, wanted)
+	return s.registerMember(ctx, r.Member, wanted)
 }
 
 func memberOf(r wire.HeartbeatRequest) wire.Member {
@@ -80,7 +80,7 @@
 
 func (s *Service) updateMember(ctx context.Context, v, wanted wire.Member) (string, error) {
 	if s.superseded(v) {
-		return "a later process of this node has registered", nil
+		return "a later incarnation of this node has registered", nil
 	}
 	wanted.RegisteredAt = v.RegisteredAt
 	wanted.Draining = wanted.Draining || v.Draining
@@ -92,12 +92,12 @@
 }
 
 // registerMember makes a new incarnation known and deals with older ones of the
-// same node. An older announcement of the same process has been ended by that
-// process, which forwards nothing more under it: its partitions are free at
-// once. After a restart of the process nobody vouches for the old incarnation,
-// whose target may still run work that it was given, so its partitions stay its
-// own until its lease has expired; superseded refuses its renewals.
-func (s *Service) registerMember(ctx context.Context, wanted wire.Member) (string, error) {
+// same node. Where the same process vouches that its earlier targets run no more
+// work, their partitions are free at once. In all other cases, after a restart
+// of the process above all, an old target may still run work that it was given:
+// its partitions stay its own until its lease has expired or its own process
+// reports its end. superseded refuses its renewals.
+func (s *Service) registerMember(ctx context.Context, a *wire.Announcement, wanted wire.Member) (string, error) {
 	for _, v := range s.Machine.MembersOfNode(wanted.Node) {
 		if !sameProcess(v, wanted) {
 			continue
@@ -105,11 +105,12 @@
 		if v.Sequence >= wanted.Sequence {
 			return "a later announcement of this process has registered", nil
 		}
-		down := &wire.MemberDown{Incarnation: v.Incarnation, Reason: "replaced", InFlight: []wire.InFlight{}}
-		if _, err := s.propose(ctx, wire.Command{MemberDown: down}); err != nil {
+		if !a.EarlierEnded {
+			continue
+		}
+		if err := s.replace(ctx, v); err != nil {
 			return "", err
 		}
-		s.Log.Info().Str("Node", string(v.Node)).Str("Incarnation", string(v.Incarnation)).Msg("member replaced by its own process")
 	}
 	r, err := s.propose(ctx, wire.Command{RegisterMember: &wire.RegisterMember{Member: wanted}})
 	if err == nil && r.Err == nil {
@@ -118,6 +119,16 @@
 	return refusalOf(r.Err), err
 }
 
+// replace ends a member that its own process has replaced.
+func (s *Service) replace(ctx context.Context, v wire.Member) error {
+	down := &wire.MemberDown{Incarnation: v.Incarnation, Reason: "replaced", InFlight: []wire.InFlight{}}
+	if _, err := s.propose(ctx, wire.Command{MemberDown: down}); err != nil {
+		return err
+	}
+	s.Log.Info().Str("Node", string(v.Node)).Str("Incarnation", string(v.Incarnation)).Msg("member replaced by its own process")
+	return nil
+}
+
 func refusalOf(err error) string {
 	if err == nil {
 		return ""
@@ -127,11 +138,15 @@
 
 func sameProcess(a, b wire.Member) bool { return a.Process != "" && a.Process == b.Process }
 
-// superseded reports whether another process of the same node has registered
-// since. Its rule needs the log alone, so it holds across leaders.
+// superseded reports whether the node has registered another incarnation since.
+// Its rule needs the log alone, so it holds across leaders.
 func (s *Service) superseded(v wire.Member) bool {
 	for _, w := range s.Machine.MembersOfNode(v.Node) {
-		if w.Incarnation != v.Incarnation && !sameProcess(v, w) && w.RegisteredAt > v.RegisteredAt {
+		later := w.RegisteredAt > v.RegisteredAt
+		if sameProcess(v, w) {
+			later = w.Sequence > v.Sequence
+		}
+		if later && w.Incarnation != v.Incarnation {
 			return true
 		}
 	}
--- a/internal/control/ownership_test.go
+++ b/internal/control/ownership_test.go
@@ -29,7 +29,9 @@
 type simulatedNode struct {
 	name              string
 	process, sequence int
+	vouches           bool
 	claim             *claim
+	own               []*claim
 	sent              []sentBeat
 	answered          []answeredBeat
 }
@@ -61,10 +63,12 @@
 		table:       table.New(), released: make(map[wire.Grant]bool),
 	}
 	s.claims = append(s.claims, n.claim)
+	n.own = append(n.own, n.claim)
 }
 
 func (s *simulation) send(n *simulatedNode) {
 	h := beat(n.name, fmt.Sprint(n.name, n.process), string(n.claim.incarnation), n.sequence)
+	h.Member.EarlierEnded = n.vouches
 	h.KnownVersion = n.claim.table.Snapshot().Version()
 	for g := range n.claim.released {
 		h.Released = append(h.Released, g)
@@ -98,6 +102,7 @@
 	}
 	if !a.response.Granted {
 		n.claim.holder.Drop()
+		n.vouches = false
 		s.announce(n)
 		return
 	}
@@ -132,10 +137,14 @@
 	switch rapid.IntRange(0, 24).Draw(s.T, "event") {
 	case 0: // The process restarts; its target serves on by the old lease.
 		n.process++
-		n.sequence, n.sent, n.answered = 0, nil, nil
+		n.sequence, n.sent, n.answered, n.own = 0, nil, nil, nil
 		s.announce(n)
-	case 1: // The target announces itself anew to the same process.
-		n.claim.holder.Drop()
+	case 1: // A target announces itself anew; the earlier ones may serve on.
+		if n.vouches = rapid.Bool().Draw(s.T, "vouches"); n.vouches {
+			for _, c := range n.own {
+				c.holder.Drop()
+			}
+		}
 		s.announce(n)
 	case 2:
 		s.rig.SetLeading(false)
--- a/internal/control/service_test.go
+++ b/internal/control/service_test.go
@@ -221,20 +221,21 @@
 }
 
 // Guards against partitions of a restarted node process being reassigned while
-// the target of the old process may still run work, and against a needless wait
-// where the same process vouches for its earlier incarnation.
+// an old target may still run work, and against a needless wait where the same
+// process vouches for the end of its earlier incarnations.
 func TestReplacedIncarnationByItsOwnProcessOrByAnother(t *testing.T) {
 	cases := map[string]struct {
-		process   string
-		sequence  int
-		granted   bool
-		freedNow  bool
-		freedLast bool
+		process  string
+		sequence int
+		vouches  bool
+		granted  bool
+		freedNow bool
 	}{
-		"same process, later announcement":   {"p1", 2, true, true, true},
-		"same process, earlier announcement": {"p1", 0, false, false, true},
-		"restarted process":                  {"p2", 1, true, false, true},
-		"unknown process":                    {"", 1, true, false, true},
+		"same process that vouches":          {"p1", 2, true, true, true},
+		"same process, target may run":       {"p1", 2, false, true, false},
+		"same process, earlier announcement": {"p1", 0, true, false, false},
+		"restarted process":                  {"p2", 2, true, true, false},
+		"unknown process":                    {"", 2, true, true, false},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -243,7 +244,9 @@
 			r.pass(1400, beat("n1", "p1", "old", 1))
 			qt.Assert(t, r.owned("old"), qt.HasLen, 4)
 			r.beat(beat("n1", "p1", "old", 1))
-			got := r.beat(beat("n1", c.process, "new", c.sequence))
+			later := beat("n1", c.process, "new", c.sequence)
+			later.Member.EarlierEnded = c.vouches
+			got := r.beat(later)
 			qt.Assert(t, got.Granted, qt.Equals, c.granted, qt.Commentf("%s", got.Refusal))
 			qt.Assert(t, len(r.owned("old")) == 0, qt.Equals, c.freedNow)
 			if c.granted {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -31,11 +31,15 @@
 	// Connections corresponds to the JSON schema field "Connections".
 	Connections int `json:"Connections"`
 
+	// Whether the process vouches that no target of its earlier incarnations still
+	// runs work. Their partitions are then free at once, else when their leases have
+	// expired.
+	EarlierEnded bool `json:"EarlierEnded"`
+
 	// Incarnation corresponds to the JSON schema field "Incarnation".
 	Incarnation Incarnation `json:"Incarnation"`
 
-	// Number of the announcement within its node process. A higher number means that
-	// the process has ended all earlier incarnations.
+	// Number of the announcement within its node process.
 	Sequence int `json:"Sequence"`
 
 	// Service corresponds to the JSON schema field "Service".
