--- a/internal/control/run_test.go
+++ b/internal/control/run_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -94,30 +94,26 @@
 // ask calls one replica until it answers.
 func ask[Response any](c *cluster, client *rpc.Client, method string, request any) Response {
 	c.t.Helper()
-	return askAny[Response](c, []*rpc.Client{client}, method, request)
+	return askAny[Response](c, []*host{{client: client}}, method, request)
 }
 
 // askLeader calls the replicas in turn until one answers.
 func askLeader[Response any](c *cluster, method string, request any) Response {
 	c.t.Helper()
-	var clients []*rpc.Client
-	for _, h := range c.hosts {
-		clients = append(clients, h.client)
-	}
-	return askAny[Response](c, clients, method, request)
+	return askAny[Response](c, c.hosts, method, request)
 }
 
 // giveUp ends a test that would wait for ever.
 const giveUp = 20 * time.Second
 
-func askAny[Response any](c *cluster, clients []*rpc.Client, method string, request any) Response {
+func askAny[Response any](c *cluster, hosts []*host, method string, request any) Response {
 	c.t.Helper()
 	ctx, cancel := context.WithTimeout(c.t.Context(), giveUp)
 	defer cancel()
 	for {
-		for _, client := range clients {
+		for _, h := range hosts {
 			attempt, done := context.WithTimeout(ctx, time.Second)
-			out, err := rpc.Call[Response](attempt, client, method, request)
+			out, err := rpc.Call[Response](attempt, h.client, method, request)
 			done()
 			if err == nil {
 				return out
@@ -131,18 +127,23 @@
 	return askLeader[wire.StatusResponse](c, wire.MethodOperatorStatus, wire.StatusRequest{Group: "tz"})
 }
 
-// awaitHealthy waits until the loss of any one replica would be survived.
-func (c *cluster) awaitHealthy() wire.StatusResponse {
+// await asks for the status until it is as wanted.
+func (c *cluster) await(wanted func(wire.StatusResponse) bool) wire.StatusResponse {
 	end := time.Now().Add(giveUp)
 	for {
 		s := c.status()
-		if s.CanLoseOne && len(s.Replicas) == len(c.hosts) {
+		if wanted(s) {
 			return s
 		}
 		qt.Assert(c.t, time.Now().Before(end), qt.IsTrue, qt.Commentf("%+v", s))
 	}
 }
 
+// awaitHealthy waits until the loss of any one replica would be survived.
+func (c *cluster) awaitHealthy() wire.StatusResponse {
+	return c.await(func(s wire.StatusResponse) bool { return s.CanLoseOne && len(s.Replicas) == len(c.hosts) })
+}
+
 func (c *cluster) leader(s wire.StatusResponse) *host {
 	for _, r := range s.Replicas {
 		for _, h := range c.hosts {
@@ -163,11 +164,14 @@
 }
 
 // Guards against acknowledged changes that are lost with the leader, calls that
-// a planned stop cuts off, and an emptied replica that is never admitted again.
+// a planned stop cuts off, an emptied replica that is never admitted again, and
+// a health check that reports a replica without a group as able to work.
 func TestGroupSurvivesStopOfLeaderAndLossOfAFolder(t *testing.T) {
 	c := newCluster(t)
+	qt.Assert(t, c.hosts[0].health(t), qt.Equals, http.StatusServiceUnavailable)
 	c.found()
 	leader := c.leader(c.awaitHealthy())
+	qt.Assert(t, leader.health(t), qt.Equals, http.StatusOK)
 	apply := wire.ApplyRequest{Group: "tz", Operator: "uzi", RequestID: "r1", Configuration: wire.Configuration{
 		Services: []wire.ServiceConfig{{Name: "catalogue", Keyed: true, Partitions: 8, MoveBudget: 2}},
 	}}
@@ -189,33 +193,22 @@
 	before := ask[wire.IdentityResponse](c, emptied.client, wire.MethodReplicaIdentity, wire.IdentityRequest{Group: "tz"})
 	emptied.settings.DataFolder = t.TempDir()
 	c.restart(emptied)
-	end := time.Now().Add(giveUp)
-	for admitted := false; !admitted; {
-		s := c.status()
-		for _, r := range s.Replicas {
-			admitted = admitted || r.Name == emptied.settings.Name && r.Identity != before.Identity && r.Voter && s.CanLoseOne
-		}
-		qt.Assert(t, time.Now().Before(end), qt.IsTrue, qt.Commentf("%+v", s))
-	}
-	data, err := json.Marshal(c.status().Services)
-	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, string(data), qt.Contains, `"Partitions":8`)
+	last := c.await(func(s wire.StatusResponse) bool {
+		return s.CanLoseOne && slices.ContainsFunc(s.Replicas, func(r wire.ReplicaStatus) bool {
+			return r.Name == emptied.settings.Name && r.Identity != before.Identity && r.Voter
+		})
+	})
+	qt.Assert(t, last.Services, qt.HasLen, 1)
+	qt.Assert(t, last.Services[0].Partitions, qt.Equals, 8)
 }
 
-// Guards against a health check that reports a replica without a group as able
-// to work.
-func TestHealthNeedsALeader(t *testing.T) {
-	c := newCluster(t)
+// health returns the status code of a replica's health check.
+func (h *host) health(t *testing.T) int {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	health := func(h *host) int {
-		r, err := client.Get("http://" + string(h.settings.MetricsListen) + "/healthz")
-		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, r.Body.Close(), qt.IsNil)
-		return r.StatusCode
-	}
-	qt.Assert(t, health(c.hosts[0]), qt.Equals, http.StatusServiceUnavailable)
-	c.found()
-	qt.Assert(t, health(c.leader(c.awaitHealthy())), qt.Equals, http.StatusOK)
+	r, err := client.Get("http://" + string(h.settings.MetricsListen) + "/healthz")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, r.Body.Close(), qt.IsNil)
+	return r.StatusCode
 }
 
 // node stands in for a node process: it renews its lease and keeps a table.
