--- a/pkg/replog/leader.go
+++ b/pkg/replog/leader.go
@@ -193,13 +193,14 @@
 	p.waiting = true
 }
 
-// noteReply records that a replica follows this leader, and returns it.
+// noteReply records that a replica follows this leader, and returns it. Answers
+// to what was never sent are ignored.
 func (c *core) noteReply(m Message) *peer {
 	if c.lead == nil {
 		return nil
 	}
 	p := c.lead.peers[m.From.Identity]
-	if p == nil || m.Match > c.log.last() {
+	if p == nil || m.Match > c.log.last() || m.Round > c.lead.confirm.round {
 		return nil
 	}
 	p.answered, p.heard = true, c.now
--- a/pkg/replog/property_test.go
+++ b/pkg/replog/property_test.go
@@ -436,6 +436,15 @@
 		"fail":     func(t *rapid.T) { node(t).disk.failAfter = rapid.IntRange(0, 12).Draw(t, "operations") },
 		"pause":    func(t *rapid.T) { n := node(t); n.paused = !n.paused },
 		"cut":      func(t *rapid.T) { w.cut[node(t).identity] = true },
+		"freeze": func(t *rapid.T) {
+			n := node(t)
+			n.paused = true
+			w.run(60, true)
+			w.each(w.propose)
+			w.run(10, true)
+			n.paused = false
+			w.confirm(n)
+		},
 		"transfer": func(t *rapid.T) { w.input(node(t), func(c *core) { _ = c.transferLeadership() }) },
 		"wipe": func(t *rapid.T) {
 			// Long enough for the last replacement to be complete.
