--- a/pkg/replog/property_test.go
+++ b/pkg/replog/property_test.go
@@ -430,12 +430,12 @@
 				w.run(1, true)
 			}
 		},
-		"confirm":  func(*rapid.T) { w.each(w.confirm) },
-		"restart":  func(t *rapid.T) { w.each(w.crash, w.start) },
-		"crash":    func(t *rapid.T) { w.crash(node(t)) },
-		"fail":     func(t *rapid.T) { node(t).disk.failAfter = rapid.IntRange(0, 12).Draw(t, "operations") },
-		"pause":    func(t *rapid.T) { n := node(t); n.paused = !n.paused },
-		"cut":      func(t *rapid.T) { w.cut[node(t).identity] = true },
+		"confirm": func(*rapid.T) { w.each(w.confirm) },
+		"restart": func(t *rapid.T) { w.each(w.crash, w.start) },
+		"crash":   func(t *rapid.T) { w.crash(node(t)) },
+		"fail":    func(t *rapid.T) { node(t).disk.failAfter = rapid.IntRange(0, 12).Draw(t, "operations") },
+		"pause":   func(t *rapid.T) { n := node(t); n.paused = !n.paused },
+		"cut":     func(t *rapid.T) { w.cut[node(t).identity] = true },
 		"freeze": func(t *rapid.T) {
 			n := node(t)
 			n.paused = true
