--- a/pkg/replog/leader.go
+++ b/pkg/replog/leader.go
@@ -161,7 +161,7 @@
 func (c *core) sendAppend(to Member, p *peer) {
 	var es []Entry
 	if !p.probing && p.next-p.match <= maxUnanswered {
-		es = c.log.batch(p.next-1, maxAppendEntries, maxAppendBytes)
+		es = c.log.batch(p.next-1, maxAppendEntries, c.appendBytes)
 	}
 	probe := p.probing && !p.waiting
 	if len(es) == 0 && !probe && !p.heartbeatDue {
@@ -186,20 +186,21 @@
 		Offset: p.offset, Total: uint64(len(s.Data)), Round: c.lead.confirm.round,
 	}
 	if !p.waiting {
-		m.Chunk = s.Data[p.offset:min(p.offset+snapshotChunkBytes, m.Total)]
+		m.Chunk = s.Data[p.offset:min(p.offset+c.chunkBytes, m.Total)]
 		p.chunkSent = c.now
 	}
 	c.out.Early = append(c.out.Early, c.stamp(m))
 	p.waiting = true
 }
 
-// noteReply records that a replica follows this leader, and returns it.
+// noteReply records that a replica follows this leader, and returns it. Answers
+// to what was never sent are ignored.
 func (c *core) noteReply(m Message) *peer {
 	if c.lead == nil {
 		return nil
 	}
 	p := c.lead.peers[m.From.Identity]
-	if p == nil || m.Match > c.log.last() {
+	if p == nil || m.Match > c.log.last() || m.Round > c.lead.confirm.round {
 		return nil
 	}
 	p.answered, p.heard = true, c.now
