--- a/internal/control/hot_keys.go
+++ b/internal/control/hot_keys.go
@@ -23,8 +23,9 @@
 	// The gap to the threshold keeps a key near it from going back and forth.
 	coolShare = 0.5
 	// hotRounds and coolRounds are how many evaluations in a row, one per
-	// second, decide. Isolating is cheap, and ending it may cost a move.
-	hotRounds  = 3
+	// second, decide. One report counts for five of them, so a key must be hot in
+	// more than one. Isolating is cheap, and ending it may cost a move.
+	hotRounds  = 7
 	coolRounds = 30
 	// maxOverridesPerService bounds one service's part of the overrides.
 	maxOverridesPerService = 64
