node: notice a target that restarts between two probes

Such a target answered every probe, so a request that had killed it was answered as unknown without becoming a suspect. Its clock goes back, which the probe now reads. Tests for the probe's judgement, the owner's condition under the lease, the bound on new work after a drain, and late refusals.

--- a/internal/node/down.go
+++ b/internal/node/down.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/rs/zerolog"
+
 	"github.com/gentiansail/gentiansail/internal/wire"
 	"github.com/gentiansail/gentiansail/pkg/clock"
 	"github.com/gentiansail/gentiansail/pkg/lease"
@@ -19,7 +21,11 @@
 // control group, and lets those requests be answered when every serving node
 // knows the suspects. It returns at once.
 func (n *node) down(m *member, e ending) {
-	n.log.Warn().Str("Incarnation", string(m.incarnation)).Str("Service", string(m.target.Service)).
+	level := zerolog.InfoLevel
+	if e.crashed || e.unknown {
+		level = zerolog.WarnLevel
+	}
+	n.log.WithLevel(level).Str("Incarnation", string(m.incarnation)).Str("Service", string(m.target.Service)).
 		Str("Reason", e.why).Bool("Crashed", e.crashed).Msg("target ended")
 	n.metrics.incarnations.WithLabelValues("ended").Inc()
 	// The suspects are taken before anything else ends these requests.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -7,7 +7,11 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/gentiansail/gentiansail/internal/exchange"
 	"github.com/gentiansail/gentiansail/internal/header"
+	"github.com/gentiansail/gentiansail/internal/wire"
+	"github.com/gentiansail/gentiansail/pkg/clock"
+	"github.com/gentiansail/gentiansail/pkg/lease"
 )
 
 // Guards against a request that reaches a target which does not own its key,
@@ -33,3 +37,81 @@
 		}
 	}
 }
+
+// Guards against a target that is taken for dead although it answers, or for
+// alive although it died.
+func TestJudgesProbes(t *testing.T) {
+	silent := &exchange.Error{Cause: exchange.ErrSilent}
+	refused := &exchange.Error{Cause: exchange.ErrRefusedConnection}
+	type probe struct {
+		reading clock.Millis
+		err     error
+	}
+	tests := map[string]struct {
+		probes []probe
+		want   ending
+	}{
+		"well":               {probes: []probe{{reading: 5}, {reading: 5}, {reading: 9}}},
+		"no clock":           {probes: []probe{{reading: 5}, {}, {reading: 6}}},
+		"two failures":       {probes: []probe{{err: silent}, {err: silent}, {reading: 5}, {err: silent}, {err: silent}}},
+		"three failures":     {probes: []probe{{err: silent}, {err: silent}, {err: silent}}, want: ending{why: "no response to probes", crashed: true, mayStillRun: true}},
+		"refused connection": {probes: []probe{{reading: 5}, {err: refused}}, want: ending{why: "connection refused", crashed: true}},
+		"restarted at once":  {probes: []probe{{reading: 500}, {reading: 3}}, want: ending{why: "clock of the target went back", crashed: true}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var h health
+			var got ending
+			for _, p := range tt.probes {
+				got = h.judge(p.reading, p.err)
+			}
+			qt.Assert(t, got, qt.Equals, tt.want)
+		})
+	}
+}
+
+// Guards against a request that is forwarded under an outdated grant, or with
+// too little of the lease left.
+func TestOwnsUnderLease(t *testing.T) {
+	m := clock.NewManual(1000)
+	grant := wire.Partition{Partition: "catalogue/0", Service: "catalogue", Owner: "i1", Epoch: 7}
+	tests := map[string]struct {
+		table  wire.Partition
+		change func(q *request, v *member)
+		want   reason
+	}{
+		"owner":         {table: grant},
+		"short lease":   {table: grant, change: func(*request, *member) { m.Advance(801) }, want: reasonNotOwner},
+		"ended":         {table: grant, change: func(_ *request, v *member) { v.end() }, want: reasonNotOwner},
+		"older epoch":   {table: grant, change: func(q *request, _ *member) { q.epoch = 6 }, want: reasonNotOwner},
+		"other owner":   {table: wire.Partition{Partition: "catalogue/0", Service: "catalogue", Owner: "i2", Epoch: 7}, want: reasonNotOwner},
+		"moving":        {table: wire.Partition{Partition: "catalogue/0", Service: "catalogue", Owner: "i1", Epoch: 7, MovingTo: "i2"}, want: reasonMoving},
+		"key elsewhere": {table: grant, change: func(q *request, _ *member) { q.partition = "catalogue/k0000000000000000" }, want: reasonNotOwner},
+		"leaving":       {table: grant, change: func(_ *request, v *member) { v.refusing.Store(true) }, want: reasonStopping},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := &node{clock: m.Clock(), routing: newRouting(m.Clock())}
+			services := []wire.ServiceConfig{{Name: "catalogue", Keyed: true, Partitions: 1}}
+			d := wire.Delta{Full: true, ToVersion: 9, Revision: 1, Configuration: &wire.Configuration{Services: services}, Partitions: []wire.Partition{tt.table}}
+			qt.Assert(t, n.routing.apply(d, 0), qt.IsNil)
+			v := newMember(m.Clock(), announcement{Service: "catalogue", Slots: 1, Connections: 9}, lease.DefaultTerms)
+			v.incarnation = "i1"
+			v.lease.Renewed(m.Clock().Now())
+			q := &request{route: wire.RouteConfig{Service: "catalogue"}, partition: "catalogue/0", epoch: 7}
+			if tt.change != nil {
+				tt.change(q, v)
+			}
+			qt.Assert(t, n.underLease(v, func() reason { return n.owns(v, q) }), qt.Equals, tt.want)
+		})
+	}
+}
+
+// Guards against "not run" for a request of which an earlier attempt may have
+// run.
+func TestLateRefusalIsUnknown(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(truthful(unavailable(reasonMoving), true).outcome, qt.Equals, wire.OutcomeUnknown)
+	c.Assert(truthful(unavailable(reasonMoving), false).outcome, qt.Equals, wire.OutcomeNotRun)
+	c.Assert(truthful(&reply{outcome: wire.OutcomeComplete}, true).outcome, qt.Equals, wire.OutcomeComplete)
+}
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -73,33 +75,50 @@
 // response. What the target says of its own health does not count: health
 // endpoints lag and mislead.
 func (m *member) probe(ctx context.Context, dead func(e ending)) error {
-	failures := 0
+	var h health
 	for ctx.Err() == nil {
 		next := m.clock.Now() + probeEvery
 		done := m.probes.begin()
-		err := m.probeOnce(ctx)
-		var e ending
-		switch {
-		case err == nil:
-			failures = 0
-		case errors.Is(err, exchange.ErrRefusedConnection):
-			e = ending{why: "connection refused", crashed: true}
-		default:
-			if failures++; failures >= probeFailures {
-				e = ending{why: "no response to probes", crashed: true, mayStillRun: true}
-			}
-		}
+		reading, err := m.probeOnce(ctx)
+		e := h.judge(reading, err)
 		if e.why != "" && ctx.Err() == nil {
 			dead(e)
 			done(false)
 			return nil
 		}
 		done(err == nil)
-		m.waitProbe(ctx, next, failures > 0)
+		m.waitProbe(ctx, next, err != nil)
 	}
 	return nil
 }
 
+// health is what earlier probes found.
+type health struct {
+	failures int
+	reading  clock.Millis
+}
+
+// judge returns how the incarnation ended, with an empty reason when it did not.
+func (h *health) judge(reading clock.Millis, err error) ending {
+	switch {
+	case errors.Is(err, exchange.ErrRefusedConnection):
+		return ending{why: "connection refused", crashed: true}
+	case err != nil:
+		h.failures++
+	case reading > 0 && reading < h.reading:
+		// A target that restarts between two probes, at the same address, died all
+		// the same.
+		return ending{why: "clock of the target went back", crashed: true}
+	default:
+		h.failures = 0
+		h.reading = max(h.reading, reading)
+	}
+	if h.failures >= probeFailures {
+		return ending{why: "no response to probes", crashed: true, mayStillRun: true}
+	}
+	return ending{}
+}
+
 // waitProbe waits until the next probe is due or asked for.
 func (m *member) waitProbe(ctx context.Context, next clock.Millis, failing bool) {
 	timed, cancel := context.WithCancel(ctx)
@@ -120,18 +139,24 @@
 }
 
 // probeOnce sends one request over a new connection; any response to it is a
-// sign of life.
-func (m *member) probeOnce(ctx context.Context) error {
+// sign of life. It returns the reading of the target's clock, 0 when there is
+// none.
+func (m *member) probeOnce(ctx context.Context) (clock.Millis, error) {
 	timed, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
 	defer cancel()
 	r, err := http.NewRequest(http.MethodGet, "http://"+string(m.target.Address)+"/gentiansail/clock", nil)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	r.Close = true
 	response, err := m.protocol.Do(timed, exchange.Request{Address: string(m.target.Address), HTTP: r, Fresh: true})
 	if err != nil {
-		return err
+		return 0, err
+	}
+	defer response.Body.Close()
+	var c clockResponse
+	if response.StatusCode == http.StatusOK {
+		_ = json.NewDecoder(io.LimitReader(response.Body, maxProtocolBytes)).Decode(&c)
 	}
-	return response.Body.Close()
+	return c.ClockMillis, nil
 }
--- a/internal/node/promises_test.go
+++ b/internal/node/promises_test.go
@@ -182,6 +182,25 @@
 	c.Assert(first.Runs(), qt.HasLen, 2)
 }
 
+// Guards against new work for a drained target after the bound, when its
+// partitions are not moved in time.
+func TestDrainBoundsNewWork(t *testing.T) {
+	c := qt.New(t)
+	f := startControl(t)
+	a, _ := startNode(t, f, "a")
+	first := startTarget(t, a, "catalogue", true)
+	served(f, a)
+	b, _ := startNode(t, f, "b")
+	startTarget(t, b, "catalogue", true)
+	served(f, a, b)
+	f.commit(wire.Command{Drain: &wire.DrainRequest{Node: "a", Drain: true}})
+	eventually(func() bool { return a.targets.now().refusing.Load() })
+	before := len(first.Runs())
+	status, _, body := ask(t, http.MethodGet, string(a.settings.CallerListen), "/catalogue/blanket", nil, "")
+	c.Assert(status, qt.Equals, 200, qt.Commentf("%s", body))
+	c.Assert(first.Runs(), qt.HasLen, before)
+}
+
 // Guards against a node that serves keys without a lease, and against requests
 // that outlive it.
 func TestWithoutControlKeysAreNotServed(t *testing.T) {
