--- a/internal/bench/policies/model.go
+++ b/internal/bench/policies/model.go
@@ -23,6 +23,8 @@
 	// keyCount and keySkew describe the keys of all traces.
 	keyCount = 1000
 	keySkew  = 0.9
+	// ownerPoll is how soon an ingress node acts on a change of its table.
+	ownerPoll millis = 5
 	// attemptsMax bounds the attempts of one request with any retry policy.
 	attemptsMax = 5
 )
@@ -33,6 +35,7 @@
 	deadline millis
 	key      int
 	class    limit.Class
+	caller   int
 	ingress  *ingress
 	attempts int
 	tried    []string
@@ -42,6 +45,7 @@
 type ingress struct {
 	chooser chooser
 	retry   retryPolicy
+	callers callerPolicy
 }
 
 // model is one run.
@@ -79,6 +83,9 @@
 	}
 	if p.assign != nil {
 		m.owners = newOwnership(&m.events, p)
+		if p.bySpeed {
+			m.owners.speeds = m.speeds
+		}
 	}
 	for range ingressNodes {
 		m.nodes = append(m.nodes, m.newIngress(seed))
@@ -91,6 +98,7 @@
 	m.trace.happen(m)
 	m.arrivals()
 	m.windows()
+	m.exchangeDemand()
 	m.events.run()
 }
 
@@ -100,7 +108,11 @@
 	if m.policy.chooser != nil {
 		c = m.policy.chooser(m.events.clock(), r)
 	}
-	return &ingress{chooser: c, retry: m.policy.retry(r)}
+	g := &ingress{chooser: c, retry: m.policy.retry(r)}
+	if m.policy.callers != nil {
+		g.callers = m.policy.callers(m.events.clock())
+	}
+	return g
 }
 
 // announce tells all ingress nodes the present members.
@@ -119,6 +131,17 @@
 	}
 }
 
+// speeds estimates which part of its capacity each target can use.
+func (m *model) speeds() map[string]float64 {
+	latencies := make(map[string]float64)
+	for _, t := range m.targets {
+		if t.up {
+			latencies[t.id] = t.latency
+		}
+	}
+	return balance.Speeds(latencies)
+}
+
 func (m *model) lose(id string) {
 	m.byID[id].fail()
 	known := lossKnown
@@ -169,6 +192,13 @@
 	if m.owners != nil {
 		m.owners.observe(r.key)
 	}
+	if m.trace.flood != nil {
+		r.caller = m.drawCaller(now)
+	}
+	if !r.ingress.callers.admits(r.caller, r.class) {
+		m.record.ended(now, r, shed)
+		return
+	}
 	r.ingress.retry.deposit()
 	m.attempt(r)
 }
@@ -183,6 +213,13 @@
 	return m.keys.at(m.random.Float64())
 }
 
+func (m *model) drawCaller(now millis) int {
+	if m.random.Float64() < m.trace.flood(now) {
+		return flooder
+	}
+	return m.random.IntN(callerCount)
+}
+
 func drawClass(u float64) limit.Class {
 	switch {
 	case u < 0.1:
@@ -212,13 +249,16 @@
 	c.begin(id)
 	sent := m.events.now
 	t := m.byID[id]
-	j := &job{deadline: r.deadline, class: r.class}
+	j := &job{deadline: r.deadline, class: r.class, weight: 1}
+	if r.class == limit.Browse && m.trace.browseWeight > 0 {
+		j.weight = m.trace.browseWeight
+	}
 	j.reply = func(a answer) {
-		inFlight, limit := t.inFlight(), t.reportedLimit()
+		inFlight, slots := t.inFlight(), t.reportedLimit()
 		m.events.after(hopMillis, func() {
 			c.end(id, balance.Result{
 				Latency: m.events.clock().Now() - clockMillis(sent), Failed: a == unreachable || a == broken, Shed: a == shed,
-				InFlight: inFlight, Limit: limit,
+				InFlight: inFlight, Limit: slots,
 			})
 			if a == answered || a == expired {
 				m.record.ended(m.events.now, r, a)
@@ -236,6 +276,10 @@
 	if a == shed {
 		m.record.sheds++
 	}
+	if a == unreachable && m.policy.waitForOwner {
+		m.waitForOwner(r)
+		return
+	}
 	delay := millis(r.ingress.retry.backoff.Delay(r.attempts))
 	inTime := m.events.now+delay < r.deadline
 	if r.attempts >= attemptsMax || !inTime || !r.ingress.retry.withdraw() {
@@ -246,6 +290,29 @@
 	m.events.after(delay, func() { m.attempt(r) })
 }
 
+// waitForOwner keeps a request that reached no owner until its partition has
+// another one or can be served again. It costs no retry, since no target sees it
+// meanwhile.
+func (m *model) waitForOwner(r *request) {
+	id := m.owners.partitionOf(r.key)
+	owner := m.owners.owner[id]
+	var poll func()
+	poll = func() {
+		ready := m.events.now >= m.owners.readyAt[id]
+		switch {
+		case m.events.now >= r.deadline:
+			m.record.ended(m.events.now, r, unreachable)
+		case ready && (m.owners.owner[id] != owner || m.byID[owner].up):
+			// The attempts before were not refused for load.
+			r.attempts = 0
+			m.attempt(r)
+		default:
+			m.events.after(ownerPoll, poll)
+		}
+	}
+	m.events.after(ownerPoll, poll)
+}
+
 func (m *model) windows() {
 	m.record.window(m.targets)
 	if m.owners != nil {
--- a/internal/bench/policies/target.go
+++ b/internal/bench/policies/target.go
@@ -49,6 +49,7 @@
 type job struct {
 	deadline millis
 	class    limit.Class
+	weight   float64 // slots' worth of the target's resources
 	permit   *limit.Permit
 	started  millis
 	ended    bool
@@ -67,6 +68,8 @@
 	waiting  [3][]*waitingJob
 	running  []*job
 	queue    []*job
+	// latency is the moving mean of the time at the target, in milliseconds.
+	latency float64
 	// served counts requests since the last window.
 	served float64
 }
@@ -175,7 +178,7 @@
 	t.running = append(t.running, j)
 	t.served++
 	mean := float64(serviceMillis) * t.factor()
-	crowd := math.Max(1, float64(len(t.running))/float64(t.slots))
+	crowd := math.Max(1, t.weight()/float64(t.slots))
 	// The mean of a log-normal variable is exp(mu + sigma²/2).
 	spread := math.Exp(serviceSpread*t.random.NormFloat64() - serviceSpread*serviceSpread/2)
 	end := t.events.now + millis(mean*spread*math.Pow(crowd, contention))
@@ -186,6 +189,15 @@
 	t.events.at(end, func() { t.end(j, answered) })
 }
 
+// weight is the number of slots' worth of resources in use.
+func (t *target) weight() float64 {
+	var sum float64
+	for _, j := range t.running {
+		sum += j.weight
+	}
+	return sum
+}
+
 func (t *target) end(j *job, a answer) {
 	if j.ended {
 		return
@@ -214,6 +226,9 @@
 
 func (t *target) finish(j *job, a answer) {
 	j.ended = true
+	if a == answered {
+		t.sample(float64(t.events.now - j.started))
+	}
 	j.reply(a)
 	if j.permit == nil {
 		return
@@ -226,6 +241,16 @@
 	t.granted()
 }
 
+// latencyWeight is the weight of one request in a target's mean latency.
+const latencyWeight = 0.01
+
+func (t *target) sample(latency float64) {
+	if t.latency == 0 {
+		t.latency = latency
+	}
+	t.latency += latencyWeight * (latency - t.latency)
+}
+
 // fail stops the target. All its requests break.
 func (t *target) fail() {
 	t.up = false
@@ -247,6 +272,7 @@
 func (t *target) recover() {
 	t.up = true
 	t.coldFrom = t.events.now
+	t.latency = 0
 }
 
 func (t *target) inFlight() int { return len(t.running) + len(t.queue) }
--- a/internal/state/read.go
+++ b/internal/state/read.go
@@ -91,6 +91,22 @@
 	return present
 }
 
+// Incarnations returns the live incarnations in no particular order.
+func (m *Machine) Incarnations() []wire.Incarnation {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return slices.Collect(maps.Keys(m.Members))
+}
+
+// MembersOfNode returns the live members of a node in the order of their
+// incarnations.
+func (m *Machine) MembersOfNode(n wire.NodeID) []wire.Member {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	present, _ := m.memberChanges(slices.Sorted(slices.Values(m.byNode[n])))
+	return present
+}
+
 // PartitionList returns the partitions in the order of their ids.
 func (m *Machine) PartitionList() []wire.Partition {
 	m.mu.RLock()
@@ -145,15 +161,17 @@
 	defer m.mu.RUnlock()
 	trail := m.Audit[max(0, len(m.Audit)-maxAudit):]
 	first, _ := slices.BinarySearchFunc(trail, after+1, func(a wire.AuditRecord, v wire.Version) int { return int(a.Index - v) })
-	last := min(len(trail), first+max(0, limit))
-	return append([]wire.AuditRecord{}, trail[first:last]...)
+	rest := trail[first:]
+	return append([]wire.AuditRecord{}, rest[:min(len(rest), max(0, limit))]...)
 }
 
 func itoa(n int) string { return strconv.Itoa(n) }
 
 func boolText(b bool) string { return strconv.FormatBool(b) }
 
-func partitionCount(n int) string { return itoa(n) + " partitions released" }
+func partitionCounts(released, cancelled int) string {
+	return itoa(released) + " partitions released, " + itoa(cancelled) + " moves cancelled"
+}
 
 // describe renders what a target may announce anew.
 func describe(v wire.Member) string {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -76,6 +76,8 @@
 	contents
 	changed chan struct{}
 	expiry  keyHeap
+	// byNode lists the live incarnations of each node. It follows from Members.
+	byNode map[wire.NodeID][]wire.Incarnation
 }
 
 // contents is what a snapshot holds. Maps are never nil, so that equal states
@@ -86,6 +88,7 @@
 	TableVersion  wire.Version
 	Now           wire.UnixMillis
 	Session       wire.SessionID
+	Leader        wire.ReplicaID
 	Revision      wire.Revision
 	Configuration wire.Configuration
 	Answers       []answer
@@ -94,17 +97,19 @@
 	Ended         map[wire.Incarnation]ended
 	Draining      map[wire.NodeID]bool
 	Partitions    map[wire.PartitionID]wire.Partition
-	Operations    map[wire.OperationKey]operation
-	Suspects      map[wire.Fingerprint]suspect
-	Audit         []wire.AuditRecord
-	History       []change
+	// Operations holds encoded records, because a day's worth of them is most of
+	// the state: a snapshot copies them and need not encode them again.
+	Operations map[wire.OperationKey][]byte `json:"-"`
+	Suspects   map[wire.Fingerprint]suspect
+	Audit      []wire.AuditRecord
+	History    []change
 	// HistoryStart is the version from which History is complete.
 	HistoryStart wire.Version
 }
 
 // New returns the state of a group before its first command.
 func New(g wire.GroupID) *Machine {
-	m := &Machine{changed: make(chan struct{})}
+	m := &Machine{changed: make(chan struct{}), byNode: make(map[wire.NodeID][]wire.Incarnation)}
 	m.contents = emptyContents()
 	m.Group = g
 	return m
@@ -118,7 +123,7 @@
 		Ended:         make(map[wire.Incarnation]ended),
 		Draining:      make(map[wire.NodeID]bool),
 		Partitions:    make(map[wire.PartitionID]wire.Partition),
-		Operations:    make(map[wire.OperationKey]operation),
+		Operations:    make(map[wire.OperationKey][]byte),
 		Suspects:      make(map[wire.Fingerprint]suspect),
 	}
 }
@@ -206,31 +211,6 @@
 		return nil
 	}
 	m.audit(string(l.Replica), "leader started", string(m.Session), string(l.Session))
-	m.Session = l.Session
-	return nil
-}
-
-// Snapshot returns the whole state. Equal states give equal bytes.
-func (m *Machine) Snapshot() ([]byte, error) {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
-	return json.Marshal(m.contents)
-}
-
-// Restore replaces the state by a snapshot. On error the state is unchanged.
-func (m *Machine) Restore(data []byte) error {
-	c := emptyContents()
-	if err := json.Unmarshal(data, &c); err != nil {
-		return merry.Wrap(ErrSnapshot, merry.WithCause(err), merry.AppendMessage(err.Error()))
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if c.Group != m.Group {
-		return merry.Wrap(ErrSnapshot, merry.AppendMessagef("group is %q, expected %q", c.Group, m.Group))
-	}
-	m.contents = c
-	m.rebuildExpiry()
-	close(m.changed)
-	m.changed = make(chan struct{})
+	m.Session, m.Leader = l.Session, l.Replica
 	return nil
 }
