--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -46,6 +46,18 @@
 	}
 }
 
+// traffic returns the bytes sent to and received from the control group.
+func (c *controlClient) traffic() (sent, received int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, v := range c.clients {
+		s, r := v.Traffic()
+		sent += int64(s)
+		received += int64(r)
+	}
+	return sent, received
+}
+
 // current returns a client of the replica that is taken for the leader.
 func (c *controlClient) current() *rpc.Client {
 	c.mu.Lock()
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -35,6 +35,8 @@
 		gauge("table_age_milliseconds", "Time since the routing table was confirmed.", func() float64 { return float64(n.routing.age()) }),
 		gauge("table_version", "Version of the routing table.", func() float64 { return float64(n.routing.snapshot().Version()) }),
 		gauge("lease_remaining_milliseconds", "Time that the lease still lasts.", n.leaseRemaining),
+		gauge("control_sent_bytes", "Bytes sent to the control group.", func() float64 { s, _ := n.control.traffic(); return float64(s) }),
+		gauge("control_received_bytes", "Bytes received from the control group.", func() float64 { _, r := n.control.traffic(); return float64(r) }),
 		gauge("target_requests", "Requests on the owner's side.", n.targetRequests),
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
