node, standin: serve connections that were accepted while the stop began

http.Server.Shutdown does not see a connection between Accept and its first state and may return before it is served; the process then ended during a request. A second Shutdown waits for them. The cause is in process.ServeHTTP, which other processes use too.

--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log"
 	"net"
@@ -133,7 +134,16 @@
 // deadline of at most maxDeadline.
 func serve(ctx context.Context, l net.Listener, h http.Handler) error {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: idleTimeout, ErrorLog: quietLog}
-	return process.ServeHTTP(ctx, l, s, maxDeadline.Duration())
+	return errors.Join(process.ServeHTTP(ctx, l, s, maxDeadline.Duration()), finish(s))
+}
+
+// finish waits for connections that were accepted while the shutdown began:
+// Server.Shutdown does not see a connection between Accept and its first state,
+// and may return before it is served.
+func finish(s *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), maxDeadline.Duration())
+	defer cancel()
+	return s.Shutdown(ctx)
 }
 
 // health fails while the node cannot route.
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -121,7 +121,10 @@
 	t := supervisor.Start(serving, "standin",
 		supervisor.Child{Name: "listener", Run: func(ctx context.Context) error {
 			h := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: 5 * time.Second}
-			return process.ServeHTTP(ctx, l, h, stopTimeout)
+			err := process.ServeHTTP(ctx, l, h, stopTimeout)
+			// A connection that was accepted while the shutdown began is not seen
+			// by the first Shutdown.
+			return errors.Join(err, h.Shutdown(context.WithoutCancel(ctx)))
 		}},
 	)
 	var announcing sync.WaitGroup
