balance: let an idle target's load not depend on its size

In the new trace 'choice: light load' larger targets won each comparison, although they are drawn more often already.

--- a/internal/bench/policies/traces.go
+++ b/internal/bench/policies/traces.go
@@ -261,6 +261,7 @@
 	eight := hosts(10, 10, 10, 10, 10, 10, 10, 10)
 	return []trace{
 		choice("normal day", "Load from 30 % to 80 % of capacity; five targets of 8 to 20 slots.", mixed(), day(mixed()), nothing),
+		choice("light load", "10 % load; five targets of 8 to 20 slots.", mixed(), load(mixed(), 0.1), nothing),
 		choice("straggler", "60 % load; one target is four times slower in the middle third.", mixed(), load(mixed(), 0.6), straggler),
 		choice("light load, straggler recovers", "15 % load on three targets; one is ten times slower in the middle third.", hosts(10, 10, 10), load(hosts(10, 10, 10), 0.15), lightStraggler),
 		choice("loss of a host", "60 % load; one target is lost at 10 s and returns cold at 20 s.", mixed(), load(mixed(), 0.6), hostLoss),
--- a/pkg/balance/cost.go
+++ b/pkg/balance/cost.go
@@ -14,6 +14,10 @@
 	// forgetHalfLife is the half-life of errors and reported load without new
 	// samples, so that an avoided target is tried again.
 	forgetHalfLife clock.Millis = 1000
+	// idleLoad is the load for each slot that an idle target counts with. It does
+	// not depend on the target's size: otherwise larger targets, which are drawn
+	// more often anyway, would also win each comparison under light load.
+	idleLoad = 0.2
 	// leastLatency stands for latencies below the clock's resolution of 1 ms.
 	leastLatency = 0.5
 	// leastSuccess keeps the cost of a target that fails every request finite.
@@ -49,14 +53,14 @@
 }
 
 // cost estimates how long a request would take at the target: its latency,
-// multiplied by the requests for each slot, divided by the chance of success
+// multiplied by the load for each slot, divided by the chance of success
 // twice, since a failed request costs its caller another one.
 func (o observation) cost(now clock.Millis, inFlight, capacity float64) float64 {
 	keep := forget(now - o.at)
 	load := math.Max(inFlight, o.reported*keep)
 	success := math.Max(1-o.errors*keep, leastSuccess)
 	latency := math.Max(o.latency, leastLatency)
-	return latency * (load + 1) / capacity / (success * success)
+	return latency * (idleLoad + load/capacity) / (success * success)
 }
 
 func mean(old, sample float64) float64 {
