balance: treat latencies within a factor of 1.3 as equal

Among equal, nearly idle targets the one whose moving mean was lowest by chance won each comparison until its mean changed.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -163,7 +163,7 @@
 		return "", false
 	}
 	second := p.draw(s, now, exclude, first)
-	if second != nil && p.cost(second, now) < p.cost(first, now) {
+	if second != nil && better(p.view(second), p.view(first), now) {
 		first = second
 	}
 	return first.id, true
@@ -230,8 +230,8 @@
 	return warmth(now-t.coldFrom, p.slowStart)
 }
 
-func (p *Picker) cost(t *target, now clock.Millis) float64 {
-	return t.read().cost(now, float64(t.inFlight.Load()), t.capacity)
+func (p *Picker) view(t *target) view {
+	return view{observation: t.read(), inFlight: float64(t.inFlight.Load()), capacity: t.capacity}
 }
 
 func (t *target) read() observation {
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -12,24 +12,38 @@
 	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
-// Guards against a cost that prefers a target which is worse in one respect and
-// equal in the others, and against costs that do not compare (NaN, zero).
+// Guards against a comparison that prefers a target which is worse in one respect
+// and equal in the others, and against costs that do not compare (NaN, zero).
 func TestCostGrowsWithLoadLatencyAndErrors(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		o := observation{
-			latency:  rapid.Float64Range(0, 1e5).Draw(t, "latency"),
-			errors:   rapid.Float64Range(0, 1).Draw(t, "errors"),
-			reported: rapid.Float64Range(0, 1e4).Draw(t, "reported"),
+		v := view{
+			observation: observation{
+				latency:  rapid.Float64Range(0, 1e5).Draw(t, "latency"),
+				errors:   rapid.Float64Range(0, 1).Draw(t, "errors"),
+				reported: rapid.Float64Range(0, 1e4).Draw(t, "reported"),
+			},
+			inFlight: float64(rapid.IntRange(0, 1000).Draw(t, "inFlight")),
+			capacity: rapid.Float64Range(0.1, 1000).Draw(t, "capacity"),
 		}
 		now := clock.Millis(rapid.IntRange(0, 1e6).Draw(t, "now"))
-		inFlight := float64(rapid.IntRange(0, 1000).Draw(t, "inFlight"))
-		capacity := rapid.Float64Range(0.1, 1000).Draw(t, "capacity")
-		worse := o
-		worse.latency *= 2
-		worse.errors = min(1, worse.errors+0.1)
-		c := o.cost(now, inFlight, capacity)
-		if !(c > 0) || worse.cost(now, inFlight, capacity) < c || o.cost(now, inFlight+1, capacity) < c || o.cost(now, inFlight, capacity*2) > c {
-			t.Fatalf("cost %v of %+v is not monotonic", c, o)
+		slower, failing, fuller, smaller := v, v, v, v
+		slower.latency *= 2
+		failing.errors = min(1, v.errors+0.1)
+		fuller.inFlight++
+		smaller.capacity /= 2
+		if !(v.cost(now, 1) > 0) {
+			t.Fatalf("cost %v of %+v", v.cost(now, 1), v)
+		}
+		for _, worse := range []view{slower, failing, fuller, smaller} {
+			if better(worse, v, now) {
+				t.Fatalf("%+v counts as better than %+v", worse, v)
+			}
+		}
+		idle := view{observation: observation{latency: v.latency}, capacity: 1}
+		slower = idle
+		slower.latency = max(idle.latency, 1) * 2
+		if !better(idle, slower, now) {
+			t.Fatalf("%+v does not count as better than %+v", idle, slower)
 		}
 	})
 }
--- a/pkg/balance/cost.go
+++ b/pkg/balance/cost.go
@@ -18,6 +18,9 @@
 	// not depend on the target's size: otherwise larger targets, which are drawn
 	// more often anyway, would also win each comparison under light load.
 	idleLoad = 0.2
+	// latencyBand is the factor within which two latencies count as equal. The
+	// moving means of equal targets differ by that much from chance alone.
+	latencyBand = 1.3
 	// leastLatency stands for latencies below the clock's resolution of 1 ms.
 	leastLatency = 0.5
 	// leastSuccess keeps the cost of a target that fails every request finite.
@@ -52,15 +55,31 @@
 	return o
 }
 
+// view is what a picker knows about a target at one moment.
+type view struct {
+	observation
+	inFlight, capacity float64
+}
+
+// better reports whether a costs less than b. Latencies within latencyBand of
+// each other count as equal.
+func better(a, b view, now clock.Millis) bool {
+	x := math.Max(a.latency, leastLatency)
+	y := math.Max(b.latency, leastLatency)
+	least := math.Min(x, y)
+	x = math.Max(least, x/latencyBand)
+	y = math.Max(least, y/latencyBand)
+	return a.cost(now, x) < b.cost(now, y)
+}
+
 // cost estimates how long a request would take at the target: its latency,
-// multiplied by the load for each slot, divided by the chance of success
-// twice, since a failed request costs its caller another one.
-func (o observation) cost(now clock.Millis, inFlight, capacity float64) float64 {
-	keep := forget(now - o.at)
-	load := math.Max(inFlight, o.reported*keep)
-	success := math.Max(1-o.errors*keep, leastSuccess)
-	latency := math.Max(o.latency, leastLatency)
-	return latency * (idleLoad + load/capacity) / (success * success)
+// multiplied by the load for each slot, divided by the chance of success twice,
+// since a failed request costs its caller another one.
+func (v view) cost(now clock.Millis, latency float64) float64 {
+	keep := forget(now - v.at)
+	load := math.Max(v.inFlight, v.reported*keep)
+	success := math.Max(1-v.errors*keep, leastSuccess)
+	return latency * (idleLoad + load/v.capacity) / (success * success)
 }
 
 func mean(old, sample float64) float64 {
