control: refuse a bootstrap that leaves out a replica

Cause: the bootstrap call took the members that the operator sent. With one of three addresses it founded a group of one, whose majority does not bind the other two replicas.

Change: the names of the members must be exactly those of the replica's settings. Addresses are not compared: messages go by name, over the addresses of the settings.

Trial (scratch copy without the check): TestBootstrapNeedsEveryReplica fails, the call returns no error.

--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/base64"
 	"errors"
+	"fmt"
+	"maps"
 	"slices"
 
 	"github.com/ansel1/merry/v2"
@@ -26,11 +28,13 @@
 // replicaCalls answers the calls of other replicas and of the operator who
 // founds a group, and asks for admission.
 type replicaCalls struct {
-	group   wire.GroupID
-	replica *replog.Replica
-	peers   *peers
-	clock   clock.Clock
-	log     zerolog.Logger
+	group wire.GroupID
+	// settings are the replicas that the settings name, this one included.
+	settings map[wire.ReplicaID]wire.Address
+	replica  *replog.Replica
+	peers    *peers
+	clock    clock.Clock
+	log      zerolog.Logger
 }
 
 func (c *replicaCalls) register(server *rpc.Server) {
@@ -79,6 +83,9 @@
 	if err := c.checkGroup(r.Group); err != nil {
 		return wire.Ack{}, err
 	}
+	if err := c.checkMembers(r.Members); err != nil {
+		return wire.Ack{}, err
+	}
 	var members []replog.Member
 	for _, m := range r.Members {
 		members = append(members, toMember(m))
@@ -90,6 +97,22 @@
 	return wire.Ack{}, nil
 }
 
+// checkMembers requires exactly the replicas of the settings: a group founded
+// with only some of them would have no majority over the rest, which could found
+// a second group. Addresses may differ, because messages go by name.
+func (c *replicaCalls) checkMembers(members []wire.ReplicaMember) error {
+	given := []wire.ReplicaID{}
+	for _, m := range members {
+		given = append(given, m.Name)
+	}
+	slices.Sort(given)
+	want := slices.Sorted(maps.Keys(c.settings))
+	if slices.Equal(given, want) {
+		return nil
+	}
+	return &rpc.Error{Code: rpc.CodeRefused, Message: fmt.Sprintf("the settings name the replicas %v, the request %v", want, given)}
+}
+
 func toMember(m wire.ReplicaMember) replog.Member {
 	return replog.Member{Name: replog.ReplicaID(m.Name), Identity: replog.Identity(m.Identity), Address: string(m.Address)}
 }
--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -119,7 +119,7 @@
 		return nil, merry.Wrap(ErrStart, merry.WithCause(err), merry.AppendMessage(err.Error()))
 	}
 	p.replica = replica
-	p.calls = &replicaCalls{group: s.Group, replica: replica, peers: p.peers, clock: clock.System(), log: log}
+	p.calls = &replicaCalls{group: s.Group, settings: s.Replicas, replica: replica, peers: p.peers, clock: clock.System(), log: log}
 	return p, nil
 }
 
--- a/internal/control/run_test.go
+++ b/internal/control/run_test.go
@@ -202,6 +202,21 @@
 	qt.Assert(t, string(data), qt.Contains, `"Partitions":8`)
 }
 
+// Guards against a group of one, whose majority would not bind the other
+// replicas: bootstrap with some of the addresses must be refused.
+func TestBootstrapNeedsEveryReplica(t *testing.T) {
+	c := newCluster(t)
+	client := c.hosts[0].client
+	id := ask[wire.IdentityResponse](c, client, wire.MethodReplicaIdentity, wire.IdentityRequest{Group: "tz"})
+	_, err := rpc.Call[wire.Ack](t.Context(), client, wire.MethodReplicaBootstrap, wire.BootstrapRequest{Group: "tz", Members: []wire.ReplicaMember{
+		{Name: id.Name, Identity: id.Identity, Address: wire.Address(client.Address()), Voter: true},
+	}})
+	qt.Assert(t, rpc.IsCode(err, rpc.CodeRefused), qt.IsTrue, qt.Commentf("%v", err))
+	id = ask[wire.IdentityResponse](c, client, wire.MethodReplicaIdentity, wire.IdentityRequest{Group: "tz"})
+	qt.Assert(t, id.Empty, qt.IsTrue)
+	c.found()
+}
+
 // Guards against a health check that reports a replica without a group as able
 // to work.
 func TestHealthNeedsALeader(t *testing.T) {
