control: wait for heartbeats before the status of a new leader

Cause: a status lists the nodes that the leader has heard in this time in office or that have a member.

Ruled out: a wait in the operator command, which cannot see how long the leader has been in office; nodes in the log, which would write an entry for each node that comes and goes.

Trial (scratch copy without the wait): TestStatusAfterElectionWaitsForNodes fails, the status has no nodes.

--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -11,6 +11,7 @@
 
 	"github.com/gentiansail/gentiansail/internal/rpc"
 	"github.com/gentiansail/gentiansail/internal/wire"
+	"github.com/gentiansail/gentiansail/pkg/lease"
 )
 
 // Register registers the methods of nodes and operators. Those of other
@@ -172,6 +173,9 @@
 	if err != nil {
 		return wire.StatusResponse{}, err
 	}
+	if err := s.awaitNodes(ctx, o); err != nil {
+		return wire.StatusResponse{}, err
+	}
 	log := s.Status()
 	members, partitions := s.Machine.MemberList(), s.Machine.PartitionList()
 	revision, c := s.Machine.Config()
@@ -183,6 +187,21 @@
 	}, nil
 }
 
+// awaitNodes waits until a new leader has been in office for the longest lease.
+// A node without a target is known only by its heartbeats; a status before they
+// can have arrived would leave it out, and a wait for all nodes would end too
+// early. Every node that reaches the leader is heard several times by then.
+func (s *Service) awaitNodes(ctx context.Context, o *office) error {
+	left := o.since + lease.DefaultTerms.Longest() - s.Clock.Now()
+	if left <= 0 {
+		return nil
+	}
+	if err := s.Clock.Sleep(ctx, left); err != nil {
+		return s.translate(err, rpc.CodeUnavailable)
+	}
+	return s.confirm(ctx, o)
+}
+
 // nodeStatuses lists every node that was heard or that has a live member.
 func (s *Service) nodeStatuses(o *office, members []wire.Member, partitions []wire.Partition) []wire.NodeStatus {
 	owned := make(map[wire.Incarnation]int)
--- a/internal/control/service_test.go
+++ b/internal/control/service_test.go
@@ -558,3 +558,20 @@
 	_, err = json.Marshal(status)
 	qt.Assert(t, err, qt.IsNil)
 }
+
+// Guards against a status just after an election that leaves out a node without
+// a target, on which a wait for every node would end too early.
+func TestStatusAfterElectionWaitsForNodes(t *testing.T) {
+	r := newRig(t)
+	r.SetLeading(false)
+	r.SetLeading(true)
+	r.Clock.Sleep = func(_ context.Context, d clock.Millis) error {
+		r.clock.Advance(d)
+		r.beat(wire.HeartbeatRequest{Group: "tz", Node: "n1", Process: "p1"})
+		return nil
+	}
+	status, err := r.status(t.Context(), wire.StatusRequest{Group: "tz"})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, status.Nodes, qt.HasLen, 1)
+	qt.Assert(t, r.clock.Clock().Now() >= 1000+2*lease.DefaultTerms.Longest(), qt.IsTrue)
+}
