integration: kill and freeze processes under load

Load runs through all nodes in the background: repeatable requests, and operations with UUIDv7 keys that are sent again through other nodes after a lost or uncertain response. Targets record what they run, the load what callers were told; each test ends with history.Check and with a resend of every acknowledged operation, which must return its recorded response.

history: attempts are told apart by request id, because the resends of an operation share its path; a complete response without a run is a violation; a violation names its run.

Ruled out: measuring by requests that a frozen target already has. They are answered when the target's fate is known (about 2.3 s, probes and two lease durations); the key is served to other requests before that.

--- a/internal/integration/cluster/cluster.go
+++ b/internal/integration/cluster/cluster.go
@@ -88,6 +88,9 @@
 	Domains []wire.FailureDomain
 	// Group is "demo" by default.
 	Group wire.GroupID
+	// Records, if set, is the folder that takes the record of each target's runs,
+	// for history.ReadRuns.
+	Records string
 	// Environment is added to that of each process.
 	Environment []string
 }
@@ -215,7 +218,7 @@
 		Name: wire.NodeID(name), Domain: c.domain(len(c.Hosts)), Service: service,
 		Caller: ports[0], Peer: ports[1], Metrics: ports[3],
 		Node:   c.process(name+"-node", c.options.Gentiansail, ports[0], "node", "--settings", c.settingsFile(name)),
-		Target: c.process(name+"-target", c.options.Standin, ports[4], c.targetArguments(service, ports)...),
+		Target: c.process(name+"-target", c.options.Standin, ports[4], c.targetArguments(service, name, ports)...),
 	}
 	c.Hosts = append(c.Hosts, h)
 	return writeSettings(c.settingsFile(name), settings.Node{
@@ -224,7 +227,7 @@
 	})
 }
 
-func (c *Cluster) targetArguments(service wire.ServiceName, ports []wire.Address) []string {
+func (c *Cluster) targetArguments(service wire.ServiceName, name string, ports []wire.Address) []string {
 	s := c.options.Services[service]
 	args := []string{"--listen", string(ports[4]), "--node", string(ports[2]), "--service", string(service)}
 	if s.Slots > 0 {
@@ -233,6 +236,9 @@
 	if s.ChecksGrants {
 		args = append(args, "--checks-grants")
 	}
+	if c.options.Records != "" {
+		args = append(args, "--record", filepath.Join(c.options.Records, "runs-"+name+".jsonl"))
+	}
 	return append(args, s.Arguments...)
 }
 
--- /dev/null
+++ b/internal/integration/faults_load_test.go
@@ -0,0 +1,399 @@
+package integration
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+
+	"github.com/gentiansail/gentiansail/internal/header"
+	"github.com/gentiansail/gentiansail/internal/integration/cluster"
+	"github.com/gentiansail/gentiansail/internal/integration/history"
+	"github.com/gentiansail/gentiansail/internal/wire"
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+// faultConfig has a keyed service whose targets check grants, one whose targets
+// do not, and one without keys.
+const faultConfig = `{
+  "Regions": [{"Name": "tz-coast", "FailureDomains": ["dsm-a", "dsm-b", "dsm-c"]}],
+  "Services": [
+    {"Name": "catalogue", "Keyed": true, "Partitions": 24, "MoveBudget": 4},
+    {"Name": "archive", "Keyed": true, "Partitions": 24, "MoveBudget": 4},
+    {"Name": "pledges", "Keyed": false}
+  ],
+  "Routes": [
+    {"Name": "browse", "Service": "catalogue", "Methods": ["GET"], "Path": "/catalogue/", "Key": {"From": "PathSegment", "Segment": 2}, "Repeatable": true, "Class": "normal", "DeadlineMillis": 10000},
+    {"Name": "reserve", "Service": "catalogue", "Methods": ["POST"], "Path": "/catalogue/", "Key": {"From": "PathSegment", "Segment": 2}, "Repeatable": false, "Class": "critical", "DeadlineMillis": 10000},
+    {"Name": "look-up", "Service": "archive", "Methods": ["GET"], "Path": "/archive/", "Key": {"From": "PathSegment", "Segment": 2}, "Repeatable": true, "Class": "normal", "DeadlineMillis": 10000},
+    {"Name": "file", "Service": "archive", "Methods": ["POST"], "Path": "/archive/", "Key": {"From": "PathSegment", "Segment": 2}, "Repeatable": false, "Class": "critical", "DeadlineMillis": 10000},
+    {"Name": "pledge-state", "Service": "pledges", "Methods": ["GET"], "Path": "/pledges", "Repeatable": true, "Class": "normal", "DeadlineMillis": 10000},
+    {"Name": "pledge", "Service": "pledges", "Methods": ["POST"], "Path": "/pledges", "Repeatable": false, "Class": "critical", "DeadlineMillis": 10000}
+  ]
+}`
+
+const (
+	// faultKeys is the number of keys of each keyed service in use.
+	faultKeys = 40
+	// faultWorkers send requests of each kind.
+	faultWorkers = 2
+	// faultPace is the pause between two requests of a worker.
+	faultPace clock.Millis = 10
+	// faultSends bounds the resends of one request.
+	faultSends = 12
+	// faultDeadline is the deadline of one attempt, faultLost how long a caller
+	// waits before it takes the response for lost.
+	faultDeadline clock.Millis = 3000
+	faultLost                  = 5 * time.Second
+	// faultLimit ends a test that hangs.
+	faultLimit = 75 * time.Second
+)
+
+// faults is a system under load with a record of all that happened.
+type faults struct {
+	*cluster.Cluster
+	t       *testing.T
+	ctx     context.Context
+	records string
+	config  string
+	stop    context.CancelFunc
+	workers sync.WaitGroup
+
+	mu        sync.Mutex
+	next      int
+	responses []history.Response
+	// answered is the run that a complete response names, by request id.
+	answered map[string]faultRun
+	// complete are the operations whose outcome was acknowledged.
+	complete []*faultRequest
+	// cut, unknown and broken describe responses that a planned stop must not
+	// cause.
+	cut, unknown, broken []string
+	refused              int
+	resends              int
+}
+
+// faultRun is the part of a run that a response states.
+type faultRun struct {
+	instance string
+	epoch    wire.Epoch
+}
+
+// faultRequest is a request of the load with all its attempts.
+type faultRequest struct {
+	method, path string
+	caller       wire.CallerID
+	key          wire.OperationKey
+	header       http.Header
+	ids          []string
+	body         string
+}
+
+func startFaults(t *testing.T, services map[wire.ServiceName]cluster.Service) *faults {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), faultLimit)
+	t.Cleanup(cancel)
+	f := &faults{t: t, ctx: ctx, records: t.TempDir(), answered: make(map[string]faultRun)}
+	folder := t.TempDir()
+	c, err := cluster.Start(ctx, cluster.Options{
+		Gentiansail: gentiansail, Standin: standin, Folder: folder, Replicas: 3, Group: "tz",
+		Services: services, Records: f.records,
+	})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(c.Close)
+	f.Cluster = c
+	f.config = filepath.Join(folder, "config")
+	qt.Assert(t, os.MkdirAll(f.config, 0o700), qt.IsNil)
+	qt.Assert(t, os.WriteFile(filepath.Join(f.config, "all.jsonc"), []byte(faultConfig), 0o600), qt.IsNil)
+	qt.Assert(t, c.Bootstrap(ctx), qt.IsNil)
+	qt.Assert(t, c.Apply(ctx, f.config), qt.IsNil)
+	f.ready()
+	f.load()
+	return f
+}
+
+// ready waits until all hosts serve and one more replica can be lost.
+func (f *faults) ready() {
+	f.t.Helper()
+	err := f.WaitReady(f.ctx)
+	qt.Assert(f.t, err, qt.IsNil, qt.Commentf("%s", f.Logs()))
+	f.await("the loss of a replica can be borne", func(s wire.StatusResponse) bool { return s.CanLoseOne })
+}
+
+func (f *faults) await(what string, ok func(wire.StatusResponse) bool) {
+	f.t.Helper()
+	err := f.WaitStatus(f.ctx, func(s wire.StatusResponse) error {
+		if ok(s) {
+			return nil
+		}
+		return fmt.Errorf("not yet: %s: %+v", what, s.Nodes)
+	})
+	qt.Assert(f.t, err, qt.IsNil, qt.Commentf("%s", f.Logs()))
+}
+
+// of returns the hosts of a service.
+func (f *faults) of(s wire.ServiceName) []*cluster.Host {
+	var out []*cluster.Host
+	for _, h := range f.Hosts {
+		if h.Service == s {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// load runs requests of all kinds until finish.
+func (f *faults) load() {
+	ctx, stop := context.WithCancel(f.ctx)
+	f.stop = stop
+	for _, service := range []string{"catalogue", "archive", "pledges"} {
+		if len(f.of(wire.ServiceName(service))) == 0 {
+			continue
+		}
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			for range faultWorkers {
+				f.workers.Go(func() {
+					for clock.System().Sleep(ctx, faultPace) == nil {
+						f.settle(ctx, f.request(method, service, ""))
+					}
+				})
+			}
+		}
+	}
+}
+
+// request makes a new request of a service with its own path and caller.
+func (f *faults) request(method, service, query string) *faultRequest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.next++
+	q := &faultRequest{
+		method: method, caller: wire.CallerID(fmt.Sprintf("caller-%d", f.next)),
+		path: fmt.Sprintf("/%s/%s/%d?chunks=2&delay=1%s", service, faultKey(f.next), f.next, query),
+	}
+	if method == http.MethodPost {
+		q.key = wire.OperationKey(uuid.Must(uuid.NewV7()).String())
+	}
+	return q
+}
+
+func faultKey(n int) string { return fmt.Sprintf("request-%d", n%faultKeys) }
+
+// settle sends a request through one node after the other until its outcome is
+// final, and returns the last response.
+func (f *faults) settle(ctx context.Context, q *faultRequest) cluster.Response {
+	var r cluster.Response
+	for n := range faultSends {
+		f.mu.Lock()
+		h := f.Hosts[(f.next+n)%len(f.Hosts)]
+		f.mu.Unlock()
+		r = f.send(h, q)
+		final := r.Outcome == wire.OutcomeComplete && r.Cut == nil || r.Reason == "unknown" || r.Reason == "quarantined"
+		if final || clock.System().Sleep(ctx, 20) != nil {
+			break
+		}
+	}
+	return r
+}
+
+// send sends one attempt through a host and records what the caller saw.
+func (f *faults) send(h *cluster.Host, q *faultRequest) cluster.Response {
+	id := uuid.NewString()
+	head := q.header.Clone()
+	if head == nil {
+		head = http.Header{}
+	}
+	head.Set(header.RequestID, id)
+	q.ids = append(q.ids, id)
+	// The outcome is recorded even when the load stops in between.
+	ctx, cancel := context.WithTimeout(f.ctx, faultLost)
+	defer cancel()
+	r, err := h.Do(ctx, cluster.Request{
+		Method: q.method, Path: q.path, Body: string(q.key), Caller: q.caller, Key: q.key, Deadline: faultDeadline, Header: head,
+	})
+	f.record(h, q, id, r, err)
+	return r
+}
+
+func (f *faults) record(h *cluster.Host, q *faultRequest, id string, r cluster.Response, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := history.Response{
+		Sent: strings.SplitN(q.path, "?", 2)[0], RequestID: id, IdempotencyKey: string(q.key),
+		Outcome: r.Outcome, Whole: err == nil && r.Cut == nil, Replayed: r.Replayed,
+	}
+	where := fmt.Sprintf("%s %s through %s, request %s: %d %s %s", q.method, n.Sent, h.Name, id, r.Status, r.Outcome, r.Reason)
+	if len(q.ids) > 1 {
+		f.resends++
+	}
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		f.refused++
+	case err != nil:
+		n.Error = err.Error()
+		f.broken = append(f.broken, where+err.Error())
+	case r.Cut != nil:
+		f.cut = append(f.cut, where)
+	case r.Outcome == wire.OutcomeUnknown:
+		f.unknown = append(f.unknown, where)
+	case r.Outcome == wire.OutcomeComplete:
+		e, wrong := r.Echo()
+		n.Own = wrong == nil && e.Caller == string(q.caller) && slices.Contains(q.ids, e.RequestID) && (r.Replayed || e.RequestID == id) &&
+			strings.HasSuffix(r.Body, fmt.Sprintf("chunk 2 of 2 of %s\n", e.RequestID))
+		f.answered[id] = faultRun{e.Instance, e.Epoch}
+		if q.key != "" && q.body == "" {
+			q.body = r.Body
+			f.complete = append(f.complete, q)
+		}
+	}
+	f.responses = append(f.responses, n)
+}
+
+// finish stops the load, resends every acknowledged operation through another
+// node, and checks the whole history.
+func (f *faults) finish(allowed func(history.Violation) bool) {
+	f.t.Helper()
+	f.stop()
+	f.workers.Wait()
+	f.resendAcknowledged()
+	runs, err := history.ReadRuns(f.records)
+	qt.Assert(f.t, err, qt.IsNil)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.t.Logf("%d runs, %d attempts, %d operations acknowledged, %d resends, %d refused connections, %d lost responses, %d unknown, %d cut",
+		len(runs), len(f.responses), len(f.complete), f.resends, f.refused, len(f.broken), len(f.unknown), len(f.cut))
+	qt.Assert(f.t, len(f.complete) > 0, qt.IsTrue)
+	for _, v := range history.Check(runs, f.responses) {
+		if allowed == nil || !allowed(v) {
+			f.t.Error(v)
+		}
+	}
+}
+
+// resendAcknowledged checks that each acknowledged operation is still known: a
+// resend must get the response of its run.
+func (f *faults) resendAcknowledged() {
+	f.t.Helper()
+	f.mu.Lock()
+	operations := slices.Clone(f.complete)
+	f.mu.Unlock()
+	const parallel = 16
+	var group sync.WaitGroup
+	slots := make(chan struct{}, parallel)
+	for _, q := range operations {
+		slots <- struct{}{}
+		group.Go(func() {
+			defer func() { <-slots }()
+			if r := f.settle(f.ctx, q); r.Body != q.body || !r.Replayed {
+				f.t.Errorf("acknowledged operation %s: a resend got %d %s %s, replayed %t", q.path, r.Status, r.Outcome, r.Reason, r.Replayed)
+			}
+		})
+	}
+	group.Wait()
+}
+
+// servedAgain waits until each key of a service is served by a host that was not
+// lost, and returns how long the last one took from the loss.
+func (f *faults) servedAgain(what string, service wire.ServiceName, lost time.Time, through *cluster.Host) {
+	f.t.Helper()
+	ctx, cancel := context.WithDeadline(f.ctx, lost.Add(servedBound))
+	defer cancel()
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var last time.Duration
+	var missing []string
+	for k := range faultKeys {
+		group.Go(func() {
+			err := f.awaitKey(ctx, through, fmt.Sprintf("/%s/%s", service, faultKey(k)))
+			mu.Lock()
+			defer mu.Unlock()
+			last = max(last, time.Since(lost))
+			if err != nil {
+				missing = append(missing, faultKey(k)+": "+err.Error())
+			}
+		})
+	}
+	group.Wait()
+	f.t.Logf("%s: all keys of %s served again after %d ms, %d missing", what, service, last.Milliseconds(), len(missing))
+	qt.Check(f.t, missing, qt.HasLen, 0, qt.Commentf("%s: not served within %s", what, servedBound))
+}
+
+// servedBound is the stated target: a key is served again within 2 s of a loss.
+const servedBound = 2 * time.Second
+
+// keyAttempt bounds one attempt of awaitKey. A request that a frozen target has
+// is answered only when its fate is known; the key is served before that.
+const keyAttempt = 300 * time.Millisecond
+
+// awaitKey asks for a key until it is served. The path has a part of its own, so
+// that an attempt that is given up does not concern the next one.
+func (f *faults) awaitKey(ctx context.Context, h *cluster.Host, path string) error {
+	for {
+		attempt, cancel := context.WithTimeout(ctx, keyAttempt)
+		r, err := h.Do(attempt, cluster.Request{Method: http.MethodGet, Path: path + "/" + uuid.NewString()})
+		cancel()
+		if err == nil && r.Outcome == wire.OutcomeComplete && r.Cut == nil {
+			return nil
+		}
+		if err == nil {
+			err = fmt.Errorf("%d %s %s", r.Status, r.Outcome, r.Reason)
+		}
+		if clock.System().Sleep(ctx, 10) != nil {
+			return err
+		}
+	}
+}
+
+// leader returns the control replica that leads.
+func (f *faults) leader() *cluster.Replica {
+	f.t.Helper()
+	var out *cluster.Replica
+	f.await("a leader is known", func(s wire.StatusResponse) bool {
+		out = f.leaderOf(s)
+		return out != nil
+	})
+	return out
+}
+
+func (f *faults) leaderOf(s wire.StatusResponse) *cluster.Replica {
+	for _, r := range s.Replicas {
+		for _, c := range f.Replicas {
+			if r.Leader && r.Name == c.Name {
+				return c
+			}
+		}
+	}
+	return nil
+}
+
+// owner returns the host that owns the most partitions of a service, and
+// another one of that service.
+func (f *faults) owner(service wire.ServiceName) (owner, other *cluster.Host) {
+	f.t.Helper()
+	most := 0
+	f.await("a host owns partitions of "+string(service), func(s wire.StatusResponse) bool {
+		for _, n := range s.Nodes {
+			if h := f.Host(n.Node); h != nil && h.Service == service && n.Owned > most {
+				owner, most = h, n.Owned
+			}
+		}
+		return owner != nil
+	})
+	for _, h := range f.of(service) {
+		if h != owner {
+			other = h
+		}
+	}
+	return owner, other
+}
--- a/internal/integration/history/history.go
+++ b/internal/integration/history/history.go
@@ -34,11 +34,16 @@
 	// Sent identifies the request: the caller puts it into the path, and the
 	// target's run names that path.
 	Sent string
+	// RequestID, if set, is that of this attempt. Its runs are then found by it in
+	// place of Sent, which the resends of one operation share.
+	RequestID string
 	// IdempotencyKey is empty for repeatable requests.
 	IdempotencyKey string
 	Outcome        wire.Outcome
 	// Whole is whether the response ended cleanly.
 	Whole bool
+	// Replayed is whether it is the recorded response of an earlier run.
+	Replayed bool
 	// Own is whether the body is the one for this request.
 	Own bool
 	// Error is a transport error that the caller saw.
@@ -55,12 +60,15 @@
 	StaleOwner    Kind = "work under an old epoch after a newer one"
 	FalseNotRun   Kind = "false not-run"
 	WrongResponse Kind = "wrong response"
+	MissingRun    Kind = "complete without a run"
 )
 
 // Violation is one broken promise.
 type Violation struct {
 	Kind   Kind
 	Detail string
+	// Run is the run that broke the promise, if there is one.
+	Run standin.Run
 }
 
 // String implements fmt.Stringer.
@@ -73,6 +81,7 @@
 	out = append(out, owners(runs)...)
 	out = append(out, falseNotRun(runs, responses)...)
 	out = append(out, wrongResponses(responses)...)
+	out = append(out, missingRuns(runs, responses)...)
 	return out
 }
 
@@ -84,7 +93,7 @@
 			continue
 		}
 		if f, ok := first[r.IdempotencyKey]; ok {
-			out = append(out, Violation{SecondRun, fmt.Sprintf("%s on %s at %d and on %s at %d", r.IdempotencyKey, f.Instance, f.Start, r.Instance, r.Start)})
+			out = append(out, Violation{SecondRun, fmt.Sprintf("%s on %s at %d and on %s at %d", r.IdempotencyKey, f.Instance, f.Start, r.Instance, r.Start), r})
 			continue
 		}
 		first[r.IdempotencyKey] = r
@@ -108,12 +117,12 @@
 		}
 		g := grant{r.Partition, r.Epoch}
 		if owner, ok := byGrant[g]; ok && owner != r.Instance {
-			out = append(out, Violation{SecondOwner, fmt.Sprintf("%s epoch %d on %s and %s", r.Partition, r.Epoch, owner, r.Instance)})
+			out = append(out, Violation{SecondOwner, fmt.Sprintf("%s epoch %d on %s and %s", r.Partition, r.Epoch, owner, r.Instance), r})
 		}
 		byGrant[g] = r.Instance
 		n := newest[r.Partition]
 		if r.Epoch < n.Epoch && r.Start > n.Start {
-			out = append(out, Violation{StaleOwner, fmt.Sprintf("%s epoch %d at %d, epoch %d at %d", r.Partition, n.Epoch, n.Start, r.Epoch, r.Start)})
+			out = append(out, Violation{StaleOwner, fmt.Sprintf("%s epoch %d at %d, epoch %d at %d", r.Partition, n.Epoch, n.Start, r.Epoch, r.Start), r})
 		}
 		if r.Epoch > n.Epoch {
 			newest[r.Partition] = r
@@ -130,16 +139,22 @@
 
 func falseNotRun(runs []standin.Run, responses []Response) []Violation {
 	ran := make(map[string]standin.Run)
+	attempted := make(map[string]standin.Run)
 	for _, r := range runs {
 		ran[r.Path] = r
+		attempted[r.RequestID] = r
 	}
 	var out []Violation
 	for _, r := range responses {
 		if r.Outcome != wire.OutcomeNotRun {
 			continue
 		}
-		if run, ok := ran[r.Sent]; ok {
-			out = append(out, Violation{FalseNotRun, fmt.Sprintf("%s ran on %s at %d", r.Sent, run.Instance, run.Start)})
+		run, ok := ran[r.Sent]
+		if r.RequestID != "" {
+			run, ok = attempted[r.RequestID]
+		}
+		if ok {
+			out = append(out, Violation{FalseNotRun, fmt.Sprintf("%s ran on %s at %d", r.Sent, run.Instance, run.Start), run})
 		}
 	}
 	return out
@@ -152,7 +167,27 @@
 			continue
 		}
 		if r.Whole && !r.Own {
-			out = append(out, Violation{WrongResponse, r.Sent})
+			out = append(out, Violation{Kind: WrongResponse, Detail: r.Sent})
+		}
+	}
+	return out
+}
+
+// missingRuns checks that an attempt that was answered as complete ran, and that
+// a recorded response has a run under its key.
+func missingRuns(runs []standin.Run, responses []Response) []Violation {
+	attempted, keys := make(map[string]bool), make(map[string]bool)
+	for _, r := range runs {
+		attempted[r.RequestID] = true
+		keys[r.IdempotencyKey] = true
+	}
+	var out []Violation
+	for _, r := range responses {
+		if r.RequestID == "" || r.Outcome != wire.OutcomeComplete {
+			continue
+		}
+		if (r.Replayed && !keys[r.IdempotencyKey]) || (!r.Replayed && !attempted[r.RequestID]) {
+			out = append(out, Violation{Kind: MissingRun, Detail: fmt.Sprintf("%s, request %s", r.Sent, r.RequestID)})
 		}
 	}
 	return out
--- a/internal/integration/history/history_test.go
+++ b/internal/integration/history/history_test.go
@@ -42,6 +42,16 @@
 			responses: []Response{{Sent: "/catalogue/1", Outcome: wire.OutcomeComplete, Whole: true}},
 			want:      []Kind{WrongResponse},
 		},
+		"attempt that ran after not-run": {
+			runs:      []standin.Run{{Path: "/pledges/7", RequestID: "r1"}},
+			responses: []Response{{Sent: "/pledges/7", RequestID: "r1", Outcome: wire.OutcomeNotRun}, {Sent: "/pledges/7", RequestID: "r2", Outcome: wire.OutcomeNotRun}},
+			want:      []Kind{FalseNotRun},
+		},
+		"acknowledged without a run": {
+			runs:      []standin.Run{{RequestID: "r1", IdempotencyKey: "k"}},
+			responses: []Response{{RequestID: "r2", Outcome: wire.OutcomeComplete}, {RequestID: "r3", IdempotencyKey: "k", Replayed: true, Outcome: wire.OutcomeComplete}},
+			want:      []Kind{MissingRun},
+		},
 		"clean handover": {
 			runs:      []standin.Run{keyed("a", 4, 0), keyed("b", 9, 5), {IdempotencyKey: "k", Path: "/pledges/7"}},
 			responses: []Response{{Sent: "/pledges/7", Outcome: wire.OutcomeComplete, Whole: true, Own: true}},
