integration: put a fault-injecting proxy on each link between processes

The option Links writes proxied addresses into the settings, so that a test can make bytes vanish on a link while connections stay open, in one or both directions, or on the connections open at that moment only.

A node advertises one address to all other nodes: the links to it can only be changed together.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -32,13 +32,14 @@
 
 func run() error {
 	listen := "127.0.0.1:0"
-	var service, node, record string
+	var service, node, advertise, record string
 	work, cold := int64(1), int64(0)
 	o := standin.Options{Slots: 10, Connections: 130, ColdFactor: 1, Exit: os.Exit}
 	flaggy.SetName("standin")
 	flaggy.SetDescription("stand-in target")
 	flaggy.String(&listen, "", "listen", "address to listen on")
 	flaggy.String(&node, "", "node", "target listener of the node beside it")
+	flaggy.String(&advertise, "", "advertise", "address to announce; by default the one listened on")
 	flaggy.String(&service, "", "service", "service to announce")
 	flaggy.Int(&o.Slots, "", "slots", "requests worked on at a time")
 	flaggy.Int(&o.Connections, "", "connections", "connections to announce")
@@ -61,6 +62,7 @@
 	}
 	o.Service = wire.ServiceName(service)
 	o.Node = wire.Address(node)
+	o.Advertise = wire.Address(advertise)
 	o.ServiceMillis = clock.Millis(work)
 	o.ColdMillis = clock.Millis(cold)
 
--- a/internal/integration/cluster/cluster.go
+++ b/internal/integration/cluster/cluster.go
@@ -90,6 +90,9 @@
 	Group wire.GroupID
 	// Environment is added to that of each process.
 	Environment []string
+	// Links puts a proxy on each link between processes, so that faults can be
+	// put on it; see Cut and Link. Operator commands go to the replicas directly.
+	Links bool
 }
 
 // Host is a host with a target and the node beside it.
@@ -121,6 +124,7 @@
 	Hosts    []*Host
 
 	options Options
+	links   *links // nil without the option Links
 }
 
 // Start starts all processes and returns once each of them listens. The control
@@ -156,6 +160,9 @@
 
 // plan reserves ports and writes settings.
 func (c *Cluster) plan() error {
+	if c.options.Links {
+		c.links = newLinks()
+	}
 	ports, err := reserve(c.options.Replicas*portsPerReplica + c.targets()*portsPerHost)
 	if err != nil {
 		return err
@@ -203,30 +210,80 @@
 }
 
 func (c *Cluster) writeReplica(i int, r *Replica, replicas map[wire.ReplicaID]wire.Address) error {
+	seen := make(map[wire.ReplicaID]wire.Address)
+	for n, a := range replicas {
+		seen[n] = a
+		if n == r.Name {
+			continue
+		}
+		var err error
+		if seen[n], err = c.through(End(r.Name), End(n), a); err != nil {
+			return err
+		}
+	}
 	return writeSettings(c.settingsFile(string(r.Name)), settings.Control{
 		Group: c.options.Group, Name: r.Name, Listen: r.Addr(), MetricsListen: r.Metrics,
-		DataFolder: r.DataFolder, FailureDomain: c.domain(i), Replicas: replicas,
+		DataFolder: r.DataFolder, FailureDomain: c.domain(i), Replicas: seen,
 	})
 }
 
 func (c *Cluster) planHost(service wire.ServiceName, k int, ports []wire.Address) error {
 	name := fmt.Sprintf("%s-%d", service, k+1)
+	r, err := c.reach(End(name), ports)
+	if err != nil {
+		return err
+	}
 	h := &Host{
 		Name: wire.NodeID(name), Domain: c.domain(len(c.Hosts)), Service: service,
-		Caller: ports[0], Peer: ports[1], Metrics: ports[3],
+		Caller: r.callers, Peer: ports[1], Metrics: ports[3],
 		Node:   c.process(name+"-node", c.options.Gentiansail, ports[0], "node", "--settings", c.settingsFile(name)),
-		Target: c.process(name+"-target", c.options.Standin, ports[4], c.targetArguments(service, ports)...),
+		Target: c.process(name+"-target", c.options.Standin, ports[4], c.targetArguments(service, ports[4], r)...),
 	}
 	c.Hosts = append(c.Hosts, h)
 	return writeSettings(c.settingsFile(name), settings.Node{
-		Group: c.options.Group, Name: h.Name, CallerListen: h.Caller, PeerListen: h.Peer, TargetListen: ports[2],
-		MetricsListen: h.Metrics, Advertise: h.Peer, FailureDomain: h.Domain, Control: c.Control(),
+		Group: c.options.Group, Name: h.Name, CallerListen: ports[0], PeerListen: h.Peer, TargetListen: ports[2],
+		MetricsListen: h.Metrics, Advertise: r.peers, FailureDomain: h.Domain, Control: r.control,
 	})
 }
 
-func (c *Cluster) targetArguments(service wire.ServiceName, ports []wire.Address) []string {
+// reach holds the addresses under which a host and others reach each other.
+type reach struct {
+	callers, peers, node, target wire.Address
+	control                      []wire.Address
+}
+
+func (c *Cluster) reach(name End, ports []wire.Address) (reach, error) {
+	r := reach{control: make([]wire.Address, len(c.Replicas))}
+	type link struct {
+		from, to End
+		listen   wire.Address
+		seen     *wire.Address
+	}
+	target := name + "-target"
+	all := []link{
+		{Callers, name, ports[0], &r.callers},
+		{Peers, name, ports[1], &r.peers},
+		{target, name, ports[2], &r.node},
+		{name, target, ports[4], &r.target},
+	}
+	for i, v := range c.Replicas {
+		all = append(all, link{name, End(v.Name), v.Addr(), &r.control[i]})
+	}
+	for _, l := range all {
+		var err error
+		if *l.seen, err = c.through(l.from, l.to, l.listen); err != nil {
+			return r, err
+		}
+	}
+	return r, nil
+}
+
+func (c *Cluster) targetArguments(service wire.ServiceName, listen wire.Address, r reach) []string {
 	s := c.options.Services[service]
-	args := []string{"--listen", string(ports[4]), "--node", string(ports[2]), "--service", string(service)}
+	args := []string{"--listen", string(listen), "--node", string(r.node), "--service", string(service)}
+	if c.options.Links {
+		args = append(args, "--advertise", string(r.target))
+	}
 	if s.Slots > 0 {
 		args = append(args, "--slots", fmt.Sprint(s.Slots))
 	}
@@ -263,6 +320,7 @@
 	for _, p := range c.processes() {
 		p.Kill()
 	}
+	c.links.close()
 }
 
 // Control returns the addresses of the control replicas.
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -21,6 +21,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -51,6 +52,8 @@
 	Service wire.ServiceName
 	// Node is the target listener of the node beside it. Empty: no announcement.
 	Node wire.Address
+	// Advertise is the address that the target announces; empty: its listener's.
+	Advertise wire.Address
 	// Slots is the number of requests it works on at a time.
 	Slots int
 	// Connections is the number of connections that it announces.
@@ -115,7 +118,7 @@
 // from its node, which moves the target's partitions away, finishes the
 // requests in flight and returns.
 func (s *Standin) Run(ctx context.Context, l net.Listener) error {
-	s.address = l.Addr().String()
+	s.address = cmp.Or(string(s.options.Advertise), l.Addr().String())
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	t := supervisor.Start(serving, "standin",
