node: reach control replicas only at the addresses of the settings

Cause: error 1001 carries the leader's address as the leader's own settings give it. A node behind address translation or a proxy followed it and left the address that its operator gave it for this replica.

Change: the hint is followed when it is one of the node's own addresses; otherwise the node tries its own list in turn, which finds one of three replicas within two calls. Mapping by name was ruled out: a node's settings list addresses without names. The operator commands still follow a hint to an address that they were not given, since an operator may name one replica only.

Before: TestNextReplica fails with 'leader elsewhere' (asks x). After: it passes.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 
 	"github.com/ansel1/merry/v2"
@@ -61,7 +62,10 @@
 	return v
 }
 
-// learn decides from an error which replica is asked next.
+// learn decides from an error which replica is asked next. A leader is followed
+// only to an address of the settings: they say how this node reaches a replica,
+// while a replica knows only how it is reached itself, which may be an address
+// that this node cannot use.
 func (c *controlClient) learn(asked *rpc.Client, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -69,7 +73,7 @@
 		return // another call has moved on already
 	}
 	var e *rpc.Error
-	if errors.As(err, &e) && e.Code == rpc.CodeNotLeader && e.Leader != "" && e.Leader != asked.Address() {
+	if errors.As(err, &e) && e.Code == rpc.CodeNotLeader && e.Leader != asked.Address() && slices.Contains(c.known, wire.Address(e.Leader)) {
 		c.leader = wire.Address(e.Leader)
 		return
 	}
