control, node: show the term and the revision in force as gauges

Neither was visible from outside: an operator could not see that elections happen without a change of leader, nor which configuration a node routes by while it is cut from the control group, when no status reports it.

--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promauto"
 	"github.com/rs/zerolog"
 
 	"github.com/gentiansail/gentiansail/internal/process"
@@ -119,6 +120,9 @@
 		return nil, merry.Wrap(ErrStart, merry.WithCause(err), merry.AppendMessage(err.Error()))
 	}
 	p.replica = replica
+	promauto.With(p.registry).NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: "gentiansail", Subsystem: "control", Name: "term", Help: "Term of the replicated log; it grows with each election.",
+	}, func() float64 { return float64(replica.Status().Term) })
 	p.calls = &replicaCalls{group: s.Group, replica: replica, peers: p.peers, clock: clock.System(), log: log}
 	return p, nil
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -34,6 +34,7 @@
 		gauge("waiting_requests", "Requests that wait for an owner.", func() float64 { return float64(n.waiting.Load()) }),
 		gauge("table_age_milliseconds", "Time since the routing table was confirmed.", func() float64 { return float64(n.routing.age()) }),
 		gauge("table_version", "Version of the routing table.", func() float64 { return float64(n.routing.snapshot().Version()) }),
+		gauge("revision_in_force", "Revision of the configuration that the node routes by.", func() float64 { return float64(n.routing.snapshot().Revision()) }),
 		gauge("lease_remaining_milliseconds", "Time that the lease still lasts.", n.leaseRemaining),
 		gauge("target_requests", "Requests on the owner's side.", n.targetRequests),
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
