--- a/pkg/replog/core_test.go
+++ b/pkg/replog/core_test.go
@@ -64,3 +64,64 @@
 	qt.Assert(t, answer(3, 1), qt.HasLen, 0)
 	qt.Assert(t, answer(3, 2), qt.HasLen, 1)
 }
+
+// Guards against a follower that forgets acknowledged entries when a snapshot
+// arrives late, or keeps a membership whose entry was replaced.
+func TestFollowerKeepsWhatMatches(t *testing.T) {
+	n, b := elected(t)
+	both := n.membership()
+	n.proposeMembership(both.without("3"))
+	qt.Assert(t, n.membership().Voters, qt.HasLen, 2)
+	n.take()
+	n.persisted()
+	late := Message{Kind: KindSnapshot, Group: "g", From: b, To: n.self, Term: 5, Index: 2, LogTerm: 2, Membership: both}
+	n.step(late)
+	qt.Assert(t, n.role, qt.Equals, Follower)
+	qt.Assert(t, n.commit, qt.Equals, Index(2))
+	qt.Assert(t, n.log.last(), qt.Equals, Index(4))
+	noop := Entry{3, 5, EntryNoop, nil}
+	n.step(Message{Kind: KindAppend, Group: "g", From: b, To: n.self, Term: 5, Index: 2, LogTerm: 2, Entries: []Entry{noop}})
+	qt.Assert(t, n.log.last(), qt.Equals, Index(3))
+	qt.Assert(t, n.membership(), qt.DeepEquals, both)
+	qt.Assert(t, n.take().Entries, qt.DeepEquals, []Entry{noop})
+}
+
+// Guards against a membership change before the leader knows that the last one
+// is committed, and against votes of a replica that is in no group.
+func TestMembershipLimits(t *testing.T) {
+	n, b := elected(t)
+	n.commit = 2 // as the leader before told it
+	d := Member{Name: "d", Identity: "id of d"}
+	admit := func(name ReplicaID) []Member {
+		_, err := n.admit(Member{Name: name, Identity: "id of " + Identity(name)})
+		qt.Assert(t, err, qt.IsNil)
+		return n.membership().Learners
+	}
+	qt.Assert(t, admit("d"), qt.HasLen, 0)
+	n.step(Message{Kind: KindAppendReply, Group: "g", From: b, To: n.self, Term: 4, Match: 3})
+	qt.Assert(t, admit("d"), qt.DeepEquals, []Member{d})
+	qt.Assert(t, admit("e"), qt.DeepEquals, []Member{d})
+
+	empty := newCore("g", d, loaded{}, 20, 100, rand.New(rand.NewPCG(1, 1)), 0)
+	empty.now = 1000
+	empty.tick()
+	for _, k := range []MessageKind{KindPreVote, KindVote, KindTimeoutNow} {
+		empty.step(Message{Kind: k, Group: "g", From: b, To: d, Term: 0, Round: 9, Index: 9, LogTerm: 9, Transfer: true})
+	}
+	out := empty.take()
+	qt.Assert(t, out.empty(), qt.IsTrue)
+}
+
+// Guards against messages of a term that a crash could make this replica forget.
+func TestSingleVoterSavesTermFirst(t *testing.T) {
+	a, b := Member{Name: "a", Identity: "1"}, Member{Name: "b", Identity: "2"}
+	l := loaded{state: hardState{Term: 1}}
+	l.log.append(Entry{1, 1, EntryMembership, encodeMembership(Membership{Voters: []Member{a}, Learners: []Member{b}})})
+	n := newCore("g", a, l, 20, 100, rand.New(rand.NewPCG(1, 1)), 0)
+	n.now = 200
+	n.tick()
+	out := n.take()
+	qt.Assert(t, out.State, qt.DeepEquals, &hardState{Term: 2, Vote: "1"})
+	qt.Assert(t, out.Early, qt.HasLen, 0)
+	qt.Assert(t, out.Messages, qt.HasLen, 1)
+}
