--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -28,6 +28,9 @@
 		return wire.HeartbeatResponse{}, err
 	}
 	received := o.granter.Now()
+	if r.Member != nil {
+		o.granter.Heard(r.Member.Incarnation, received)
+	}
 	if err := s.confirm(ctx, o); err != nil {
 		return wire.HeartbeatResponse{}, err
 	}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -75,6 +75,11 @@
 	// dutyEvery is the pace of expiry and assignment. It adds to the time
 	// without an owner, of which the budget leaves 200 ms.
 	dutyEvery clock.Millis = 20
+	// stallAfter is how late the leader's duties may be before it counts as
+	// stalled. A commit on a busy disk takes less.
+	stallAfter clock.Millis = 200
+	// maxHold bounds the delay of expiry after a stall.
+	maxHold clock.Millis = 500
 	// sampleEvery is the pace of decisions that rest on load.
 	sampleEvery clock.Millis = 1000
 )
@@ -189,12 +194,26 @@
 // Run confirms leadership for waiting calls and performs the leader's duties
 // until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
+	last := s.Clock.Now()
 	for s.Clock.Sleep(ctx, dutyEvery) == nil {
+		s.excuseStall(s.Clock.Now() - last)
+		last = s.Clock.Now()
 		s.Tick(ctx)
 	}
 	return nil
 }
 
+// excuseStall delays expiry after this process did not run for a while: the
+// renewals that arrived meanwhile are still unread. Without it a leader that was
+// paused or starved for a lease duration ends all of its members at once, and
+// their registrations keep it busy.
+func (s *Service) excuseStall(since clock.Millis) {
+	if o := s.currentOffice(); o != nil && since > stallAfter {
+		s.metrics.stalls.Inc()
+		o.granter.Hold(min(since, maxHold))
+	}
+}
+
 // RunConfirmations runs the confirmation rounds until ctx ends.
 func (s *Service) RunConfirmations(ctx context.Context) error { return s.confirmer.run(ctx) }
 
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -132,7 +132,9 @@
 
 	mu      sync.Mutex
 	floor   clock.Millis
+	held    clock.Millis
 	ends    map[M]clock.Millis
+	heard   map[M]clock.Millis
 	refused map[M]struct{}
 }
 
@@ -153,6 +155,7 @@
 	defer g.mu.Unlock()
 	g.floor = g.clock.Now() + g.terms.Longest()
 	g.ends = make(map[M]clock.Millis)
+	g.heard = make(map[M]clock.Millis)
 	g.refused = make(map[M]struct{})
 }
 
@@ -175,6 +178,23 @@
 	return true
 }
 
+// Heard records that a renewal has arrived that is not granted yet. The member
+// is alive, so it does not expire while the granter is slow to answer. Waiting
+// longer before a lease counts as expired is always safe.
+func (g *Granter[M]) Heard(m M, received clock.Millis) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.heard[m] = max(g.heard[m], received)
+}
+
+// Hold lets no lease expire for a time from now. A granter that was stalled
+// itself uses it, since renewals that arrived meanwhile are still to be read.
+func (g *Granter[M]) Hold(d clock.Millis) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.held = max(g.held, g.clock.Now()+d)
+}
+
 // Refuse refuses all further renewals of a member.
 func (g *Granter[M]) Refuse(m M) {
 	g.mu.Lock()
@@ -188,9 +208,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
+	if now < g.held {
+		return nil
+	}
 	var gone []M
 	for _, m := range members {
-		if now >= g.end(m) {
+		if now >= g.end(m) && !g.waits(m, now) {
 			g.refused[m] = struct{}{}
 			gone = append(gone, m)
 		}
@@ -198,6 +221,12 @@
 	return gone
 }
 
+// waits reports whether the member has sent a renewal that may still be granted.
+func (g *Granter[M]) waits(m M, now clock.Millis) bool {
+	heard, ok := g.heard[m]
+	return ok && now < heard+g.terms.Longest()
+}
+
 // Remaining returns how long the member's lease may still last on its holder,
 // zero when it has certainly ended.
 func (g *Granter[M]) Remaining(m M) clock.Millis {
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -80,3 +80,30 @@
 	h.Drop()
 	qt.Assert(t, h.Remaining(), qt.Equals, clock.Millis(0))
 }
+
+// Guards against a granter that ends members because it was slow itself: a
+// renewal that waits for an answer, or a stall of the granter, delays expiry,
+// and only for a bounded time.
+func TestGranterExcusesItsOwnDelay(t *testing.T) {
+	tests := map[string]struct {
+		before func(g *lease.Granter[string], now clock.Millis)
+		wait   clock.Millis
+		want   int
+	}{
+		"no renewal":                   {before: func(*lease.Granter[string], clock.Millis) {}, want: 1},
+		"renewal waits":                {before: func(g *lease.Granter[string], now clock.Millis) { g.Heard("a", now) }, want: 0},
+		"renewal waits for too long":   {before: func(g *lease.Granter[string], now clock.Millis) { g.Heard("a", now) }, wait: 1000, want: 1},
+		"granter was stalled":          {before: func(g *lease.Granter[string], _ clock.Millis) { g.Hold(300) }, wait: 299, want: 0},
+		"granter was stalled long ago": {before: func(g *lease.Granter[string], _ clock.Millis) { g.Hold(300) }, wait: 300, want: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := clock.NewManual(0)
+			g := lease.NewGranter[string](m.Clock(), lease.DefaultTerms)
+			m.Advance(1000)
+			tt.before(g, g.Now())
+			m.Advance(tt.wait)
+			qt.Assert(t, g.Expire([]string{"a"}), qt.HasLen, tt.want)
+		})
+	}
+}
