node: hedge heartbeats, so that a slow leader does not cost the lease

Heartbeats were given up after 350 ms and repeated at another replica, which sent them back to the same leader. A heartbeat is now waited for up to 700 ms, and after 250 ms a second one goes out over a new connection, by way of another replica.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -46,6 +46,30 @@
 	}
 }
 
+// other returns a client without connections that begins at another replica than
+// the one taken for the leader.
+func (c *controlClient) other() *controlClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := newControlClient(c.clock, c.known)
+	for i, a := range c.known {
+		if a != c.leader {
+			out.next = i
+		}
+	}
+	return out
+}
+
+// follow takes over which replica leads.
+func (c *controlClient) follow(from *controlClient) {
+	from.mu.Lock()
+	leader := from.leader
+	from.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader = leader
+}
+
 // traffic returns the bytes sent to and received from the control group.
 func (c *controlClient) traffic() (sent, received int64) {
 	c.mu.Lock()
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -11,6 +11,10 @@
 const (
 	// heartbeatEvery leaves four renewals within a lease of 900 ms.
 	heartbeatEvery clock.Millis = 200
+	// hedgeAfter is the time after which a second heartbeat is sent.
+	hedgeAfter clock.Millis = 250
+	// heartbeatTimeout is shorter than a lease: a later response is of no use.
+	heartbeatTimeout clock.Millis = 700
 	// heartbeatPause is the wait after a failed heartbeat.
 	heartbeatPause clock.Millis = 20
 	// reportEvery is the interval of load and hot-key reports, which keeps their
@@ -22,12 +26,15 @@
 	watchTimeout = watchWait + 500
 )
 
+// heartbeatCall sends a heartbeat to the control group.
+type heartbeatCall func(ctx context.Context, r wire.HeartbeatRequest) (wire.HeartbeatResponse, error)
+
 // heartbeat renews the lease, registers the member and reports, until ctx ends.
 func (n *node) heartbeat(ctx context.Context) error {
 	for ctx.Err() == nil {
 		began := n.clock.Now()
 		next := heartbeatEvery
-		if err := n.beat(ctx); err != nil {
+		if err := n.hedgedBeat(ctx); err != nil {
 			n.metrics.heartbeats.WithLabelValues("failed").Inc()
 			next = n.clock.Now() - began + heartbeatPause
 			n.controlState(false)
@@ -62,10 +69,52 @@
 	}
 }
 
+// hedgedBeat sends a heartbeat, and a second one over a new connection when the
+// first stays without a response for hedgeAfter. A leader that is slow then
+// still renews the lease, and one that is paused, or behind a silent connection,
+// costs less than the lease lasts.
+func (n *node) hedgedBeat(ctx context.Context) error {
+	results := make(chan error, 2)
+	n.background.Go(func() {
+		results <- n.beat(ctx, func(ctx context.Context, r wire.HeartbeatRequest) (wire.HeartbeatResponse, error) {
+			return tryCall[wire.HeartbeatResponse](ctx, n.control, wire.MethodNodeHeartbeat, r, heartbeatTimeout)
+		})
+	})
+	timed, cancel := context.WithTimeout(ctx, hedgeAfter.Duration())
+	defer cancel()
+	select {
+	case err := <-results:
+		return err
+	case <-timed.Done():
+	}
+	n.background.Go(func() { results <- n.spareBeat(ctx) })
+	if err := <-results; err == nil {
+		return nil
+	}
+	return <-results
+}
+
+// spareBeat sends a heartbeat over connections of its own, and asks another
+// replica first who leads.
+func (n *node) spareBeat(ctx context.Context) error {
+	n.metrics.heartbeats.WithLabelValues("hedged").Inc()
+	spare := n.control.other()
+	defer spare.close()
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout.Duration())
+	defer cancel()
+	err := n.beat(ctx, func(ctx context.Context, r wire.HeartbeatRequest) (wire.HeartbeatResponse, error) {
+		return callControl[wire.HeartbeatResponse](ctx, spare, wire.MethodNodeHeartbeat, r, attemptTimeout)
+	})
+	if err == nil {
+		n.control.follow(spare)
+	}
+	return err
+}
+
 // beat sends one heartbeat. The order matters: the target's clock and the
 // node's clock are read before the request is sent, and the table is applied
 // before the lease counts as renewed.
-func (n *node) beat(ctx context.Context) error {
+func (n *node) beat(ctx context.Context, call heartbeatCall) error {
 	m := n.targets.now()
 	var targetClock clock.Millis
 	hasClock := false
@@ -74,7 +123,7 @@
 	}
 	request := n.report(m)
 	sent := n.clock.Now()
-	response, err := tryCall[wire.HeartbeatResponse](ctx, n.control, wire.MethodNodeHeartbeat, request, attemptTimeout)
+	response, err := call(ctx, request)
 	if err != nil {
 		return err
 	}
@@ -107,9 +156,9 @@
 		Stopping: n.stopping.Load(), Released: []wire.Grant{}, Loads: []wire.PartitionLoad{}, HotKeys: []wire.HotKey{},
 	}
 	now := n.clock.Now()
-	full := now-n.reportedAt >= reportEvery
+	last := n.reportedAt.Load()
+	full := now-clock.Millis(last) >= reportEvery && n.reportedAt.CompareAndSwap(last, int64(now))
 	if full {
-		n.reportedAt = now
 		r.HotKeys = n.hotKeys.top()
 	}
 	if m == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,7 +72,7 @@
 	alive      context.Context
 	background sync.WaitGroup
 	beatNow    chan struct{}
-	reportedAt clock.Millis // used by the heartbeat only
+	reportedAt atomic.Int64 // clock.Millis of the latest report of loads
 	connected  atomic.Bool  // the control group answers
 	stopping   atomic.Bool
 	ingress    atomic.Int64
