--- /dev/null
+++ b/internal/bench/mesh/main.go
@@ -0,0 +1,162 @@
+// Command mesh measures a whole system of real processes on loopback: it starts
+// a small Donation Mesh, sends load to the nodes of one service, lets one host
+// fail or become slow, and prints the report of the load tool.
+//
+// # Usage
+//
+//	make build
+//	go run ./internal/bench/mesh -service catalogue -event loss
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/gentiansail/gentiansail/internal/bench"
+	"github.com/gentiansail/gentiansail/internal/integration/cluster"
+	"github.com/gentiansail/gentiansail/internal/process"
+	"github.com/gentiansail/gentiansail/internal/wire"
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+// errMesh is the error of a system that could not be measured.
+var errMesh = merry.Sentinel("cannot measure the system")
+
+const (
+	configFolder = "examples/donation-mesh/config"
+	totalTimeout = 2 * time.Minute
+	// eventAt is when the event begins and slowFor how long a target is slow.
+	eventAt clock.Millis = 5000
+	slowFor clock.Millis = 5000
+	// normalWork and slowWork are service times in milliseconds.
+	normalWork, slowWork = 10, 60
+	// affected is the index of the host that the event happens to.
+	affected = 2
+)
+
+// run is one measurement.
+type run struct {
+	service string
+	event   string
+	bin     string
+	load    bench.Options
+}
+
+func main() {
+	r := run{load: bench.Options{Duration: 15_000, Keys: 1000, Skew: 0.9, Seed: 1}}
+	flag.StringVar(&r.service, "service", "catalogue", "catalogue or pledges")
+	flag.StringVar(&r.event, "event", "", "loss, slow or empty")
+	flag.StringVar(&r.bin, "bin", "bin", "folder of the programs")
+	flag.Float64Var(&r.load.Rate, "rate", 300, "requests per second")
+	flag.StringVar(&r.load.PlotFile, "plot", "", "SVG file to write")
+	flag.Parse()
+	ctx, stop := process.SignalContext(context.Background())
+	defer stop()
+	if err := r.run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func (r run) run(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, totalTimeout)
+	defer cancel()
+	folder, err := os.MkdirTemp("", "gentiansail-mesh-")
+	if err != nil {
+		return merry.Wrap(errMesh, merry.WithCause(err), merry.AppendMessage(err.Error()))
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	c, err := cluster.Start(ctx, r.system(folder))
+	if err != nil {
+		return merry.Wrap(errMesh, merry.WithCause(err), merry.AppendMessage(err.Error()))
+	}
+	defer c.Close()
+	if err := found(ctx, c); err != nil {
+		return merry.Wrap(errMesh, merry.WithCause(err), merry.AppendMessage(err.Error()))
+	}
+	hosts := r.hosts(c)
+	go r.happen(ctx, hosts[affected])
+	return bench.Run(ctx, r.options(hosts), os.Stdout)
+}
+
+// system has five hosts for the measured service, and one for each other keyed
+// service of the configuration, which needs an owner to be ready.
+func (r run) system(folder string) cluster.Options {
+	s := cluster.Service{Targets: 1, Slots: 10, ChecksGrants: true, Arguments: []string{"--service-millis", fmt.Sprint(normalWork)}}
+	services := map[wire.ServiceName]cluster.Service{"catalogue": s}
+	s.Targets = 5
+	services[wire.ServiceName(r.service)] = s
+	return cluster.Options{Gentiansail: r.bin + "/gentiansail", Standin: r.bin + "/standin", Folder: folder, Replicas: 3, Services: services}
+}
+
+func found(ctx context.Context, c *cluster.Cluster) error {
+	if err := c.Bootstrap(ctx); err != nil {
+		return err
+	}
+	if err := c.Apply(ctx, configFolder); err != nil {
+		return err
+	}
+	return c.WaitReady(ctx)
+}
+
+func (r run) hosts(c *cluster.Cluster) []*cluster.Host {
+	var all []*cluster.Host
+	for _, h := range c.Hosts {
+		if string(h.Service) == r.service {
+			all = append(all, h)
+		}
+	}
+	return all
+}
+
+// options leave out a host that will be lost: callers connected to its node see
+// the loss of that connection, which is not what is measured.
+func (r run) options(hosts []*cluster.Host) bench.Options {
+	o := r.load
+	for i, h := range hosts {
+		if i == affected && r.event == "loss" {
+			continue
+		}
+		o.Addresses = append(o.Addresses, string(h.Caller))
+		o.Targets = append(o.Targets, string(h.Target.Addr()))
+	}
+	path := "/" + r.service + "/{key}"
+	o.Routes = []bench.Route{
+		{Name: "read", Service: r.service, Method: http.MethodGet, Path: path, Weight: 8, Repeatable: true},
+		{Name: "write", Service: r.service, Method: http.MethodPost, Path: path, Weight: 2},
+	}
+	return o
+}
+
+func (r run) happen(ctx context.Context, h *cluster.Host) {
+	c := clock.System()
+	if c.Sleep(ctx, eventAt) != nil {
+		return
+	}
+	switch r.event {
+	case "loss":
+		h.Node.Kill()
+		h.Target.Kill()
+	case "slow":
+		setWork(h, slowWork)
+		_ = c.Sleep(ctx, slowFor)
+		setWork(h, normalWork)
+	}
+}
+
+func setWork(h *cluster.Host, millis int) {
+	response, err := http.Post(fmt.Sprintf("http://%s/standin/set?work=%d", h.Target.Addr(), millis), "", nil)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "cannot change the target's service time:", err)
+		return
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+}
