--- a/internal/control/hot_keys.go
+++ b/internal/control/hot_keys.go
@@ -23,8 +23,9 @@
 	// The gap to the threshold keeps a key near it from going back and forth.
 	coolShare = 0.5
 	// hotRounds and coolRounds are how many evaluations in a row, one per
-	// second, decide. Isolating is cheap, and ending it may cost a move.
-	hotRounds  = 3
+	// second, decide. One report counts for five of them, so a key must be hot in
+	// more than one. Isolating is cheap, and ending it may cost a move.
+	hotRounds  = 7
 	coolRounds = 30
 	// maxOverridesPerService bounds one service's part of the overrides.
 	maxOverridesPerService = 64
@@ -127,7 +128,7 @@
 	defer o.mu.Unlock()
 	sum := make(map[hotKey]float64)
 	for _, n := range o.nodes {
-		if now-n.heard > reportLife {
+		if now-n.hotKeysAt > reportLife {
 			continue
 		}
 		for _, k := range n.hotKeys {
--- a/internal/integration/runbook_test.go
+++ b/internal/integration/runbook_test.go
@@ -27,7 +27,7 @@
 	replaced := c.Replicas[0]
 	qt.Assert(t, replaced.Stop(ctx), qt.IsNil)
 	qt.Assert(t, os.RemoveAll(replaced.DataFolder), qt.IsNil)
-	// A lost replica counts as heard for one election timeout.
+	// A replica counts as heard for one election timeout after it has gone.
 	err = c.WaitStatus(ctx, func(s wire.StatusResponse) error {
 		if s.CanLoseOne {
 			return errNotYet
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 
 	"github.com/ansel1/merry/v2"
@@ -46,6 +47,18 @@
 	}
 }
 
+// traffic returns the bytes sent to and received from the control group.
+func (c *controlClient) traffic() (sent, received int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, v := range c.clients {
+		s, r := v.Traffic()
+		sent += int64(s)
+		received += int64(r)
+	}
+	return sent, received
+}
+
 // current returns a client of the replica that is taken for the leader.
 func (c *controlClient) current() *rpc.Client {
 	c.mu.Lock()
@@ -61,7 +74,10 @@
 	return v
 }
 
-// learn decides from an error which replica is asked next.
+// learn decides from an error which replica is asked next. A leader is followed
+// only to an address of the settings: they say how this node reaches a replica,
+// while a replica knows only how it is reached itself, which may be an address
+// that this node cannot use.
 func (c *controlClient) learn(asked *rpc.Client, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -69,7 +85,7 @@
 		return // another call has moved on already
 	}
 	var e *rpc.Error
-	if errors.As(err, &e) && e.Code == rpc.CodeNotLeader && e.Leader != "" && e.Leader != asked.Address() {
+	if errors.As(err, &e) && e.Code == rpc.CodeNotLeader && e.Leader != asked.Address() && slices.Contains(c.known, wire.Address(e.Leader)) {
 		c.leader = wire.Address(e.Leader)
 		return
 	}
@@ -98,10 +114,10 @@
 // calls of a node may be repeated: they carry the execution or incarnation that
 // they are about. The error wraps errMayTakeEffect when an attempt may have
 // arrived.
-func callControl[Response any](ctx context.Context, c *controlClient, method string, request any) (Response, error) {
+func callControl[Response any](ctx context.Context, c *controlClient, method string, request any, timeout clock.Millis) (Response, error) {
 	uncertain := false
 	for {
-		out, err := tryCall[Response](ctx, c, method, request, attemptTimeout)
+		out, err := tryCall[Response](ctx, c, method, request, timeout)
 		if err == nil || definite(err) {
 			return out, err
 		}
