limit: set the share of callers that a node has not seen

A node that had not seen a caller ignored its share and used an equal one on top of the others, so a caller could exceed its rate until the next report by going to another node. SetShare now keeps an entry for it, and an entry whose share is below the equal one is not dropped to make room.

The property test said that it covered shares that follow demand, but did not exchange any. Its bound allows one request for each node more, the least that a bucket holds.

--- a/pkg/limit/caller.go
+++ b/pkg/limit/caller.go
@@ -110,12 +110,21 @@
 }
 
 // SetShare sets this node's share of one caller's rate, from 0 to 1. The shares
-// of all nodes must come from one call of Shares. Zero restores the equal share.
+// of all nodes must come from one call of Shares, and each node must be told its
+// own, also one that has not seen the caller: it would else use an equal share on
+// top of the others. Zero restores the equal share.
 func (b *CallerBudget) SetShare(caller string, c Class, share float64) {
+	b.mu.RLock()
+	rate, nodes := b.rates[c], b.nodes
+	b.mu.RUnlock()
+	if rate <= 0 {
+		return
+	}
 	s := b.shard(caller)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if v, ok := s.callers[callerClass{caller, c}]; ok {
+	v := s.state(callerClass{caller, c}, b.clock.Now(), rate, nodes, b.perShard)
+	if v != s.overflow[c] {
 		v.share = math.Min(math.Max(share, 0), 1)
 	}
 }
@@ -179,13 +188,15 @@
 	return v
 }
 
-// evict drops a caller whose bucket is full again: a new bucket would be the
-// same, so dropping it cannot raise the caller's rate.
+// evict drops a caller whose bucket is full again and whose share is no less than
+// the equal one: a new bucket would hold no more, so dropping it cannot raise the
+// caller's rate.
 func (s *budgetShard) evict(now clock.Millis, rate, nodes float64) bool {
 	tries := 0
 	for k, v := range s.callers {
 		local, burst := localRate(rate, v.share, nodes)
-		if v.bucket.filled(now, local, burst).tokens >= burst {
+		lowered := v.share > 0 && v.share < 1/nodes
+		if !lowered && v.bucket.filled(now, local, burst).tokens >= burst {
 			delete(s.callers, k)
 			return true
 		}
