node: send a repeatable request again when a target's connection is silent

Cause: a connection to the target that goes silent for good looks like a slow target, whose probes over new connections are answered. A repeatable request in flight on it ended as unknown at its deadline, and each idle connection of the pool did the same to one more request.

Ruled out: taking the connection for dead after a time, which would cancel the requests of a target that is merely slow; asking the target over the same connection, which serves one request at a time; TCP_USER_TIMEOUT, which sees only bytes that the next hop has not acknowledged.

Change: after 1 s without a response and with a healthy probe, a repeatable request that is not a suspect is sent once more over a new connection, within the retry budget; the first response counts and the other copy is cancelled. When the second copy answers first, the idle connections are closed. Requests that must not repeat end as unknown by their deadline, as before.

--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -39,19 +39,8 @@
 		return p
 	}
 	ctx = t.enterScopes(ctx)
-	r, err := q.outgoing(string(m.target.Address), n.clock.Now())
-	if err != nil {
-		t.end(limit.Result{Failed: true})
-		return refuse(http.StatusBadRequest, reasonBadRequest)
-	}
 	t.ticket = m.inFlight.toTarget(t.mark, q.partition)
-	t.sent = n.clock.Now()
-	response, err := m.pool.Do(ctx, exchange.Request{
-		Address: string(m.target.Address), HTTP: r, RequestID: q.id, BeforeWrite: t.recheck,
-		// A server may close an idle connection at any time, which would make
-		// the outcome of a request that must not repeat unknown.
-		Fresh: !q.route.Repeatable,
-	})
+	response, err := t.exchange(ctx)
 	if err != nil {
 		return t.failed(ctx, err)
 	}
@@ -178,6 +167,9 @@
 	var late errRefusedLate
 	if errors.As(err, &late) {
 		t.end(limit.Result{Failed: true})
+		if late.why == reasonBadRequest {
+			return refuse(http.StatusBadRequest, late.why)
+		}
 		return unavailable(late.why)
 	}
 	n.metrics.exchangeErrors.WithLabelValues("target").Inc()
--- /dev/null
+++ b/internal/node/second_copy.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/gentiansail/gentiansail/internal/exchange"
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+// secondCopyAfter is the time without a response after which a repeatable
+// request is sent to its target once more. A service time of a few milliseconds
+// is usual, and a key is to be served again within 2 s.
+const secondCopyAfter clock.Millis = 1000
+
+// copied is one copy of a request at the target.
+type copied struct {
+	sent     clock.Millis
+	response *http.Response
+	err      error
+}
+
+// exchange sends the request to the target and returns the response. A target's
+// connection can go silent for good while new ones work, and a slow target looks
+// the same from here: probes of both are answered. Therefore the first copy of a
+// repeatable request is left to finish while a second one goes over a new
+// connection, and the first response counts. The retry budget bounds what that
+// adds to the load of a slow target.
+func (t *turn) exchange(ctx context.Context) (*http.Response, error) {
+	// A server may close an idle connection at any time, which would make the
+	// outcome of a request that must not repeat unknown.
+	first, cancelFirst := t.send(ctx, !t.q.route.Repeatable)
+	if !t.q.route.Repeatable || !t.q.body.whole() || t.alone {
+		return t.use(<-first)
+	}
+	c, ok := t.awaitCopy(ctx, first)
+	if ok || ctx.Err() != nil || !t.member.probes.healthy() || !t.node.budget.Withdraw() {
+		if !ok {
+			c = <-first
+		}
+		return t.use(c)
+	}
+	t.node.metrics.retries.Inc()
+	second, cancelSecond := t.send(ctx, true)
+	select {
+	case c = <-first:
+		c = t.choose(c, second, cancelSecond)
+	case c = <-second:
+		if c.err == nil {
+			// The same loss of state may have hit every other open connection.
+			t.member.pool.CloseIdle(string(t.member.target.Address))
+		}
+		c = t.choose(c, first, cancelFirst)
+	}
+	return t.use(c)
+}
+
+// awaitCopy waits for a copy until secondCopyAfter.
+func (t *turn) awaitCopy(ctx context.Context, from <-chan copied) (copied, bool) {
+	timed, cancel := context.WithTimeout(ctx, secondCopyAfter.Duration())
+	defer cancel()
+	select {
+	case c := <-from:
+		return c, true
+	case <-timed.Done():
+		return copied{}, false
+	}
+}
+
+// choose returns the copy that ended first, or the other one if that failed.
+func (t *turn) choose(c copied, other <-chan copied, cancel context.CancelFunc) copied {
+	if c.err != nil {
+		o := <-other
+		if o.err == nil || exchange.ProgressOf(c.err) == exchange.NotSent {
+			return o
+		}
+		return c // it may have run, whatever became of the other
+	}
+	cancel()
+	t.node.background.Go(func() {
+		if o := <-other; o.err == nil {
+			_ = o.response.Body.Close()
+		}
+	})
+	return c
+}
+
+func (t *turn) use(c copied) (*http.Response, error) {
+	t.sent = c.sent
+	return c.response, c.err
+}
+
+// send sends one copy. It ends with ctx or by the returned function.
+func (t *turn) send(ctx context.Context, fresh bool) (<-chan copied, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	out := make(chan copied, 1)
+	go func() {
+		c := copied{sent: t.node.clock.Now()}
+		c.response, c.err = t.copy(ctx, fresh)
+		out <- c
+	}()
+	return out, cancel
+}
+
+func (t *turn) copy(ctx context.Context, fresh bool) (*http.Response, error) {
+	address := string(t.member.target.Address)
+	r, err := t.q.outgoing(address, t.node.clock.Now())
+	if err != nil {
+		return nil, errRefusedLate{why: reasonBadRequest}
+	}
+	return t.member.pool.Do(ctx, exchange.Request{
+		Address: address, HTTP: r, RequestID: t.q.id, BeforeWrite: t.recheck, Fresh: fresh,
+	})
+}
