limit: keep a caller within its rate when shares change

Three causes were found. A bucket credited the time since its last use at its new rate after a share was raised, although another node held that part of the rate meanwhile. A caller could use the shared bucket of untracked callers and then get a full one of its own. A node whose table was full could not keep the share it was given and went on with an equal one. The random seed of the shards made the verdict change from run to run. Ruled out: rounding; the excess grows with the time between uses. Change: a bucket is settled before its rate changes; a new bucket holds no more than the shared one; a share that cannot be kept lowers the shard's callers to the least share. The test fixes the hash of the shards, so that a seed gives one verdict, and each cause has a directed test.

--- a/pkg/limit/caller.go
+++ b/pkg/limit/caller.go
@@ -42,7 +42,7 @@
 // up to at most the limit. It is safe for concurrent use.
 type CallerBudget struct {
 	clock    clock.Clock
-	seed     maphash.Seed
+	hash     func(caller string) uint64
 	perShard int
 
 	mu     sync.RWMutex
@@ -55,6 +55,10 @@
 	mu       sync.Mutex
 	callers  map[callerClass]*callerState
 	overflow [classCount]*callerState
+	// lost is set once a share could not be kept because the shard was full.
+	// Callers without a share of their own then get the least one that Shares
+	// gives, because other nodes may have been given the rest.
+	lost bool
 }
 
 type callerClass struct {
@@ -64,8 +68,11 @@
 
 type callerState struct {
 	bucket bucket
-	share  float64 // 0 means an equal share
-	demand float64 // requests since the last report
+	// local and burst are the rate and size in force since the bucket was last
+	// settled.
+	local, burst float64
+	share        float64 // 0 means an equal share
+	demand       float64 // requests since the last report
 }
 
 // Demand is the use of one caller that a node reports.
@@ -82,9 +89,11 @@
 	if o.Callers <= 0 {
 		o.Callers = defaultCallers
 	}
+	// A random seed, so that callers cannot choose names that share a lock.
+	seed := maphash.MakeSeed()
 	b := &CallerBudget{
 		clock:    o.Clock,
-		seed:     maphash.MakeSeed(),
+		hash:     func(caller string) uint64 { return maphash.String(seed, caller) },
 		perShard: max(o.Callers/budgetShards, 1),
 		rates:    o.PerSecond,
 		nodes:    1,
@@ -124,9 +133,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := s.state(callerClass{caller, c}, b.clock.Now(), rate, nodes, b.perShard)
-	if v != s.overflow[c] {
-		v.share = math.Min(math.Max(share, 0), 1)
+	if v == s.overflow[c] {
+		s.loseShare(b.clock.Now(), b.ratesNow(), nodes)
+		return
+	}
+	if share <= 0 && s.lost {
+		share = equalPart / nodes
 	}
+	v.setShare(math.Min(math.Max(share, 0), 1), b.clock.Now(), rate, nodes)
 }
 
 // Allow reports whether the caller may send one more request now.
@@ -143,8 +157,8 @@
 	defer s.mu.Unlock()
 	v := s.state(callerClass{caller, c}, now, rate, nodes, b.perShard)
 	v.demand++
-	local, burst := localRate(rate, v.share, nodes)
-	next, ok := v.bucket.take(now, local, burst)
+	v.settle(now, rate, nodes)
+	next, ok := v.bucket.take(now, v.local, v.burst)
 	v.bucket = next
 	return ok
 }
@@ -158,8 +172,14 @@
 	return all
 }
 
+func (b *CallerBudget) ratesNow() PerClass {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.rates
+}
+
 func (b *CallerBudget) shard(caller string) *budgetShard {
-	return &b.shards[maphash.String(b.seed, caller)%budgetShards]
+	return &b.shards[b.hash(caller)%budgetShards]
 }
 
 // localRate returns a node's part of a caller's rate, and its burst. A burst of
@@ -172,18 +192,66 @@
 	return local, math.Max(1, local*burstSeconds)
 }
 
+// settle credits the time so far at the rate that was in force, then takes over
+// the present one. Time before a share was raised must not count at the new rate,
+// since another node had that part of the rate then.
+func (v *callerState) settle(now clock.Millis, rate, nodes float64) {
+	v.bucket = v.bucket.filled(now, v.local, v.burst)
+	v.local, v.burst = localRate(rate, v.share, nodes)
+}
+
+func (v *callerState) setShare(share float64, now clock.Millis, rate, nodes float64) {
+	v.settle(now, rate, nodes)
+	v.share = share
+	v.local, v.burst = localRate(rate, share, nodes)
+}
+
+// newState returns a full bucket for a caller with an equal share. A caller that
+// may have used the shared bucket starts with no more than that one holds.
+func (s *budgetShard) newState(c Class, now clock.Millis, rate, nodes float64) *callerState {
+	local, burst := localRate(rate, 0, nodes)
+	v := &callerState{bucket: bucket{tokens: burst, at: now}, local: local, burst: burst}
+	if s.lost {
+		v.share = equalPart / nodes
+		v.local, v.burst = localRate(rate, v.share, nodes)
+	}
+	if shared := s.overflow[c]; shared != nil {
+		shared.settle(now, rate, nodes)
+		v.bucket.tokens = math.Min(v.burst, shared.bucket.tokens)
+	}
+	return v
+}
+
+// loseShare lowers every bucket without a share of its own to the least share.
+func (s *budgetShard) loseShare(now clock.Millis, rates PerClass, nodes float64) {
+	if s.lost {
+		return
+	}
+	s.lost = true
+	lower := func(v *callerState, c Class) {
+		if v != nil && v.share == 0 {
+			v.setShare(equalPart/nodes, now, rates[c], nodes)
+		}
+	}
+	for c, v := range s.overflow {
+		lower(v, Class(c))
+	}
+	for k, v := range s.callers {
+		lower(v, k.class)
+	}
+}
+
 func (s *budgetShard) state(k callerClass, now clock.Millis, rate, nodes float64, capacity int) *callerState {
 	if v, ok := s.callers[k]; ok {
 		return v
 	}
-	_, burst := localRate(rate, 0, nodes)
 	if len(s.callers) >= capacity && !s.evict(now, rate, nodes) {
 		if s.overflow[k.class] == nil {
-			s.overflow[k.class] = &callerState{bucket: bucket{tokens: burst, at: now}}
+			s.overflow[k.class] = s.newState(k.class, now, rate, nodes)
 		}
 		return s.overflow[k.class]
 	}
-	v := &callerState{bucket: bucket{tokens: burst, at: now}}
+	v := s.newState(k.class, now, rate, nodes)
 	s.callers[k] = v
 	return v
 }
@@ -194,9 +262,9 @@
 func (s *budgetShard) evict(now clock.Millis, rate, nodes float64) bool {
 	tries := 0
 	for k, v := range s.callers {
-		local, burst := localRate(rate, v.share, nodes)
+		v.settle(now, rate, nodes)
 		lowered := v.share > 0 && v.share < 1/nodes
-		if !lowered && v.bucket.filled(now, local, burst).tokens >= burst {
+		if !lowered && v.bucket.tokens >= v.burst {
 			delete(s.callers, k)
 			return true
 		}
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
@@ -185,6 +186,8 @@
 		for range nodes {
 			b := NewCallerBudget(BudgetOptions{Clock: m.Clock(), PerSecond: PerClass{Browse: rate}, Callers: budgetShards})
 			b.SetNodes(nodes)
+			// The same seed must give the same callers in each shard.
+			b.hash = xxhash.Sum64String
 			budgets = append(budgets, b)
 		}
 		allowed := map[string]int{}
@@ -210,6 +213,64 @@
 	})
 }
 
+// callerOnNodes returns two nodes' budgets that track one caller at a time, and a
+// function that counts how many of n requests a node allows.
+func callerOnNodes(m *clock.Manual) (a, b *CallerBudget, send func(at *CallerBudget, caller string, n int) int) {
+	budgets := make([]*CallerBudget, 2)
+	for i := range budgets {
+		budgets[i] = NewCallerBudget(BudgetOptions{Clock: m.Clock(), PerSecond: PerClass{Browse: 100}, Callers: 1})
+		budgets[i].SetNodes(2)
+		budgets[i].hash = func(string) uint64 { return 0 }
+	}
+	send = func(at *CallerBudget, caller string, n int) int {
+		allowed := 0
+		for range n {
+			if at.Allow(caller, Browse) {
+				allowed++
+			}
+		}
+		return allowed
+	}
+	return budgets[0], budgets[1], send
+}
+
+// Guards against time that counts at a share which another node held then.
+func TestRaisedShareDoesNotCountForEarlierTime(t *testing.T) {
+	m := clock.NewManual(0)
+	a, _, send := callerOnNodes(m)
+	qt.Assert(t, send(a, "x", 100), qt.Equals, 50)
+	m.Advance(500)
+	a.SetShare("x", Browse, 0.9)
+	qt.Assert(t, send(a, "x", 100), qt.Equals, 25)
+}
+
+// Guards against a caller that uses the shared bucket of untracked callers and
+// then gets a full one of its own.
+func TestNewBucketHoldsNoMoreThanTheSharedOne(t *testing.T) {
+	m := clock.NewManual(0)
+	a, _, send := callerOnNodes(m)
+	qt.Assert(t, send(a, "x", 1), qt.Equals, 1)
+	qt.Assert(t, send(a, "y", 100), qt.Equals, 50)
+	// The bucket of x is full again, so y takes its place.
+	m.Advance(100)
+	qt.Assert(t, send(a, "y", 100), qt.Equals, 5)
+}
+
+// Guards against a node that could not keep the share it was given and goes on
+// with an equal one while another node has the rest.
+func TestLostShareCountsAsTheLeast(t *testing.T) {
+	m := clock.NewManual(0)
+	a, b, send := callerOnNodes(m)
+	send(a, "x", 100)
+	send(a, "y", 100)
+	send(b, "y", 100)
+	shares := Shares([]float64{0, 100})
+	a.SetShare("y", Browse, shares[0])
+	b.SetShare("y", Browse, shares[1])
+	m.Advance(500)
+	qt.Assert(t, send(a, "y", 100)+send(b, "y", 100), qt.Equals, 50)
+}
+
 func BenchmarkAcquireDone(b *testing.B) {
 	c := clock.System()
 	l := New(Options{Clock: c, Slots: 1000})
