--- a/internal/integration/faults_kill_test.go
+++ b/internal/integration/faults_kill_test.go
@@ -44,6 +44,8 @@
 		if l.target {
 			lose = append(lose, owner.Target)
 		}
+		// Some requests are at targets, some responses are half sent.
+		held := append(f.hold("&work=400", "catalogue", "pledges"), f.hold("&delay=300", "catalogue", "pledges")...)
 		lost := time.Now()
 		for _, p := range lose {
 			p.Kill()
@@ -53,6 +55,7 @@
 			qt.Assert(t, p.Start(f.ctx), qt.IsNil)
 		}
 		f.ready()
+		f.settled(held)
 	}
 	f.finish(nil)
 }
--- a/internal/integration/faults_pause_test.go
+++ b/internal/integration/faults_pause_test.go
@@ -38,6 +38,7 @@
 	f.t.Helper()
 	owner, through := f.owner(service)
 	paused := choose(owner)
+	held := f.hold("&work=200", string(service))
 	lost := time.Now()
 	for _, p := range paused {
 		p.Pause()
@@ -51,6 +52,7 @@
 		p.Resume()
 	}
 	f.ready()
+	f.settled(held)
 }
 
 // pauseLeader freezes the leader until another one has taken office. What it is
@@ -67,7 +69,9 @@
 		revision = s.Revision
 		return f.leaderOf(s) != nil && f.leaderOf(s) != old
 	})
+	applied := time.Now()
 	qt.Assert(f.t, f.Apply(f.ctx, f.config), qt.IsNil)
+	f.inForce(applied)
 	old.Resume()
 	f.await("the change stands", func(s wire.StatusResponse) bool {
 		qt.Assert(f.t, s.Revision, qt.Equals, revision+1)
