integration: withhold the end of a cut connection; reserve the proxies' ports

toxiproxy's timeout toxic passes on the end of a connection: a node that answered over a silent connection and closed it was noticed by the caller (seen as EOF in TestNetworkSilentCaller). The toxic silence drops bytes and the end alike. A proxy on a port of the kernel's choice could take one that a process was about to use; seen as a start that never became ready when two test programs ran at once.

--- a/internal/integration/cluster/cluster.go
+++ b/internal/integration/cluster/cluster.go
@@ -113,8 +113,10 @@
 // Replica is a control replica.
 type Replica struct {
 	*Process
-	Name       wire.ReplicaID
-	Metrics    wire.Address
+	Name    wire.ReplicaID
+	Metrics wire.Address
+	// Operators is the address behind the link from Operators.
+	Operators  wire.Address
 	DataFolder string
 }
 
@@ -160,13 +162,14 @@
 
 // plan reserves ports and writes settings.
 func (c *Cluster) plan() error {
-	if c.options.Links {
-		c.links = newLinks()
-	}
-	ports, err := reserve(c.options.Replicas*portsPerReplica + c.targets()*portsPerHost)
+	linked := c.options.linkPorts(c.targets())
+	ports, err := reserve(c.options.Replicas*portsPerReplica + c.targets()*portsPerHost + linked)
 	if err != nil {
 		return err
 	}
+	if c.options.Links {
+		c.links = newLinks(ports[len(ports)-linked:])
+	}
 	replicas := make(map[wire.ReplicaID]wire.Address)
 	for i := range c.options.Replicas {
 		c.Replicas = append(c.Replicas, c.planReplica(i, ports[:portsPerReplica]))
@@ -210,13 +213,16 @@
 }
 
 func (c *Cluster) writeReplica(i int, r *Replica, replicas map[wire.ReplicaID]wire.Address) error {
+	var err error
+	if r.Operators, err = c.through(Operators, End(r.Name), r.Addr()); err != nil {
+		return err
+	}
 	seen := make(map[wire.ReplicaID]wire.Address)
 	for n, a := range replicas {
 		seen[n] = a
 		if n == r.Name {
 			continue
 		}
-		var err error
 		if seen[n], err = c.through(End(r.Name), End(n), a); err != nil {
 			return err
 		}
--- a/internal/integration/cluster/links.go
+++ b/internal/integration/cluster/links.go
@@ -29,6 +29,8 @@
 	// Peers are all other nodes. A node advertises one address to all of them,
 	// so their links to it can be changed together only.
 	Peers End = "peers"
+	// Operators are operators who use Replica.Operators.
+	Operators End = "operators"
 )
 
 // Stream is a direction of a connection.
@@ -51,12 +53,24 @@
 // links are the proxies of a cluster.
 type links struct {
 	server *toxiproxy.ApiServer
+	ports  []wire.Address
 	byEnds map[ends]*Link
 }
 
-func newLinks() *links {
+func newLinks(ports []wire.Address) *links {
 	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
-	return &links{server: server, byEnds: make(map[ends]*Link)}
+	return &links{server: server, ports: ports, byEnds: make(map[ends]*Link)}
+}
+
+// linkPorts is the number of proxies. Their ports are reserved together with
+// those of the processes: a proxy on a port of the kernel's choice could get one
+// that a process is about to listen on.
+func (o Options) linkPorts(targets int) int {
+	if !o.Links {
+		return 0
+	}
+	const perHost = 4 // callers, peers, and both ways between node and target
+	return o.Replicas*o.Replicas + targets*(perHost+o.Replicas)
 }
 
 // through returns the address under which from reaches to, which listens at a.
@@ -65,7 +79,8 @@
 	if c.links == nil {
 		return a, nil
 	}
-	p := toxiproxy.NewProxy(c.links.server, string(from+" to "+to), "127.0.0.1:0", string(a))
+	listen := c.links.ports[len(c.links.byEnds)]
+	p := toxiproxy.NewProxy(c.links.server, string(from+" to "+to), string(listen), string(a))
 	if err := p.Start(); err != nil {
 		return "", merry.Wrap(ErrStart, merry.WithCause(err), merry.AppendMessage(err.Error()))
 	}
@@ -86,13 +101,13 @@
 func (c *Cluster) Link(from, to End) *Link { return c.links.byEnds[ends{from, to}] }
 
 // CutOneWay makes all bytes that from sends to to vanish, on connections that
-// are open and on new ones, which still open. Nothing is reset. An end that
-// closes a connection is still noticed by the other.
+// are open and on new ones, which still open. Nothing is reset, and the end of a
+// connection is not noticed either.
 func (c *Cluster) CutOneWay(from, to End) error {
-	if err := c.addTo(ends{from, to}, Requests, "timeout", &toxics.TimeoutToxic{}); err != nil {
+	if err := c.addTo(ends{from, to}, Requests, silenceKind, &silence{}); err != nil {
 		return err
 	}
-	return c.addTo(ends{to, from}, Responses, "timeout", &toxics.TimeoutToxic{})
+	return c.addTo(ends{to, from}, Responses, silenceKind, &silence{})
 }
 
 // Cut makes all bytes between two ends vanish, as CutOneWay in both directions.
@@ -142,8 +157,8 @@
 	if err != nil {
 		return merry.Wrap(ErrLink, merry.WithCause(err), merry.AppendMessage(err.Error()))
 	}
-	if t, ok := added.Toxic.(*openTimeout); ok {
-		t.passing.Store(true)
+	if t, ok := added.Toxic.(*silence); ok {
+		t.added.Store(true)
 	}
 	return nil
 }
@@ -151,42 +166,58 @@
 // Silence makes all bytes vanish on the connections that are open now, in both
 // directions, while new connections work.
 func (l *Link) Silence() error {
-	if err := l.Add(Requests, openTimeoutKind, &openTimeout{}); err != nil {
+	if err := l.Add(Requests, silenceKind, &silence{OpenOnly: true}); err != nil {
 		return err
 	}
-	return l.Add(Responses, openTimeoutKind, &openTimeout{})
+	return l.Add(Responses, silenceKind, &silence{OpenOnly: true})
 }
 
 // Heal removes all faults from the link.
 func (l *Link) Heal(ctx context.Context) { l.proxy.Toxics.ResetToxics(ctx) }
 
-const openTimeoutKind = "open_timeout"
+const silenceKind = "silence"
+
+func init() { toxics.Register(silenceKind, new(silence)) }
 
-func init() { toxics.Register(openTimeoutKind, new(openTimeout)) }
+// silence drops all bytes, like toxiproxy's timeout toxic with 0. Unlike it, it
+// also withholds the end of a connection, which a cut network does not carry
+// either, and it can be limited to the connections that are open when it is
+// added.
+type silence struct {
+	OpenOnly bool
 
-// openTimeout is toxiproxy's timeout toxic for those connections only that are
-// open when it is added.
-type openTimeout struct {
-	passing atomic.Bool
+	added atomic.Bool
 }
 
 // NewState implements toxics.StatefulToxic. It runs once for each connection.
-func (t *openTimeout) NewState() any { return openState{passes: t.passing.Load()} }
+func (t *silence) NewState() any {
+	return silenceState{silent: !t.OpenOnly || !t.added.Load()}
+}
 
-type openState struct{ passes bool }
+type silenceState struct{ silent bool }
 
 // Pipe implements toxics.Toxic.
-func (t *openTimeout) Pipe(stub *toxics.ToxicStub) {
-	if stub.State.(openState).passes {
+func (t *silence) Pipe(stub *toxics.ToxicStub) {
+	if !stub.State.(silenceState).silent {
 		new(toxics.NoopToxic).Pipe(stub)
 		return
 	}
-	new(toxics.TimeoutToxic).Pipe(stub)
+	input := stub.Input
+	for {
+		select {
+		case <-stub.Interrupt:
+			return
+		case c := <-input:
+			if c == nil {
+				input = nil // the source has closed
+			}
+		}
+	}
 }
 
 // Cleanup implements toxics.CleanupToxic.
-func (t *openTimeout) Cleanup(stub *toxics.ToxicStub) {
-	if !stub.State.(openState).passes {
+func (t *silence) Cleanup(stub *toxics.ToxicStub) {
+	if stub.State.(silenceState).silent {
 		stub.Close()
 	}
 }
