Leave empty lists out of heartbeats and their responses

Cause: half of the bytes of an idle heartbeat's response were the names of empty lists. Change: a delta is encoded without empty lists; lists of a heartbeat are optional in the schema.

--- a/internal/control/delta_cache.go
+++ b/internal/control/delta_cache.go
@@ -42,13 +42,31 @@
 func (c *deltaCache) get(known wire.Version) (json.RawMessage, error) {
 	e, first := c.entry(known)
 	if first {
-		e.data, e.err = json.Marshal(c.machine.Delta(known))
+		e.data, e.err = json.Marshal(compact(c.machine.Delta(known)))
 		close(e.done)
 	}
 	<-e.done
 	return e.data, e.err
 }
 
+// compactDelta is a wire.Delta without its empty lists. Most responses carry no
+// change, and the names of empty lists would be half of their bytes.
+type compactDelta struct {
+	Configuration     *wire.Configuration `json:",omitempty"`
+	FromVersion       wire.Version
+	Full              bool
+	Members           []wire.Member      `json:",omitempty"`
+	Partitions        wire.PartitionList `json:",omitempty"`
+	RemovedMembers    []wire.Incarnation `json:",omitempty"`
+	RemovedPartitions []wire.PartitionID `json:",omitempty"`
+	RemovedSuspects   []wire.Fingerprint `json:",omitempty"`
+	Revision          wire.Revision
+	Suspects          []wire.Suspect `json:",omitempty"`
+	ToVersion         wire.Version
+}
+
+func compact(d wire.Delta) compactDelta { return compactDelta(d) }
+
 // entry returns the encoding to use, and whether the caller must fill it.
 func (c *deltaCache) entry(known wire.Version) (*encoding, bool) {
 	c.mu.Lock()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -429,13 +429,13 @@
 	Group GroupID `json:"Group"`
 
 	// HotKeys corresponds to the JSON schema field "HotKeys".
-	HotKeys []HotKey `json:"HotKeys"`
+	HotKeys []HotKey `json:"HotKeys,omitempty"`
 
 	// KnownVersion corresponds to the JSON schema field "KnownVersion".
 	KnownVersion Version `json:"KnownVersion"`
 
 	// Loads corresponds to the JSON schema field "Loads".
-	Loads []PartitionLoad `json:"Loads"`
+	Loads []PartitionLoad `json:"Loads,omitempty"`
 
 	// Absent while no target has announced itself.
 	Member *Announcement `json:"Member,omitempty"`
@@ -447,7 +447,7 @@
 	Process ProcessID `json:"Process"`
 
 	// Moved-away grants under which the node no longer hands over requests.
-	Released []Grant `json:"Released"`
+	Released []Grant `json:"Released,omitempty"`
 
 	// RevisionInForce corresponds to the JSON schema field "RevisionInForce".
 	RevisionInForce Revision `json:"RevisionInForce"`
