capacity: count bytes only after the group has settled

Cause: received bytes seemed to grow by 39 B/s with each node. The audit trail showed that the first assignment was delivered within the measured window. Change: the measurement waits a second after readiness, and reports the bytes of a configuration change. Before, 10, 20 and 30 nodes: received 1152, 1530, 1942 B/s. After: 816, 820, 824 B/s, and 544 to 553 B for a change of a configuration with one service.

--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -24,6 +24,8 @@
 	service = wire.ServiceName("catalogue")
 	// changes is how many configuration changes are timed.
 	changes = 20
+	// settleTime is longer than a heartbeat interval and a watch.
+	settleTime clock.Millis = 1000
 	// readyTimeout bounds the start of a fleet.
 	readyTimeout clock.Millis = 30_000
 )
@@ -76,7 +78,11 @@
 		return 0
 	})
 	b.fleet = startFleet(ctx, nodes, group, service, control)
-	return b.waitAssigned(ctx, nodes)
+	if err := b.waitAssigned(ctx, nodes); err != nil {
+		return err
+	}
+	// The first assignment must have reached the nodes before bytes are counted.
+	return clock.System().Sleep(ctx, settleTime)
 }
 
 func (b *bench) close() {
@@ -183,11 +189,17 @@
 	if err != nil {
 		return sample{}, err
 	}
+	_, before := b.fleet.traffic()
+	began := clock.System().Now()
 	worst, err := b.changeConfiguration(ctx, nodes*o.partitionsPerNode)
 	if err != nil {
 		return sample{}, err
 	}
+	_, after := b.fleet.traffic()
+	took := float64(clock.System().Now()-began) / 1000
+	perChange := ((after-before)/float64(nodes) - idle[4].value*took) / changes
 	idle = append(idle,
+		quantity{"received by a node for a change, B", perChange},
 		quantity{"slowest of 20 changes known to all, ms", float64(worst)},
 		quantity{"failed calls", float64(b.fleet.failed())})
 	return sample{size: float64(nodes), values: idle}, nil
