node: tell callers which incarnation ran their request

The ingress node now sets the field on responses of a target, complete or failed. Responses that the system generates and replayed ones have no member.

--- a/internal/header/header.go
+++ b/internal/header/header.go
@@ -36,7 +36,8 @@
 	Partition = "Gentiansail-Partition"
 	// Epoch is the fencing token of the partition's grant.
 	Epoch = "Gentiansail-Epoch"
-	// Member is the incarnation that the ingress node chose.
+	// Member is the incarnation that the ingress node chose. In a response to a
+	// caller it is the one that ran the request.
 	Member = "Gentiansail-Member"
 	// Attempt counts attempts of one request, from 1.
 	Attempt = "Gentiansail-Attempt"
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -136,6 +136,10 @@
 	n.metrics.requests.WithLabelValues(string(p.outcome), string(p.reason)).Inc()
 	p.header.Del(header.InFlight)
 	p.header.Del(header.Limit)
+	// The reply's own header may still be recorded as that of an operation.
+	if p.ranNow() {
+		w.Header().Set(header.Member, string(q.member))
+	}
 	p.writeHeader(w, q)
 	if err := p.writeBody(w, q.deadline-n.clock.Now(), func(int) {}); err != nil {
 		n.metrics.aborted.Inc()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -33,6 +33,7 @@
 			c.Assert(h.Get(header.RequestID), qt.Equals, "r1")
 			p, _ := f.machine.Owner("catalogue", fmt.Sprintf("key%d", n))
 			c.Assert(body, qt.Contains, fmt.Sprintf(`"Partition":%q,"Epoch":%d`, p.Partition, p.Epoch))
+			c.Assert(h.Get(header.Member), qt.Equals, string(p.Owner))
 			c.Assert(body, qt.Contains, "chunk 2 of 2 of r1\n")
 		}
 	}
--- a/internal/node/promises_test.go
+++ b/internal/node/promises_test.go
@@ -31,6 +31,7 @@
 		c.Assert(status, qt.Equals, 200)
 		c.Assert(again, qt.Equals, first)
 		c.Assert(got.Get(header.Replayed), qt.Equals, "true")
+		c.Assert(got.Get(header.Member), qt.Equals, "")
 	}
 	tests := map[string]struct {
 		header map[string]string
--- a/internal/node/reply.go
+++ b/internal/node/reply.go
@@ -103,6 +103,10 @@
 // notRun reports whether the request certainly did not run.
 func (p *reply) notRun() bool { return p.outcome == wire.OutcomeNotRun }
 
+// ranNow reports whether this is the response of a target that ran the request
+// for this call, and not the record of an earlier run.
+func (p *reply) ranNow() bool { return p.reason == "" && !p.replayed }
+
 // writeHeader sends the status and header.
 func (p *reply) writeHeader(w http.ResponseWriter, q *request) {
 	h := w.Header()
