bench: report how many keys moved during a run

Churn is one of the users' three measures, and the load tool did not show it.

It reports the partitions and the keys of the run that changed owner, the fewest keys that the events required, and the ratio. Required are the keys whose owner was lost or drained, and an even share for each target that joined; this is the rule of the policy model. First assignments do not count. Where the trail no longer reaches back to the first assignments, the figures are lower bounds.

internal/bench/mesh passes its control group, and has -work and -duration, so that a slow target can be slow for longer than one round of planned moves and be overloaded at a rate that the load tool itself sustains on a busy host.

--- a/cmd/gentiansail/bench_flags.go
+++ b/cmd/gentiansail/bench_flags.go
@@ -27,7 +27,7 @@
 
 func (c *commandLine) addBench() {
 	b := &c.bench
-	s := c.add("bench", "send load to nodes, check each response, and report", c.runBench)
+	s := c.add("bench", "send load to nodes, check each response, and report; with --control also how many keys moved", c.runBench)
 	s.String(&b.addresses, "", "addresses", "caller listeners of the nodes, separated by commas")
 	s.StringSlice(&b.routes, "", "route", "name:service:method:path:weight, with :once if it must not repeat and {key} in the path; repeat the flag for a mix")
 	s.Float64(&b.rate, "", "rate", "requests per second")
@@ -45,6 +45,13 @@
 func (c *commandLine) runBench(ctx context.Context) error {
 	o := c.bench.options()
 	o.Format = bench.Format(c.output)
+	if c.control != "" {
+		group := c.session()
+		if err := group.Reach(c.control); err != nil {
+			return err
+		}
+		o.Group, o.Control = group.Group, group.Control
+	}
 	for _, r := range c.bench.routes {
 		route, err := bench.ParseRoute(r)
 		if err != nil {
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -1,5 +1,5 @@
 // Package bench is the load tool: it sends requests to nodes at a fixed rate,
-// checks each response, and reports latency, imbalance and unavailable time.
+// checks each response, and reports latency, imbalance, unavailable time and churn.
 //
 // The load is open-loop. Request number i is due at i/Rate after the start,
 // whether or not earlier ones have ended, and its latency counts from when it
@@ -47,6 +47,8 @@
 	ErrOutput = merry.Sentinel("cannot write report")
 	// ErrTarget means that the record of a stand-in target could not be read.
 	ErrTarget = merry.Sentinel("cannot read target record")
+	// ErrControl means that the audit trail could not be read.
+	ErrControl = merry.Sentinel("cannot read control group")
 )
 
 // Defaults of Options.
@@ -103,12 +105,19 @@
 	// unavailable while the caller waited. Zero means 500 ms.
 	ServeWithin clock.Millis
 	// Capacities gives the capacity of members by the name in the response field
-	// Gentiansail-Member, or by the stand-in target's instance without it. Members without one count as 1, so leave it empty when
-	// all are of one size.
+	// Gentiansail-Member. Responses without the field, as those of a target that
+	// is measured directly, count for the instance that a stand-in target states.
+	// Members that are missing here count as 1, so leave it empty when all are of
+	// one size.
 	Capacities map[string]float64
 	// Targets are addresses of stand-in targets. Their records are read after
 	// the run, to find requests that ran twice or although reported as not run.
 	Targets []string
+	// Group and Control name the control group and addresses of its replicas.
+	// With them, the audit trail is read before and after the run, to report how
+	// many keys moved.
+	Group   wire.GroupID
+	Control []wire.Address
 	// Format is Text or JSON. Empty means Text.
 	Format Format
 	// PlotFile, if set, is the SVG file to write.
@@ -161,18 +170,24 @@
 	if err != nil {
 		return err
 	}
+	before, err := lastIndex(ctx, o)
+	if err != nil {
+		return err
+	}
 	samples, names := generate(ctx, o)
 	report := summarize(o, samples, names)
 	if err := audit(context.WithoutCancel(ctx), o, samples, &report); err != nil {
 		return err
 	}
+	moved, unread := churn(context.WithoutCancel(ctx), o, before)
+	report.Churn = moved
 	if err := write(o, report, w); err != nil {
 		return err
 	}
 	if n := report.broken(); n > 0 {
 		return merry.Wrap(ErrPromise, merry.AppendMessagef("%d times", n))
 	}
-	return nil
+	return unread
 }
 
 func (o Options) complete() (Options, error) {
--- a/internal/bench/mesh/main.go
+++ b/internal/bench/mesh/main.go
@@ -31,12 +31,9 @@
 
 const (
 	configFolder = "examples/donation-mesh/config"
-	totalTimeout = 2 * time.Minute
-	// eventAt is when the event begins and slowFor how long a target is slow.
-	eventAt clock.Millis = 5000
-	slowFor clock.Millis = 5000
-	// normalWork and slowWork are service times in milliseconds.
-	normalWork, slowWork = 10, 60
+	startTimeout = 2 * time.Minute
+	// slowFactor is how much slower a target becomes.
+	slowFactor = 6
 	// affected is the index of the host that the event happens to.
 	affected = 2
 )
@@ -46,17 +43,22 @@
 	service string
 	event   string
 	bin     string
-	load    bench.Options
+	// work is the service time of the targets in milliseconds.
+	work int
+	load bench.Options
 }
 
 func main() {
-	r := run{load: bench.Options{Duration: 15_000, Keys: 1000, Skew: 0.9, Seed: 1}}
+	r := run{load: bench.Options{Keys: 1000, Skew: 0.9, Seed: 1}}
 	flag.StringVar(&r.service, "service", "catalogue", "catalogue or pledges")
 	flag.StringVar(&r.event, "event", "", "loss, slow or empty")
 	flag.StringVar(&r.bin, "bin", "bin", "folder of the programs")
 	flag.Float64Var(&r.load.Rate, "rate", 300, "requests per second")
+	flag.IntVar(&r.work, "work", 10, "service time of the targets in milliseconds")
+	duration := flag.Duration("duration", 15*time.Second, "length of the run; the event begins after a third, and a slow target recovers after another")
 	flag.StringVar(&r.load.PlotFile, "plot", "", "SVG file to write")
 	flag.Parse()
+	r.load.Duration = clock.FromDuration(*duration)
 	ctx, stop := process.SignalContext(context.Background())
 	defer stop()
 	if err := r.run(ctx); err != nil {
@@ -66,7 +68,7 @@
 }
 
 func (r run) run(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, totalTimeout)
+	ctx, cancel := context.WithTimeout(ctx, startTimeout+r.load.Duration.Duration())
 	defer cancel()
 	folder, err := os.MkdirTemp("", "gentiansail-mesh-")
 	if err != nil {
@@ -83,13 +85,13 @@
 	}
 	hosts := r.hosts(c)
 	go r.happen(ctx, hosts[affected])
-	return bench.Run(ctx, r.options(hosts), os.Stdout)
+	return bench.Run(ctx, r.options(c, hosts), os.Stdout)
 }
 
 // system has five hosts for the measured service, and one for each other keyed
 // service of the configuration, which needs an owner to be ready.
 func (r run) system(folder string) cluster.Options {
-	s := cluster.Service{Targets: 1, Slots: 10, ChecksGrants: true, Arguments: []string{"--service-millis", fmt.Sprint(normalWork)}}
+	s := cluster.Service{Targets: 1, Slots: 10, ChecksGrants: true, Arguments: []string{"--service-millis", fmt.Sprint(r.work)}}
 	services := map[wire.ServiceName]cluster.Service{"catalogue": s}
 	s.Targets = 5
 	services[wire.ServiceName(r.service)] = s
@@ -118,8 +120,10 @@
 
 // options leave out a host that will be lost: callers connected to its node see
 // the loss of that connection, which is not what is measured.
-func (r run) options(hosts []*cluster.Host) bench.Options {
+func (r run) options(c *cluster.Cluster, hosts []*cluster.Host) bench.Options {
 	o := r.load
+	operator := c.Operator()
+	o.Group, o.Control = operator.Group, operator.Control
 	for i, h := range hosts {
 		if i == affected && r.event == "loss" {
 			continue
@@ -137,7 +141,7 @@
 
 func (r run) happen(ctx context.Context, h *cluster.Host) {
 	c := clock.System()
-	if c.Sleep(ctx, eventAt) != nil {
+	if c.Sleep(ctx, r.load.Duration/3) != nil {
 		return
 	}
 	switch r.event {
@@ -145,9 +149,9 @@
 		h.Node.Kill()
 		h.Target.Kill()
 	case "slow":
-		setWork(h, slowWork)
-		_ = c.Sleep(ctx, slowFor)
-		setWork(h, normalWork)
+		setWork(h, slowFactor*r.work)
+		_ = c.Sleep(ctx, r.load.Duration/3)
+		setWork(h, r.work)
 	}
 }
 
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -47,8 +47,10 @@
 	RanAlthoughNotRun int
 	Unavailable       Unavailable
 	Services          map[string]Imbalance
-	Routes            map[string]RouteReport
-	Windows           []Window
+	// Churn is that of keyed services, if the control group is known.
+	Churn   map[string]Churn `json:",omitempty"`
+	Routes  map[string]RouteReport
+	Windows []Window
 }
 
 // Quantiles summarise latencies in milliseconds.
@@ -221,6 +223,10 @@
 		s := r.Services[n]
 		row("imbalance "+n, "run %.3f  window median %.3f  window worst %.3f  members %d", s.Run, s.WindowMedian, s.WindowWorst, s.Members)
 	}
+	for _, n := range slices.Sorted(maps.Keys(r.Churn)) {
+		v := r.Churn[n]
+		row("churn "+n, "keys moved %d (partitions %d)  required %.1f  ratio %s", v.Keys, v.Partitions, v.Required, v.ratio())
+	}
 	for _, n := range slices.Sorted(maps.Keys(r.Routes)) {
 		v := r.Routes[n]
 		row("route "+n, "%d of %d complete  %s", v.Complete, v.Requests, v.Latency)
