cmd: add the subcommand bench policies

The policy comparison had a program of its own in internal/bench/policies/table that only a checkout could run.

internal/bench/mesh stays a separate command: it starts processes through the test harness internal/integration/cluster, and the router's own program starts no other process.

--- a/cmd/gentiansail/bench_flags.go
+++ b/cmd/gentiansail/bench_flags.go
@@ -8,8 +8,10 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/integrii/flaggy"
 
 	"github.com/gentiansail/gentiansail/internal/bench"
+	"github.com/gentiansail/gentiansail/internal/bench/policies"
 	"github.com/gentiansail/gentiansail/internal/operator"
 	"github.com/gentiansail/gentiansail/pkg/clock"
 )
@@ -23,10 +25,14 @@
 	keys, callers, workers int
 	seed                   uint64
 	plot                   string
+	policies               policies.Options
 }
 
 func (c *commandLine) addBench() {
 	b := &c.bench
+	// A nested subcommand comes before its parent, which is in use as well.
+	compare := flaggy.NewSubcommand("policies")
+	c.commands = append(c.commands, command{sub: compare, run: c.runPolicies})
 	s := c.add("bench", "send load to nodes, check each response, and report; with --control also how many keys moved", c.runBench)
 	s.String(&b.addresses, "", "addresses", "caller listeners of the nodes, separated by commas")
 	s.StringSlice(&b.routes, "", "route", "name:service:method:path:weight, with :once if it must not repeat and {key} in the path; repeat the flag for a mix")
@@ -40,6 +46,15 @@
 	s.Duration(&b.window, "", "window", "length of the time windows of the report")
 	s.String(&b.targets, "", "targets", "stand-in targets whose record is checked afterwards, separated by commas")
 	s.String(&b.plot, "", "plot", "SVG file to write")
+	compare.Description = "compare the decision functions with baselines on model runs, without processes, and print Markdown tables"
+	compare.UInt64(&b.policies.Seed, "", "seed", "first seed")
+	compare.Int(&b.policies.Seeds, "", "seeds", "runs of each policy, whose means are printed; 0 means 5")
+	compare.String(&b.policies.Trace, "", "trace", "run only the traces whose names contain this text")
+	s.AttachSubcommand(compare, 1)
+}
+
+func (c *commandLine) runPolicies(ctx context.Context) error {
+	return policies.Run(ctx, c.bench.policies, os.Stdout)
 }
 
 func (c *commandLine) runBench(ctx context.Context) error {
--- a/cmd/gentiansail/command_line.go
+++ b/cmd/gentiansail/command_line.go
@@ -9,6 +9,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/gentiansail/gentiansail/internal/bench/policies"
 	"github.com/gentiansail/gentiansail/internal/operator"
 	"github.com/gentiansail/gentiansail/internal/wire"
 	"github.com/gentiansail/gentiansail/pkg/clock"
@@ -79,6 +80,7 @@
 		operator: firstOf(os.Getenv(operatorVariable), os.Getenv("USER"), os.Getenv("LOGNAME"), "operator"),
 		output:   "text", timeout: operator.DefaultTimeout.Duration(),
 		base: int(operator.CurrentRevision), waitTimeout: defaultWait, limit: defaultAuditLimit,
+		bench:  benchFlags{policies: policies.Options{Seed: 1}},
 		parser: flaggy.NewParser("gentiansail"),
 	}
 	p := c.parser
--- a/cmd/gentiansail/main_test.go
+++ b/cmd/gentiansail/main_test.go
@@ -27,6 +27,8 @@
 		"missing settings":   {[]string{"node", "--settings", filepath.Join(t.TempDir(), "none")}, operator.ExitUsage},
 		"broken folder":      {[]string{"validate", "../../examples/broken/routes"}, operator.ExitRefused},
 		"no control replica": {append(unreachable, "status"), operator.ExitUnavailable},
+		"load without nodes": {[]string{"bench"}, operator.ExitUsage},
+		"policies, no trace": {[]string{"bench", "policies", "--trace", "none"}, operator.ExitOK},
 		"flags after":        {append([]string{"quarantine", "list"}, unreachable...), operator.ExitUnavailable},
 	}
 	for name, test := range tests {
