capacity: measure requests through nodes against direct ones

Cause: the cost of the two hops had no figure. Change: at each rate the same load goes to five targets directly and through their nodes, in one run; the processor time of the nodes is read from /proc.

--- a/internal/capacity/main.go
+++ b/internal/capacity/main.go
@@ -101,6 +101,11 @@
 		operations = append(operations, s)
 	}
 	printSamples("operations/s", operations)
+	requests, err := measureRequests(ctx, o)
+	if err != nil {
+		return err
+	}
+	printSamples("requests/s over 5 nodes", requests)
 	var tables []sample
 	for _, n := range o.sizes {
 		tables = append(tables, measureTable(n*10, o.partitionsPerNode))
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -32,8 +32,8 @@
 
 var errNoLeader = errors.New("no leader")
 
-// bench is a control group with a fleet.
-type bench struct {
+// system is a control group with a fleet.
+type system struct {
 	cluster *cluster.Cluster
 	folder  string
 	leader  *cluster.Replica
@@ -41,12 +41,12 @@
 	client  *rpc.Client
 }
 
-func startBench(ctx context.Context, o options, nodes int) (*bench, error) {
+func startSystem(ctx context.Context, o options, nodes int) (*system, error) {
 	folder, err := os.MkdirTemp("", "gentiansail-capacity-")
 	if err != nil {
 		return nil, err
 	}
-	b := &bench{folder: folder}
+	b := &system{folder: folder}
 	if err := b.start(ctx, o, nodes); err != nil {
 		b.close()
 		return nil, err
@@ -54,7 +54,7 @@
 	return b, nil
 }
 
-func (b *bench) start(ctx context.Context, o options, nodes int) error {
+func (b *system) start(ctx context.Context, o options, nodes int) error {
 	c, err := cluster.Start(ctx, cluster.Options{Gentiansail: o.gentiansail, Standin: o.standin, Folder: b.folder, Replicas: 3, Group: group})
 	if err != nil {
 		return err
@@ -85,7 +85,7 @@
 	return clock.System().Sleep(ctx, settleTime)
 }
 
-func (b *bench) close() {
+func (b *system) close() {
 	if b.fleet != nil {
 		b.fleet.close()
 	}
@@ -116,7 +116,7 @@
 
 // apply makes a configuration the accepted one. It follows the leader, which may
 // change on a busy host, and repeats the same request until it is answered.
-func (b *bench) apply(ctx context.Context, base wire.Revision, c wire.Configuration) (wire.Revision, error) {
+func (b *system) apply(ctx context.Context, base wire.Revision, c wire.Configuration) (wire.Revision, error) {
 	request := wire.ApplyRequest{
 		Group: group, Operator: "capacity", RequestID: wire.RequestID(uuid.NewString()), BaseRevision: base, Configuration: c,
 	}
@@ -139,7 +139,7 @@
 }
 
 // findLeader points the client at the current leader.
-func (b *bench) findLeader(ctx context.Context) error {
+func (b *system) findLeader(ctx context.Context) error {
 	status, err := b.cluster.Operator().FetchStatus(ctx)
 	if err != nil {
 		return err
@@ -164,7 +164,7 @@
 	return nil
 }
 
-func (b *bench) waitAssigned(ctx context.Context, nodes int) error {
+func (b *system) waitAssigned(ctx context.Context, nodes int) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout.Duration())
 	defer cancel()
 	return b.cluster.WaitStatus(ctx, func(s wire.StatusResponse) error {
@@ -180,7 +180,7 @@
 // measureNodes measures an idle control group with a fleet, then the time until
 // a change of the configuration is known to all nodes.
 func measureNodes(ctx context.Context, o options, nodes int) (sample, error) {
-	b, err := startBench(ctx, o, nodes)
+	b, err := startSystem(ctx, o, nodes)
 	if err != nil {
 		return sample{}, err
 	}
@@ -206,7 +206,7 @@
 }
 
 // window measures processor time and bytes over a time without changes.
-func (b *bench) window(ctx context.Context, w clock.Millis, nodes float64) ([]quantity, error) {
+func (b *system) window(ctx context.Context, w clock.Millis, nodes float64) ([]quantity, error) {
 	c := clock.System()
 	before, err := b.usage()
 	if err != nil {
@@ -233,7 +233,7 @@
 }
 
 // usage returns that of the leader, then that of the busiest follower so far.
-func (b *bench) usage() ([2]usage, error) {
+func (b *system) usage() ([2]usage, error) {
 	var out [2]usage
 	for _, r := range b.cluster.Replicas {
 		u, err := usageOf(r.PID())
@@ -252,7 +252,7 @@
 
 // changeConfiguration returns the longest time from the request to the moment
 // at which the last node had the new revision in its table.
-func (b *bench) changeConfiguration(ctx context.Context, partitions int) (clock.Millis, error) {
+func (b *system) changeConfiguration(ctx context.Context, partitions int) (clock.Millis, error) {
 	c := clock.System()
 	var worst clock.Millis
 	for i := range changes {
@@ -276,7 +276,7 @@
 
 // measureOperations runs Begin and Finish at a fixed rate.
 func measureOperations(ctx context.Context, o options, rate int) (sample, error) {
-	b, err := startBench(ctx, o, 3)
+	b, err := startSystem(ctx, o, 3)
 	if err != nil {
 		return sample{}, err
 	}
@@ -303,7 +303,7 @@
 	}}, nil
 }
 
-func (b *bench) operations(ctx context.Context, rate int, w clock.Millis) (done, failed, slowest int64) {
+func (b *system) operations(ctx context.Context, rate int, w clock.Millis) (done, failed, slowest int64) {
 	c := clock.System()
 	var ok, bad, worst atomic.Int64
 	var running sync.WaitGroup
@@ -331,7 +331,7 @@
 
 // operation records one operation with a response of 200 bytes, and returns the
 // time that Begin took, which is what it adds to the request.
-func (b *bench) operation(ctx context.Context) (clock.Millis, error) {
+func (b *system) operation(ctx context.Context) (clock.Millis, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
 	id, err := uuid.NewV7()
--- /dev/null
+++ b/internal/capacity/requests.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/gentiansail/gentiansail/internal/bench"
+	"github.com/gentiansail/gentiansail/internal/integration/cluster"
+	"github.com/gentiansail/gentiansail/internal/wire"
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+// hosts is the number of real nodes with stand-in targets that requests are
+// measured with.
+const hosts = 5
+
+// requestConfig is the configuration folder for requests. The service is the
+// one of the fleet.
+const requestConfig = `{
+  "Regions": [{"Name": "tz-coast", "FailureDomains": ["dsm-a", "dsm-b", "dsm-c"]}],
+  "Services": [{"Name": "catalogue", "Keyed": true, "Partitions": 64, "MoveBudget": 4}],
+  "Routes": [{
+    "Name": "browse", "Service": "catalogue", "Methods": ["GET"], "Path": "/catalogue/",
+    "Key": {"From": "PathSegment", "Segment": 2}, "Repeatable": true, "Class": "browse", "DeadlineMillis": 10000
+  }],
+  "CallerLimits": []
+}`
+
+// measureRequests sends the same load through the nodes and to the targets
+// directly, one after the other in one run, at each rate.
+func measureRequests(ctx context.Context, o options) ([]sample, error) {
+	folder, err := os.MkdirTemp("", "gentiansail-capacity-")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	c, err := startHosts(ctx, o, folder)
+	if c != nil {
+		defer c.Close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	var out []sample
+	for _, rate := range o.rates {
+		s, err := measureRate(ctx, o, c, rate)
+		if err != nil {
+			return nil, fmt.Errorf("%d requests/s: %w", rate, err)
+		}
+		out = append(out, s)
+	}
+	return out, nil
+}
+
+func startHosts(ctx context.Context, o options, folder string) (*cluster.Cluster, error) {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout.Duration())
+	defer cancel()
+	c, err := cluster.Start(ctx, cluster.Options{
+		Gentiansail: o.gentiansail, Standin: o.standin, Folder: folder, Replicas: 3, Group: group,
+		Services: map[wire.ServiceName]cluster.Service{service: {Targets: hosts, Slots: 64, Arguments: []string{"--service-millis", "2"}}},
+	})
+	if err != nil {
+		return nil, err
+	}
+	config := filepath.Join(folder, "config")
+	if err := os.Mkdir(config, 0o700); err != nil {
+		return c, err
+	}
+	if err := os.WriteFile(filepath.Join(config, "mesh.jsonc"), []byte(requestConfig), 0o600); err != nil {
+		return c, err
+	}
+	if err := c.Bootstrap(ctx); err != nil {
+		return c, err
+	}
+	if err := c.Apply(ctx, config); err != nil {
+		return c, err
+	}
+	return c, c.WaitReady(ctx)
+}
+
+func measureRate(ctx context.Context, o options, c *cluster.Cluster, rate int) (sample, error) {
+	var nodes, targets []string
+	for _, h := range c.Hosts {
+		nodes = append(nodes, string(h.Caller))
+		targets = append(targets, string(h.Target.Addr()))
+	}
+	direct, err := load(ctx, o, targets, rate)
+	if err != nil {
+		return sample{}, err
+	}
+	before, err := nodeSeconds(c)
+	if err != nil {
+		return sample{}, err
+	}
+	began := clock.System().Now()
+	routed, err := load(ctx, o, nodes, rate)
+	if err != nil {
+		return sample{}, err
+	}
+	seconds := float64(clock.System().Now()-began) / 1000
+	after, err := nodeSeconds(c)
+	if err != nil {
+		return sample{}, err
+	}
+	return sample{size: float64(rate), values: []quantity{
+		{"direct p50, ms", direct.Latency.P50},
+		{"direct p99, ms", direct.Latency.P99},
+		{"through nodes p50, ms", routed.Latency.P50},
+		{"through nodes p99, ms", routed.Latency.P99},
+		{"ratio p50", routed.Latency.P50 / direct.Latency.P50},
+		{"ratio p99", routed.Latency.P99 / direct.Latency.P99},
+		{"complete, %", 100 * float64(routed.Outcomes[wire.OutcomeComplete]) / float64(routed.Requests)},
+		{"all nodes, % of a core", 100 * (after - before) / seconds},
+	}}, nil
+}
+
+func load(ctx context.Context, o options, addresses []string, rate int) (bench.Report, error) {
+	var out bytes.Buffer
+	err := bench.Run(ctx, bench.Options{
+		Addresses: addresses, Rate: float64(rate), Duration: o.window, Keys: 1000, Skew: 0.5, Seed: 1, Format: bench.JSON,
+		Routes: []bench.Route{{Name: "browse", Service: string(service), Method: "GET", Path: "/catalogue/{key}", Repeatable: true, Weight: 1}},
+	}, &out)
+	var r bench.Report
+	if err != nil {
+		return r, err
+	}
+	return r, json.Unmarshal(out.Bytes(), &r)
+}
+
+// nodeSeconds returns the processor time of all nodes.
+func nodeSeconds(c *cluster.Cluster) (float64, error) {
+	var sum float64
+	for _, h := range c.Hosts {
+		u, err := usageOf(h.Node.PID())
+		if err != nil {
+			return 0, err
+		}
+		sum += u.cpuSeconds
+	}
+	return sum, nil
+}
