node: answer requests on connections accepted before a planned stop

Cause: http.Server.Shutdown. Its connection loop returns after reading the first request when the shutdown has begun meanwhile, also on connections that were accepted before.

Change: serve closes the listener, waits until each accepted connection has had its first request (at most 1 s) and no request is active, and only then calls Shutdown.

--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -5,7 +5,6 @@
 	"io"
 	"log"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -125,17 +124,6 @@
 	}
 }
 
-// idleTimeout closes connections that callers leave idle. It is far above the
-// time after which other nodes' pools close theirs.
-const idleTimeout = 75 * time.Second
-
-// serve serves until ctx ends, then finishes requests in flight. Each has a
-// deadline of at most maxDeadline.
-func serve(ctx context.Context, l net.Listener, h http.Handler) error {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: idleTimeout, ErrorLog: quietLog}
-	return process.ServeHTTP(ctx, l, s, maxDeadline.Duration())
-}
-
 // health fails while the node cannot route.
 func (n *node) health() error {
 	if !n.routing.usable() {
--- /dev/null
+++ b/internal/node/serve.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/gentiansail/gentiansail/internal/process"
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+const (
+	// idleTimeout closes connections that callers leave idle. It is far above the
+	// time after which other nodes' pools close theirs.
+	idleTimeout = 75 * time.Second
+	// firstRequestWait is how long a stop waits for the first request on
+	// connections that were accepted just before it. A caller sends it right
+	// after it connects.
+	firstRequestWait clock.Millis = 1000
+)
+
+// serve serves until ctx ends, then finishes requests in flight. Each has a
+// deadline of at most maxDeadline.
+//
+// http.Server.Shutdown alone is not graceful enough: it closes a connection
+// without a response when its first request is read after Shutdown began, even
+// if the connection was accepted before. So the listener is closed first, and
+// Shutdown follows when no connection has a request.
+func serve(ctx context.Context, l net.Listener, h http.Handler) error {
+	c := &connections{states: make(map[net.Conn]http.ConnState), changed: make(chan struct{})}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: idleTimeout, ErrorLog: quietLog, ConnState: c.set}
+	ends := make(chan error, 1)
+	go func() { ends <- s.Serve(l) }()
+	select {
+	case err := <-ends:
+		return merry.Wrap(process.ErrListener, merry.WithCause(err), merry.AppendMessagef("%s: %v", l.Addr(), err))
+	case <-ctx.Done():
+	}
+	_ = l.Close()
+	// From here on every accepted connection has a state.
+	<-ends
+	s.SetKeepAlivesEnabled(false)
+	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), maxDeadline.Duration())
+	defer cancel()
+	first, stop := context.WithTimeout(stopping, firstRequestWait.Duration())
+	defer stop()
+	c.awaitNone(first, http.StateNew)
+	c.awaitNone(stopping, http.StateActive)
+	return s.Shutdown(stopping)
+}
+
+// connections follows the states of a server's open connections.
+type connections struct {
+	mu      sync.Mutex
+	states  map[net.Conn]http.ConnState
+	changed chan struct{}
+}
+
+// set is a hook for http.Server.ConnState.
+func (c *connections) set(conn net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(c.states, conn)
+	} else {
+		c.states[conn] = state
+	}
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// awaitNone waits until no connection is in the state, or ctx ends.
+func (c *connections) awaitNone(ctx context.Context, state http.ConnState) {
+	for {
+		count, changed := c.count(state)
+		if count == 0 {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *connections) count(state http.ConnState) (int, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, s := range c.states {
+		if s == state {
+			n++
+		}
+	}
+	return n, c.changed
+}
