integration: print warnings of all processes when a fault test fails

A response that was lost in a rolling restart could not be explained from the test's output. Messages name the fault in progress and the time.

--- a/internal/integration/faults_load_test.go
+++ b/internal/integration/faults_load_test.go
@@ -71,7 +71,9 @@
 	stop    context.CancelFunc
 	workers sync.WaitGroup
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// during is the fault in progress, for messages.
+	during    string
 	next      int
 	responses []history.Response
 	// answered is the run that a complete response names, by request id.
@@ -119,6 +121,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(c.Close)
 	f.Cluster = c
+	t.Cleanup(func() { f.warnings(folder) })
 	f.config = filepath.Join(folder, "config")
 	qt.Assert(t, os.MkdirAll(f.config, 0o700), qt.IsNil)
 	qt.Assert(t, os.WriteFile(filepath.Join(f.config, "all.jsonc"), []byte(configOf(services)), 0o600), qt.IsNil)
@@ -129,6 +132,24 @@
 	return f
 }
 
+// warnings prints the warnings of all processes when the test has failed.
+func (f *faults) warnings(folder string) {
+	if !f.t.Failed() {
+		return
+	}
+	logs, err := filepath.Glob(filepath.Join(folder, "start-*", "*.log"))
+	qt.Check(f.t, err, qt.IsNil)
+	for _, l := range logs {
+		data, err := os.ReadFile(l)
+		qt.Check(f.t, err, qt.IsNil)
+		for _, line := range strings.Split(string(data), "\n") {
+			if strings.Contains(line, `"level":"warn"`) || strings.Contains(line, `"level":"error"`) {
+				f.t.Log(line)
+			}
+		}
+	}
+}
+
 // configOf leaves out the lines of faultConfig about services without targets.
 func configOf(services map[wire.ServiceName]cluster.Service) string {
 	lines := slices.DeleteFunc(strings.Split(faultConfig, "\n"), func(l string) bool {
@@ -205,6 +226,13 @@
 
 func faultKey(n int) string { return fmt.Sprintf("request-%d", n%faultKeys) }
 
+// begin names the fault that begins.
+func (f *faults) begin(fault string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.during = fault
+}
+
 // settle sends a request through one node after the other until its outcome is
 // final, and returns the last response.
 func (f *faults) settle(ctx context.Context, q *faultRequest) cluster.Response {
@@ -249,7 +277,8 @@
 		Sent: strings.SplitN(q.path, "?", 2)[0], RequestID: id, IdempotencyKey: string(q.key),
 		Outcome: r.Outcome, Whole: err == nil && r.Cut == nil, Replayed: r.Replayed,
 	}
-	where := fmt.Sprintf("%s %s through %s, request %s: %d %s %s", q.method, n.Sent, h.Name, id, r.Status, r.Outcome, r.Reason)
+	where := fmt.Sprintf("%s %s through %s during %q, request %s: %d %s %s ", q.method, n.Sent, h.Name, f.during, id, r.Status, r.Outcome, r.Reason)
+	where += time.Now().UTC().Format(time.RFC3339Nano) + " "
 	if len(q.ids) > 1 {
 		f.resends++
 	}
--- a/internal/integration/faults_stop_test.go
+++ b/internal/integration/faults_stop_test.go
@@ -38,6 +38,7 @@
 	}
 	for _, p := range rest {
 		held := f.hold("&work=500&delay=200", "catalogue", "pledges")
+		f.begin("stop of " + p.Name)
 		f.restart(p)
 		f.whole(held, p.Name)
 	}
@@ -51,6 +52,7 @@
 func (f *faults) restart(p *cluster.Process) {
 	f.t.Helper()
 	qt.Assert(f.t, p.Stop(f.ctx), qt.IsNil)
+	f.begin("start of " + p.Name)
 	qt.Assert(f.t, p.Start(f.ctx), qt.IsNil)
 	f.ready()
 }
@@ -70,6 +72,7 @@
 func (f *faults) leave(h *cluster.Host, p *cluster.Process) {
 	f.t.Helper()
 	instance := f.instance(h)
+	f.begin("stop of " + p.Name)
 	requests := f.hold(leavingWork, string(h.Service))
 	began := clock.System().Wall()
 	qt.Assert(f.t, p.Stop(f.ctx), qt.IsNil)
--- a/internal/integration/faults_target_test.go
+++ b/internal/integration/faults_target_test.go
@@ -118,6 +118,9 @@
 	qt.Assert(f.t, h.Set(f.ctx, "stuck=false"), qt.IsNil)
 }
 
+// sickMillis is twice the time of the probes that end an incarnation.
+const sickMillis clock.Millis = 900
+
 // sick lets an owner report that it is sick while it works: it must keep its
 // keys, because health endpoints mislead.
 func (f *faults) sick() {
@@ -125,11 +128,13 @@
 	owner, through := f.owner("catalogue")
 	before := f.member(owner)
 	qt.Assert(f.t, owner.Set(f.ctx, "sick=true"), qt.IsNil)
-	for k := range faultKeys {
-		qt.Assert(f.t, f.awaitKey(f.ctx, through, fmt.Sprintf("/catalogue/%s", faultKey(k))), qt.IsNil)
+	// All keys are served for longer than the probes take that end an
+	// incarnation.
+	for end := clock.System().Now() + sickMillis; clock.System().Now() < end; {
+		for k := range faultKeys {
+			qt.Assert(f.t, f.awaitKey(f.ctx, through, fmt.Sprintf("/catalogue/%s", faultKey(k))), qt.IsNil)
+		}
 	}
-	// Longer than the probes that end an incarnation take.
-	qt.Assert(f.t, clock.System().Sleep(f.ctx, 1000), qt.IsNil)
 	qt.Check(f.t, f.member(owner), qt.Equals, before)
 	qt.Assert(f.t, owner.Set(f.ctx, "sick=false"), qt.IsNil)
 }
