--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -126,26 +124,6 @@
 	}
 }
 
-// idleTimeout closes connections that callers leave idle. It is far above the
-// time after which other nodes' pools close theirs.
-const idleTimeout = 75 * time.Second
-
-// serve serves until ctx ends, then finishes requests in flight. Each has a
-// deadline of at most maxDeadline.
-func serve(ctx context.Context, l net.Listener, h http.Handler) error {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: idleTimeout, ErrorLog: quietLog}
-	return errors.Join(process.ServeHTTP(ctx, l, s, maxDeadline.Duration()), finish(s))
-}
-
-// finish waits for connections that were accepted while the shutdown began:
-// Server.Shutdown does not see a connection between Accept and its first state,
-// and may return before it is served.
-func finish(s *http.Server) error {
-	ctx, cancel := context.WithTimeout(context.Background(), maxDeadline.Duration())
-	defer cancel()
-	return s.Shutdown(ctx)
-}
-
 // health fails while the node cannot route.
 func (n *node) health() error {
 	if !n.routing.usable() {
