integration: prove the promises while a node or its connections are cut off

TestNetworkNodeCutFromControl guards P1 and P4: a node cut from all of control while callers and nodes still reach it forwards nothing after its lease, its keys are served elsewhere, and it comes back as a new incarnation. The targets check no grants, so the node's own check is the only protection. TestNetworkSilentConnections and TestNetworkSilentCaller guard P3 and P5 against open connections that go silent for good while new ones work.

--- /dev/null
+++ b/internal/integration/network_node_test.go
@@ -0,0 +1,221 @@
+package integration
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/gentiansail/gentiansail/internal/integration/cluster"
+	"github.com/gentiansail/gentiansail/internal/integration/history"
+	target "github.com/gentiansail/gentiansail/internal/standin"
+	"github.com/gentiansail/gentiansail/internal/wire"
+	"github.com/gentiansail/gentiansail/pkg/clock"
+	"github.com/gentiansail/gentiansail/pkg/lease"
+)
+
+// lateStart allows for a target that is scheduled late on a busy host between
+// its node's check and its own record.
+const lateStart clock.Millis = 500
+
+// Guards P1 and P4 against a node that goes on by a lease and a table that the
+// control group has given to others, although callers and nodes still reach it.
+func TestNetworkNodeCutFromControl(t *testing.T) {
+	n := startNetwork(t)
+	h := n.Hosts[0]
+	n.load(n.Hosts...)
+	// The cut node refuses its lost keys, as not run, after it has waited for
+	// their new owners; callers get them through the others.
+	n.askEachKey(n.Hosts[1:]...)
+	owned := n.keysOf(h)
+	before := n.incarnation(h)
+	n.wait("the node runs requests", func() bool { return len(n.runs(h)) > 0 })
+
+	cutAt := clock.System().Now()
+	n.cutNode(h)
+	expired := clock.System().Wall() + clock.UnixMillis(lease.DefaultTerms.Longest())
+	n.wait("the keys have other owners", func() bool { return len(n.keysOf(h)) == 0 })
+	gap := n.longestGap(cutAt, clock.System().Now())
+	t.Logf("%d keys moved; a key was not served for at most %d ms", len(owned), gap)
+	qt.Check(t, gap <= servedAgain, qt.IsTrue, qt.Commentf("a key was not served for %d ms", gap))
+	// Load goes on through the cut node and to it.
+	n.hold(severalLeases)
+	for _, r := range n.runs(h) {
+		if r.Start > expired+clock.UnixMillis(lateStart) {
+			t.Errorf("%s began %d ms after the lease had expired", r.Path, r.Start-expired)
+		}
+	}
+
+	n.healNode(h)
+	n.wait("the node has a new incarnation", func() bool {
+		now := n.incarnation(h)
+		return now != "" && now != before
+	})
+	n.wait("the node owns keys", func() bool { return len(n.keysOf(h)) > 0 })
+	qt.Assert(t, n.WaitReady(n.ctx), qt.IsNil)
+	n.check()
+}
+
+// keysOf returns the keys that the host's target owns.
+func (n *network) keysOf(h *cluster.Host) []string {
+	n.t.Helper()
+	var out []string
+	for i := range keys {
+		o, err := n.Operator().FetchOwner(n.ctx, "catalogue", key(i))
+		qt.Assert(n.t, err, qt.IsNil)
+		if o.Member != nil && o.Member.Node == h.Name {
+			out = append(out, key(i))
+		}
+	}
+	return out
+}
+
+// incarnation returns the registered incarnation of the host's target, or "".
+func (n *network) incarnation(h *cluster.Host) wire.Incarnation {
+	n.t.Helper()
+	s, err := n.Operator().FetchStatus(n.ctx)
+	qt.Assert(n.t, err, qt.IsNil)
+	for _, v := range s.Nodes {
+		if v.Node == h.Name && v.Member != nil {
+			return v.Member.Incarnation
+		}
+	}
+	return ""
+}
+
+func (n *network) runs(h *cluster.Host) []target.Run {
+	n.t.Helper()
+	runs, err := h.Runs(n.ctx)
+	qt.Assert(n.t, err, qt.IsNil)
+	return runs
+}
+
+// slow is the service time of requests that are in flight during a fault.
+const slow = "&work=1000"
+
+// Guards against connections that go silent for good while new ones work: a
+// request that hangs on one, or that is lost although it may run again.
+func TestNetworkSilentConnections(t *testing.T) {
+	n := startNetwork(t)
+	n.load(n.Hosts...)
+	ingress, owner := n.Hosts[0], n.Hosts[1]
+	name := cluster.End(owner.Name)
+	var control []*cluster.Link
+	for _, h := range n.Hosts {
+		for _, r := range n.Replicas {
+			control = append(control, n.Link(cluster.End(h.Name), cluster.End(r.Name)))
+		}
+	}
+	tests := []struct {
+		name  string
+		links []*cluster.Link
+	}{
+		{"node to node", []*cluster.Link{n.Link(cluster.Peers, name)}},
+		{"node to control", control},
+		{"node to target", []*cluster.Link{n.Link(name, name+"-target")}},
+	}
+	for _, tt := range tests {
+		began := clock.System().Now()
+		answers := n.silence(ingress, owner, tt.links)
+		for r, out := range answers {
+			t.Logf("%s: %s: %s after %d ms", tt.name, r.method, out.Outcome, out.after)
+			qt.Check(t, out.Outcome != wire.OutcomeNotRun, qt.IsTrue, qt.Commentf("%s: %s: %s", tt.name, r.method, out.Sent))
+			if r.method == http.MethodGet {
+				qt.Check(t, out.Outcome, qt.Equals, wire.OutcomeComplete, qt.Commentf("%s: %s", tt.name, out.Error))
+			}
+		}
+		gap := n.longestGap(began, clock.System().Now())
+		t.Logf("%s: a key was not served for at most %d ms", tt.name, gap)
+		qt.Check(t, gap <= servedAgain, qt.IsTrue, qt.Commentf("%s: a key was not served for %d ms", tt.name, gap))
+		for _, l := range tt.links {
+			l.Heal(n.ctx)
+		}
+		qt.Assert(t, n.WaitReady(n.ctx), qt.IsNil)
+	}
+	n.check()
+}
+
+type sent struct {
+	method string
+	i      int
+}
+
+type answer struct {
+	history.Response
+	after clock.Millis
+}
+
+// silence makes the open connections of the links silent while requests from
+// ingress are running at the target of owner, and returns what became of them.
+func (n *network) silence(ingress, owner *cluster.Host, links []*cluster.Link) map[sent]answer {
+	n.t.Helper()
+	k := n.keysOf(owner)[0]
+	var mu sync.Mutex
+	out := make(map[sent]answer)
+	var group sync.WaitGroup
+	var paths []string
+	for i := range 2 {
+		for _, m := range []string{http.MethodGet, http.MethodPost} {
+			r := n.request(m, k, slow)
+			r.Deadline = deadline + 1000
+			paths = append(paths, pathOf(r))
+			group.Go(func() {
+				began := clock.System().Now()
+				response := n.send(ingress, r)
+				mu.Lock()
+				defer mu.Unlock()
+				out[sent{m, i}] = answer{response, clock.System().Now() - began}
+			})
+		}
+	}
+	n.wait("the requests run", func() bool {
+		running := 0
+		for _, r := range n.runs(owner) {
+			if slices.Contains(paths, r.Path) && r.End == 0 {
+				running++
+			}
+		}
+		return running == len(paths)
+	})
+	for _, l := range links {
+		qt.Assert(n.t, l.Silence(), qt.IsNil)
+	}
+	group.Wait()
+	return out
+}
+
+// Guards against a caller whose open connection goes silent and who gets no
+// answer over a new one, or a second run.
+func TestNetworkSilentCaller(t *testing.T) {
+	n := startNetwork(t)
+	h := n.Hosts[0]
+	r := n.request(http.MethodPost, n.keysOf(h)[0], slow)
+	ctx, giveUp := context.WithCancel(n.ctx)
+	defer giveUp()
+	done := make(chan error, 1)
+	go func() {
+		_, err := h.Do(ctx, r)
+		done <- err
+	}()
+	n.wait("the request runs", func() bool { return len(n.runs(h)) == 1 })
+	qt.Assert(t, n.Link(cluster.Callers, cluster.End(h.Name)).Silence(), qt.IsNil)
+	n.wait("the request has run", func() bool { return n.runs(h)[0].End != 0 })
+	for i := range n.Hosts {
+		out := n.resend(r, i, n.Hosts)
+		qt.Check(t, out.Outcome, qt.Equals, wire.OutcomeComplete, qt.Commentf("%s", out.Error))
+		qt.Check(t, out.Own, qt.IsTrue)
+	}
+	giveUp()
+	qt.Check(t, <-done, qt.ErrorMatches, ".*context canceled.*")
+	qt.Assert(t, n.runs(h), qt.HasLen, 1)
+	n.check()
+}
+
+func pathOf(r cluster.Request) string {
+	path, _, _ := strings.Cut(r.Path, "?")
+	return path
+}
