control: plan the owners of keys by the measured speed of targets

partition.Plan got the announced slots as capacity, so a straggler kept its share of the keys as long as requests arrived at the same rate.

A node now keeps the mean time that requests spend at its target and sends it with the load report every 2 s, at most 30 bytes. A request that is given up counts with the time it took where that is above the mean, so that a target whose requests all end at their deadline is noticed. The leader compares the members of each service with balance.Speeds and multiplies the slots by the result. A speed lower by a factor of 1.25 counts at once, a higher one after 10 s, and latencies get 2 ms added, because nodes measure whole milliseconds.

--- a/internal/control/assign.go
+++ b/internal/control/assign.go
@@ -159,7 +159,7 @@
 	for _, m := range v.members[service.Name] {
 		accepting := v.heard[m.Incarnation] && !m.Draining
 		draining[m.Incarnation] = m.Draining
-		servers = append(servers, partition.Server{ID: string(m.Incarnation), Domain: string(m.FailureDomain), Capacity: float64(m.Slots), Accepting: accepting})
+		servers = append(servers, partition.Server{ID: string(m.Incarnation), Domain: string(m.FailureDomain), Capacity: float64(m.Slots) * o.speedOf(m.Incarnation), Accepting: accepting})
 	}
 	current := make(map[partition.ID]string)
 	pinned := make(map[partition.ID]bool)
--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -51,6 +51,10 @@
 	reports   int
 	loadsAt   clock.Millis
 	sampledAt clock.Millis
+	// latency is the last reported latency of the member's target, in
+	// milliseconds; 0 while unknown.
+	latency   float64
+	latencyAt clock.Millis
 }
 
 func (o *office) observe(r wire.HeartbeatRequest, received clock.Millis) {
@@ -80,12 +84,16 @@
 	}
 	n.incarnation, n.sampledAt = i, received
 	n.sums, n.reports = make(partition.Load), 0
+	n.latency = 0
 }
 
 func (n *observation) observeReports(r wire.HeartbeatRequest, received clock.Millis) {
 	if len(r.HotKeys) > 0 {
 		n.hotKeys, n.hotKeysAt = r.HotKeys, received
 	}
+	if r.TargetLatencyMillis != nil {
+		n.latency, n.latencyAt = *r.TargetLatencyMillis, received
+	}
 	if len(r.Loads) == 0 {
 		return
 	}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -155,6 +155,8 @@
 	started bool
 	// means are the loads of partitions.
 	means map[wire.PartitionID]sampledLoad
+	// speeds are the parts of their capacity that members can use.
+	speeds map[wire.Incarnation]memberSpeed
 	// planned is the version of the state for which assign found nothing to do.
 	planned wire.Version
 	// sampled and assigned are the times of the last passes.
@@ -229,6 +231,7 @@
 	if sampled {
 		o.sampled = now
 		o.sample(s.Machine.PartitionList(), now)
+		o.judgeSpeeds(s.Machine.MemberList(), now)
 	}
 	// Decisions that rest on load wait until every member can have reported.
 	byLoad := sampled && o.granter.WaitedOut()
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -153,6 +153,7 @@
 // end gives back what the turn holds.
 func (t *turn) end(r limit.Result) {
 	t.once.Do(func() {
+		t.observeLatency(r)
 		if t.ticket != 0 {
 			t.member.inFlight.fromTarget(t.ticket)
 		}
@@ -261,6 +262,7 @@
 	_ = b.source.Close()
 	b.turn.once.Do(func() {
 		t := b.turn
+		t.observeLatency(limit.Result{Failed: true})
 		t.leave()
 		t.node.background.Go(func() {
 			t.member.awaitTarget(t.node.alive, t.q.deadline)
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -169,6 +169,7 @@
 	r.Stopping = r.Stopping || m.draining.Load()
 	if full {
 		r.Loads = m.inFlight.loads(now)
+		r.TargetLatencyMillis = m.latency.report()
 	}
 	return r
 }
--- a/internal/node/member.go
+++ b/internal/node/member.go
@@ -52,6 +52,7 @@
 	pool     *exchange.Pool
 	protocol *exchange.Pool
 	inFlight *inFlight
+	latency  targetLatency
 	grants   *grants
 	probes   *probes
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -454,6 +454,10 @@
 
 	// Whether the node is in a planned stop.
 	Stopping bool `json:"Stopping"`
+
+	// Mean time that requests spend at the member's target, without queues before it.
+	// Part of the load report; absent while unknown.
+	TargetLatencyMillis *float64 `json:"TargetLatencyMillis,omitempty"`
 }
 
 // HeartbeatResponse grants or refuses a lease and carries the routing table.
