--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 GO ?= go
 SEED ?= 1
+FUZZTIME ?= 5s
 
 .PHONY: build test check unit demo generate fmt fuzz bench capacity
 
@@ -32,6 +33,19 @@
 capacity: build
 	$(GO) run ./internal/capacity
 
+# Runs each fuzz target for a short time. Set FUZZTIME for longer runs.
+fuzz:
+	@set -e; list=$$($(GO) test -list '^Fuzz' ./...); \
+	echo "$$list" | awk '/^Fuzz/ {names[++n] = $$1} /^ok/ {for (i = 1; i <= n; i++) print $$2, names[i]; n = 0}' | \
+	while read -r package name; do \
+		echo "$$package $$name"; \
+		$(GO) test -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FUZZTIME) "$$package" </dev/null; \
+	done
+
+# Go benchmarks of the library.
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./pkg/...
+
 generate:
 	$(GO) generate ./...
 
