--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -27,12 +27,14 @@
 
 // standinNode does what a node does towards the control group.
 type standinNode struct {
-	id       wire.NodeID
-	group    wire.GroupID
-	service  wire.ServiceName
-	domain   wire.FailureDomain
-	process  wire.ProcessID
-	control  []wire.Address
+	id      wire.NodeID
+	group   wire.GroupID
+	service wire.ServiceName
+	domain  wire.FailureDomain
+	process wire.ProcessID
+	control []wire.Address
+	// lose ends the node without a word, as the loss of its host does.
+	lose     context.CancelFunc
 	mu       sync.Mutex
 	clients  map[wire.Address]*rpc.Client
 	leader   wire.Address
@@ -107,11 +109,13 @@
 	ctx, stop := context.WithCancel(ctx)
 	f := &fleet{stop: stop}
 	for i := range n {
+		ctx, lose := context.WithCancel(ctx)
 		v := &standinNode{
 			id: wire.NodeID(fmt.Sprintf("node-%d", i)), group: group, service: service,
 			domain:  wire.FailureDomain([]string{"dsm-a", "dsm-b", "dsm-c"}[i%3]),
 			process: wire.ProcessID(uuid.NewString()),
 			control: control, leader: control[0], clients: make(map[wire.Address]*rpc.Client),
+			lose: lose,
 			view: view{moving: make(map[wire.PartitionID]wire.Epoch)},
 		}
 		v.announce()
@@ -157,6 +161,16 @@
 	return sum
 }
 
+// lowestVersion returns the lowest table version among the first n nodes.
+func (f *fleet) lowestVersion(n int) wire.Version {
+	low, _, _ := f.nodes[0].seen()
+	for _, v := range f.nodes[:n] {
+		version, _, _ := v.seen()
+		low = min(low, version)
+	}
+	return low
+}
+
 // lowestRevision returns the lowest revision that any node has in its table.
 func (f *fleet) lowestRevision() wire.Revision {
 	_, low, _ := f.nodes[0].seen()
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -24,6 +24,8 @@
 	service = wire.ServiceName("catalogue")
 	// changes is how many configuration changes are timed.
 	changes = 20
+	// maxRecords covers the audit records of one loss.
+	maxRecords = 1000
 	// settleTime is longer than a heartbeat interval and a watch.
 	settleTime clock.Millis = 1000
 	// readyTimeout bounds the start of a fleet.
@@ -197,9 +199,15 @@
 	}
 	_, after := b.fleet.traffic()
 	took := float64(clock.System().Now()-began) / 1000
+	loss, lossBytes, err := b.loseNode(ctx, nodes, idle[4].value)
+	if err != nil {
+		return sample{}, err
+	}
 	perChange := ((after-before)/float64(nodes) - idle[4].value*took) / changes
 	idle = append(idle,
 		quantity{"received by a node for a change, B", perChange},
+		quantity{"received by a node for a loss, B", lossBytes},
+		quantity{"loss of a node: new owners known to all, ms", float64(loss)},
 		quantity{"slowest of 20 changes known to all, ms", float64(worst)},
 		quantity{"failed calls", float64(b.fleet.failed())})
 	return sample{size: float64(nodes), values: idle}, nil
@@ -274,6 +282,52 @@
 	return worst, nil
 }
 
+// loseNode ends one stand-in and returns the time until all others know the new
+// owners of its partitions, and the bytes that each received for it.
+func (b *system) loseNode(ctx context.Context, nodes int, idleBytes float64) (clock.Millis, float64, error) {
+	c := clock.System()
+	known := b.fleet.lowestVersion(nodes)
+	_, before := b.fleet.traffic()
+	began := c.Now()
+	b.fleet.nodes[nodes-1].lose()
+	if err := b.waitMembers(ctx, nodes-1); err != nil {
+		return 0, 0, err
+	}
+	changed, err := rpc.Call[wire.AuditResponse](ctx, b.client, wire.MethodOperatorAudit, wire.AuditRequest{Group: group, After: known, Limit: maxRecords})
+	if err != nil {
+		return 0, 0, err
+	}
+	if len(changed.Records) == 0 {
+		return 0, 0, errors.New("the audit trail shows no loss")
+	}
+	for last := changed.Records[len(changed.Records)-1].Index; b.fleet.lowestVersion(nodes-1) < last; {
+		if err := c.Sleep(ctx, 1); err != nil {
+			return 0, 0, err
+		}
+		if c.Now()-began > readyTimeout {
+			return 0, 0, fmt.Errorf("version %d is not known to all nodes", last)
+		}
+	}
+	took := c.Now() - began
+	_, after := b.fleet.traffic()
+	return took, (after-before)/float64(nodes-1) - idleBytes*float64(took)/1000, nil
+}
+
+// waitMembers waits until the service has exactly n members and every partition
+// has an owner.
+func (b *system) waitMembers(ctx context.Context, n int) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout.Duration())
+	defer cancel()
+	return b.cluster.WaitStatus(ctx, func(s wire.StatusResponse) error {
+		for _, v := range s.Services {
+			if v.Service == service && (v.Members != n || v.Unowned > 0) {
+				return fmt.Errorf("%d members, %d unowned", v.Members, v.Unowned)
+			}
+		}
+		return nil
+	})
+}
+
 // measureOperations runs Begin and Finish at a fixed rate.
 func measureOperations(ctx context.Context, o options, rate int) (sample, error) {
 	b, err := startSystem(ctx, o, 3)
