--- a/internal/integration/faults_crash_test.go
+++ b/internal/integration/faults_crash_test.go
@@ -27,6 +27,7 @@
 // Guards against one request that costs target after target while its caller
 // sends it again, and against innocent requests that are blamed for it.
 func TestFaultsCrashingRequest(t *testing.T) {
+	t.Parallel() // no bound on time
 	f := startFaults(t, map[wire.ServiceName]cluster.Service{"catalogue": {Targets: 3, ChecksGrants: true}, "pledges": {Targets: 3}})
 	for _, service := range []string{"catalogue", "pledges"} {
 		for _, method := range []string{http.MethodGet, http.MethodPost} {
--- a/internal/integration/faults_disk_test.go
+++ b/internal/integration/faults_disk_test.go
@@ -23,6 +23,7 @@
 // with a disk, a damaged log that is read as a whole one, a status that promises
 // more than can be borne, and a replica that goes on after its disk is full.
 func TestFaultsDisk(t *testing.T) {
+	t.Parallel() // no bound on time
 	f := startFaults(t, map[wire.ServiceName]cluster.Service{"catalogue": {Targets: 2, ChecksGrants: true}, "pledges": {Targets: 2}})
 	d := &disks{faults: f, revision: 1, epochs: make(map[string]wire.Epoch)}
 	d.emptyThenLoseAnother(f.follower())
--- a/internal/integration/faults_target_test.go
+++ b/internal/integration/faults_target_test.go
@@ -18,6 +18,7 @@
 // shed request for run or a stuck one for not run, and against a cold start that
 // costs keys.
 func TestFaultsMisleadingTargets(t *testing.T) {
+	t.Parallel() // no bound on time
 	f := startFaults(t, map[wire.ServiceName]cluster.Service{
 		"catalogue": {Targets: 2, ChecksGrants: true, Arguments: []string{"--cold-factor", "4", "--cold-millis", "1500"}},
 		"pledges":   {Targets: 2, Slots: slots, Arguments: []string{"--sheds"}},
