--- a/internal/integration/network_answers_test.go
+++ b/internal/integration/network_answers_test.go
@@ -14,10 +14,16 @@
 	"github.com/gentiansail/gentiansail/internal/integration/cluster"
 	"github.com/gentiansail/gentiansail/internal/integration/history"
 	"github.com/gentiansail/gentiansail/internal/wire"
+	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
-// crowd is the number of callers who ask for one key at once.
-const crowd = 40
+const (
+	// crowd is the number of callers who ask for one key at once.
+	crowd = 40
+	// crowdDeadline is longer than the silence after which a node gives up a
+	// connection, and short, because some of the faults let no response pass.
+	crowdDeadline clock.Millis = 2000
+)
 
 // Guards P3 and P5 against responses that are late, out of order or cut, and
 // callers who leave: each caller gets the whole response to its own request, or
@@ -77,12 +83,17 @@
 	var group sync.WaitGroup
 	for i := range out {
 		group.Go(func() {
-			h := n.Hosts[i%len(n.Hosts)]
+			method := http.MethodGet
 			if i%4 == 0 {
-				out[i] = n.resend(n.request(http.MethodPost, k, ""), i, n.Hosts)
+				method = http.MethodPost
+			}
+			r := n.request(method, k, "")
+			r.Deadline = crowdDeadline
+			if method == http.MethodPost {
+				out[i] = n.resend(r, i, n.Hosts)
 				return
 			}
-			out[i] = n.send(h, n.request(http.MethodGet, k, ""))
+			out[i] = n.send(n.Hosts[i%len(n.Hosts)], r)
 		})
 	}
 	group.Wait()
