node: look again at the condition for a second copy

Cause: the second copy of a repeatable request was given up for good when the latest probe had failed at the moment it was due. The probe that is under way when connections go silent fails, so this can coincide.

Change: the condition is looked at every 100 ms until the first copy answers.

--- a/internal/node/second_copy.go
+++ b/internal/node/second_copy.go
@@ -13,6 +13,10 @@
 // is usual, and a key is to be served again within 2 s.
 const secondCopyAfter clock.Millis = 1000
 
+// secondCopyPause is the time until the condition for a second copy is looked at
+// again. Probes are 150 ms apart.
+const secondCopyPause clock.Millis = 100
+
 // copied is one copy of a request at the target.
 type copied struct {
 	sent     clock.Millis
@@ -33,15 +37,12 @@
 	if !t.q.route.Repeatable || !t.q.body.whole() || t.alone {
 		return t.use(<-first)
 	}
-	c, ok := t.awaitCopy(ctx, first)
-	if ok || ctx.Err() != nil || !t.member.probes.healthy() || !t.node.budget.Withdraw() {
-		if !ok {
-			c = <-first
-		}
+	if c, ok := t.awaitFirst(ctx, first); ok {
 		return t.use(c)
 	}
 	t.node.metrics.retries.Inc()
 	second, cancelSecond := t.send(ctx, true)
+	var c copied
 	select {
 	case c = <-first:
 		c = t.choose(c, second, cancelSecond)
@@ -55,9 +56,26 @@
 	return t.use(c)
 }
 
-// awaitCopy waits for a copy until secondCopyAfter.
-func (t *turn) awaitCopy(ctx context.Context, from <-chan copied) (copied, bool) {
-	timed, cancel := context.WithTimeout(ctx, secondCopyAfter.Duration())
+// awaitFirst waits for the first copy until a second one is due: after
+// secondCopyAfter, once the latest probe was answered and the budget allows it.
+func (t *turn) awaitFirst(ctx context.Context, first <-chan copied) (copied, bool) {
+	for wait := secondCopyAfter; ; wait = secondCopyPause {
+		if c, ok := awaitCopy(ctx, first, wait); ok {
+			return c, true
+		}
+		if ctx.Err() != nil {
+			return <-first, true
+		}
+		// The probe that was under way when connections went silent fails too.
+		if t.member.probes.healthy() && t.node.budget.Withdraw() {
+			return copied{}, false
+		}
+	}
+}
+
+// awaitCopy waits for a copy for a time.
+func awaitCopy(ctx context.Context, from <-chan copied, d clock.Millis) (copied, bool) {
+	timed, cancel := context.WithTimeout(ctx, d.Duration())
 	defer cancel()
 	select {
 	case c := <-from:
