node: let a second copy begin while its partition moves

Cause: a planned move waits for the requests in flight. When the first copy hung on a silent connection and its partition began to move, the second copy was refused as moving, so that the request ended as unknown at its deadline and the move waited as long.

Change: the second copy checks lease, owner and epoch as before, but may begin while the partition is moving; the owner keeps it until the first copy ends.

--- a/internal/node/second_copy.go
+++ b/internal/node/second_copy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 
 	"github.com/gentiansail/gentiansail/internal/exchange"
@@ -33,7 +34,7 @@
 func (t *turn) exchange(ctx context.Context) (*http.Response, error) {
 	// A server may close an idle connection at any time, which would make the
 	// outcome of a request that must not repeat unknown.
-	first, cancelFirst := t.send(ctx, !t.q.route.Repeatable)
+	first, cancelFirst := t.send(ctx, !t.q.route.Repeatable, t.recheck)
 	if !t.q.route.Repeatable || !t.q.body.whole() || t.alone {
 		return t.use(<-first)
 	}
@@ -41,7 +42,7 @@
 		return t.use(c)
 	}
 	t.node.metrics.retries.Inc()
-	second, cancelSecond := t.send(ctx, true)
+	second, cancelSecond := t.send(ctx, true, t.recheckCopy)
 	var c copied
 	select {
 	case c = <-first:
@@ -109,24 +110,36 @@
 }
 
 // send sends one copy. It ends with ctx or by the returned function.
-func (t *turn) send(ctx context.Context, fresh bool) (<-chan copied, context.CancelFunc) {
+func (t *turn) send(ctx context.Context, fresh bool, check func() error) (<-chan copied, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	out := make(chan copied, 1)
 	go func() {
 		c := copied{sent: t.node.clock.Now()}
-		c.response, c.err = t.copy(ctx, fresh)
+		c.response, c.err = t.copy(ctx, fresh, check)
 		out <- c
 	}()
 	return out, cancel
 }
 
-func (t *turn) copy(ctx context.Context, fresh bool) (*http.Response, error) {
+func (t *turn) copy(ctx context.Context, fresh bool, check func() error) (*http.Response, error) {
 	address := string(t.member.target.Address)
 	r, err := t.q.outgoing(address, t.node.clock.Now())
 	if err != nil {
 		return nil, errRefusedLate{why: reasonBadRequest}
 	}
 	return t.member.pool.Do(ctx, exchange.Request{
-		Address: address, HTTP: r, RequestID: t.q.id, BeforeWrite: t.recheck, Fresh: fresh,
+		Address: address, HTTP: r, RequestID: t.q.id, BeforeWrite: check, Fresh: fresh,
 	})
 }
+
+// recheckCopy is recheck for a second copy. It may still begin when its partition
+// is moving: the move waits for the first copy, and without the second one that
+// would last until the deadline.
+func (t *turn) recheckCopy() error {
+	err := t.recheck()
+	var late errRefusedLate
+	if errors.As(err, &late) && late.why == reasonMoving {
+		return nil
+	}
+	return err
+}
