control: plan moves only from owners that hold a lease; expire refused members

Excusing a slow granter had added a second fault: a member whose renewals are refused, but keep arriving, never expired. Ruled out: treating such an owner as accepting, which would offer it partitions; using the last time it was heard, which still counts refused renewals. Change: planning leaves the partitions of an owner without a lease to expiry; a refused renewal no longer delays it. Before: TestNoPlannedMovesFromAnOwnerThatIsGone failed in its three cases, and TestSupersededMemberExpiresWhileItIsHeard reports "i1 never expired" without the second change. After: both pass. The effect on refusals was not measured.

--- a/internal/control/assign.go
+++ b/internal/control/assign.go
@@ -38,9 +38,13 @@
 
 // view is the input of one planning pass.
 type view struct {
-	now        clock.Millis
-	waitedOut  bool
-	heard      map[wire.Incarnation]bool
+	now       clock.Millis
+	waitedOut bool
+	heard     map[wire.Incarnation]bool
+	// serving are the heard members that hold a lease. Planned moves start from
+	// them alone: any other owner cannot release, and its partitions are
+	// assigned when its lease has expired.
+	serving    map[wire.Incarnation]bool
 	members    map[wire.ServiceName][]wire.Member
 	partitions map[wire.ServiceName][]wire.Partition
 	owners     map[wire.PartitionID]wire.Partition
@@ -68,9 +72,11 @@
 		members:    make(map[wire.ServiceName][]wire.Member),
 		partitions: make(map[wire.ServiceName][]wire.Partition),
 		owners:     make(map[wire.PartitionID]wire.Partition),
+		serving:    make(map[wire.Incarnation]bool),
 	}
 	for _, m := range s.Machine.MemberList() {
 		v.members[m.Service] = append(v.members[m.Service], m)
+		v.serving[m.Incarnation] = v.heard[m.Incarnation] && o.granter.Holds(m.Incarnation)
 	}
 	for _, p := range s.Machine.PartitionList() {
 		v.partitions[p.Service] = append(v.partitions[p.Service], p)
@@ -169,8 +175,8 @@
 		current[id] = string(p.Owner)
 		if p.MovingTo != "" {
 			current[id] = string(p.MovingTo)
-			pinned[id] = true
 		}
+		pinned[id] = p.MovingTo != "" || !v.serving[p.Owner]
 		n.count(p, draining[p.Owner])
 	}
 	for _, m := range cooling {
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -39,6 +39,9 @@
 	if err != nil {
 		return wire.HeartbeatResponse{}, err
 	}
+	if refusal != "" {
+		o.granter.Dismiss(r.Member.Incarnation)
+	}
 	s.takeReleases(ctx, o, r)
 	s.metrics.countHeartbeat(refusal)
 	return wire.HeartbeatResponse{
--- a/internal/control/hot_keys.go
+++ b/internal/control/hot_keys.go
@@ -206,7 +206,7 @@
 		if h.service != service.Name || !isolated || !ok || h.cool < coolRounds || !v.waitedOut {
 			continue
 		}
-		if len(moves) < budget && atRest(own) && atRest(base) && own.Owner != base.Owner {
+		if len(moves) < budget && atRest(own) && atRest(base) && own.Owner != base.Owner && v.serving[own.Owner] {
 			moves = append(moves, wire.Move{Partition: own.Partition, Epoch: own.Epoch, To: base.Owner})
 		}
 	}
--- a/internal/control/service_test.go
+++ b/internal/control/service_test.go
@@ -584,3 +584,58 @@
 	qt.Assert(t, status.Nodes, qt.HasLen, 1)
 	qt.Assert(t, r.clock.Clock().Now() >= 1000+2*lease.DefaultTerms.Longest(), qt.IsTrue)
 }
+
+// Guards against planned moves from an owner whose end is pending. It cannot
+// release anything, so each move would hold the partition's requests back until
+// they are refused; the end of its lease gives the partitions to others.
+func TestNoPlannedMovesFromAnOwnerThatIsGone(t *testing.T) {
+	cases := map[string]func(r *rig, h wire.HeartbeatRequest) wire.HeartbeatRequest{
+		"node has no target": func(_ *rig, h wire.HeartbeatRequest) wire.HeartbeatRequest {
+			h.Member = nil
+			return h
+		},
+		"node process restarted": func(_ *rig, _ wire.HeartbeatRequest) wire.HeartbeatRequest {
+			return beat("n1", "p9", "i9", 1)
+		},
+		"renewals refused": func(r *rig, h wire.HeartbeatRequest) wire.HeartbeatRequest {
+			r.currentOffice().granter.Refuse(h.Member.Incarnation)
+			_, err := r.drain(r.t.Context(), wire.DrainRequest{Group: "tz", Node: "n1", Drain: true})
+			qt.Assert(r.t, err, qt.IsNil)
+			return h
+		},
+	}
+	for name, lose := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.configure(12, 2)
+			a, b := beat("n1", "p1", "i1", 1), beat("n2", "p2", "i2", 1)
+			r.pass(1400, a, b)
+			qt.Assert(t, r.owned("i1"), qt.HasLen, 6)
+			a = lose(r, a)
+			for n := 0; r.isLive("i1"); n++ {
+				qt.Assert(t, n < 20, qt.IsTrue, qt.Commentf("i1 never expired"))
+				for _, p := range r.owned("i1") {
+					qt.Assert(t, p.MovingTo, qt.Equals, wire.Incarnation(""), qt.Commentf("%s", p.Partition))
+				}
+				r.pass(200, a, b)
+			}
+			r.pass(200, a, b)
+			qt.Assert(t, r.owned("i1"), qt.HasLen, 0)
+			qt.Assert(t, unowned(r.Machine), qt.Equals, 0)
+		})
+	}
+}
+
+// Guards against a member that never expires because its node keeps sending
+// renewals that are refused: two processes run under one name.
+func TestSupersededMemberExpiresWhileItIsHeard(t *testing.T) {
+	r := newRig(t)
+	r.configure(12, 2)
+	old, other := beat("n1", "p1", "i1", 1), beat("n2", "p2", "i2", 1)
+	r.pass(1400, old, other)
+	later := beat("n1", "p9", "i9", 1)
+	for n := 0; r.isLive("i1"); n++ {
+		qt.Assert(t, n < 20, qt.IsTrue, qt.Commentf("i1 never expired"))
+		r.pass(200, later, other, old)
+	}
+}
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -187,6 +187,14 @@
 	g.heard[m] = max(g.heard[m], received)
 }
 
+// Dismiss takes back Heard for a renewal that was refused, so that a member whose
+// renewals are refused for another reason than its lease still expires.
+func (g *Granter[M]) Dismiss(m M) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.heard, m)
+}
+
 // Hold lets no lease expire for a time from now. A granter that was stalled
 // itself uses it, since renewals that arrived meanwhile are still to be read.
 func (g *Granter[M]) Hold(d clock.Millis) {
@@ -202,6 +210,16 @@
 	g.refused[m] = struct{}{}
 }
 
+// Holds reports whether this granter renewed the member's lease, the lease may
+// still last on its holder, and further renewals are not refused.
+func (g *Granter[M]) Holds(m M) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, refused := g.refused[m]
+	end, renewed := g.ends[m]
+	return renewed && !refused && g.clock.Now() < end
+}
+
 // Expire returns those of the members whose lease has ended, and refuses their
 // renewals from then on. A member that was never renewed counts from Reset.
 func (g *Granter[M]) Expire(members []M) []M {
@@ -223,6 +241,9 @@
 
 // waits reports whether the member has sent a renewal that may still be granted.
 func (g *Granter[M]) waits(m M, now clock.Millis) bool {
+	if _, no := g.refused[m]; no {
+		return false
+	}
 	heard, ok := g.heard[m]
 	return ok && now < heard+g.terms.Longest()
 }
