control: cancel planned moves that the owner cannot complete

A planned move waits for the owner's requests in flight; one that hangs on a silent connection held the partition for up to its deadline, while other requests for it were refused after 500 ms. Ruled out: the second copy of the hanging request (complete after 2008 ms), the machine's load (3.5 to 7 on 10 cores). Change: the leader cancels a move that has waited for 300 ms, before the first waiting request is refused, and leaves the partition alone for 10 s. Moves away from a leaving member go on. A release that was reported before the cancellation frees the partition, since its owner forwards nothing more.

--- a/internal/control/assign.go
+++ b/internal/control/assign.go
@@ -176,7 +176,8 @@
 		if p.MovingTo != "" {
 			current[id] = string(p.MovingTo)
 		}
-		pinned[id] = p.MovingTo != "" || !v.serving[p.Owner]
+		_, paused := o.paused[p.Partition]
+		pinned[id] = p.MovingTo != "" || !v.serving[p.Owner] || (paused && !draining[p.Owner])
 		n.count(p, draining[p.Owner])
 	}
 	for _, m := range cooling {
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -16,6 +16,7 @@
 	begun         *prometheus.CounterVec
 	expired       prometheus.Counter
 	stalls        prometheus.Counter
+	cancelled     prometheus.Counter
 	assigned      prometheus.Counter
 	moved         prometheus.Counter
 	released      prometheus.Counter
@@ -44,6 +45,7 @@
 		proposals:     vector("proposals_total", "Commands by result.", "result"),
 		begun:         vector("operations_total", "Operations that must not repeat, by decision.", "decision"),
 		expired:       counter("expired_leases_total", "Members ended because their lease expired."),
+		cancelled:     counter("cancelled_moves_total", "Planned moves cancelled because the owner's requests took too long."),
 		stalls:        counter("stalls_total", "Times at which the leader's duties were late and expiry was delayed."),
 		assigned:      counter("assigned_partitions_total", "Unowned partitions given to a member."),
 		moved:         counter("planned_moves_total", "Planned moves started."),
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -159,6 +159,10 @@
 	speeds map[wire.Incarnation]memberSpeed
 	// planned is the version of the state for which assign found nothing to do.
 	planned wire.Version
+	// moving and paused are for planned moves that do not complete.
+	moving    map[wire.PartitionID]moving
+	paused    map[wire.PartitionID]clock.Millis
+	movesSeen clock.Millis
 	// sampled and assigned are the times of the last passes.
 	sampled  clock.Millis
 	assigned clock.Millis
@@ -185,6 +189,7 @@
 		nodes:   make(map[wire.NodeID]*observation),
 		hot:     make(map[wire.PartitionID]*heat),
 		held:    make(map[wire.ServiceName]hold),
+		paused:  make(map[wire.PartitionID]clock.Millis),
 	}
 	s.metrics.leading.Set(1)
 	s.Log.Info().Str("Session", string(s.office.session)).Msg("leading")
@@ -226,6 +231,7 @@
 		return
 	}
 	s.expire(ctx, o)
+	s.cancelStuckMoves(ctx, o)
 	now := s.Clock.Now()
 	sampled := now-o.sampled >= sampleEvery
 	if sampled {
--- a/internal/control/service_test.go
+++ b/internal/control/service_test.go
@@ -639,3 +639,30 @@
 		r.pass(200, later, other, old)
 	}
 }
+
+// Guards against a planned move that waits for a request in flight until its
+// deadline, while the partition's other requests are refused. The partition must
+// not be moved again at once, and a leaving owner's moves must go on.
+func TestStuckMovesAreCancelled(t *testing.T) {
+	for name, leaves := range map[string]bool{"owner stays": false, "owner leaves": true} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.configure(12, 2)
+			a, b := beat("n1", "p1", "i1", 1), beat("n2", "p2", "i2", 1)
+			r.pass(1400, a, b)
+			p := r.owned("i1")[0]
+			a.Stopping = leaves
+			r.beat(a)
+			move := wire.Move{Partition: p.Partition, Epoch: p.Epoch, To: "i2"}
+			_, err := r.propose(t.Context(), wire.Command{MoveStart: &wire.MoveStart{Moves: []wire.Move{move}}})
+			qt.Assert(t, err, qt.IsNil)
+			r.pass(clock.Millis(200+maxMove), a, b)
+			now, _ := r.Machine.Partition(p.Partition)
+			qt.Assert(t, now.MovingTo == "i2", qt.Equals, leaves)
+			qt.Assert(t, now.Owner, qt.Equals, wire.Incarnation("i1"))
+			qt.Assert(t, now.Epoch, qt.Equals, p.Epoch)
+			_, paused := r.currentOffice().paused[p.Partition]
+			qt.Assert(t, paused, qt.Equals, !leaves)
+		})
+	}
+}
--- a/internal/state/partitions.go
+++ b/internal/state/partitions.go
@@ -48,6 +48,24 @@
 	return m.changeOrStale(c)
 }
 
+// moveCancel ends planned moves. The owner keeps the partition under its epoch,
+// unless it has released it already: its report then frees the partition, as it
+// forwards nothing more under that epoch.
+func (m *Machine) moveCancel(x wire.MoveCancel) error {
+	var c change
+	for _, v := range x.Moves {
+		p, ok := m.Partitions[v.Partition]
+		if !ok || p.Epoch != v.Epoch || p.MovingTo == "" || p.MovingTo != v.To {
+			continue
+		}
+		p.MovingTo = ""
+		m.Partitions[v.Partition] = p
+		c.Partitions = append(c.Partitions, v.Partition)
+		m.audit("leader", "move cancelled: "+string(v.Partition), string(v.To), string(p.Owner))
+	}
+	return m.changeOrStale(c)
+}
+
 // moveRelease takes partitions from an owner that promises to forward nothing
 // more under the grants. A partition in a planned move goes to its new owner.
 func (m *Machine) moveRelease(r wire.MoveRelease) error {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -184,6 +184,8 @@
 		return m.memberDown(*c.MemberDown)
 	case c.MoveStart != nil:
 		return m.moveStart(*c.MoveStart)
+	case c.MoveCancel != nil:
+		return m.moveCancel(*c.MoveCancel)
 	case c.MoveRelease != nil:
 		return m.moveRelease(*c.MoveRelease)
 	case c.Assign != nil:
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -82,6 +82,10 @@
 	case 2:
 		c.MemberDown = &wire.MemberDown{Incarnation: incarnation(), Crashed: pick("crashed", 2) == 0, InFlight: []wire.InFlight{{Fingerprint: fingerprint()}}}
 	case 3:
+		if pick("cancel", 3) == 0 {
+			c.MoveCancel = &wire.MoveCancel{Moves: []wire.Move{{Partition: id, Epoch: epoch, To: current.MovingTo}}}
+			break
+		}
 		c.MoveStart = &wire.MoveStart{Moves: []wire.Move{move}}
 	case 4:
 		c.MoveRelease = &wire.MoveRelease{Incarnation: incarnation(), Grants: []wire.Grant{{Partition: move.Partition, Epoch: epoch}}}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -228,6 +228,9 @@
 	// MemberDown corresponds to the JSON schema field "MemberDown".
 	MemberDown *MemberDown `json:"MemberDown,omitempty"`
 
+	// MoveCancel corresponds to the JSON schema field "MoveCancel".
+	MoveCancel *MoveCancel `json:"MoveCancel,omitempty"`
+
 	// MoveRelease corresponds to the JSON schema field "MoveRelease".
 	MoveRelease *MoveRelease `json:"MoveRelease,omitempty"`
 
@@ -624,6 +627,13 @@
 	To Incarnation `json:"To"`
 }
 
+// MoveCancel ends planned moves that the owner has not completed; the owner keeps
+// the partitions.
+type MoveCancel struct {
+	// Moves corresponds to the JSON schema field "Moves".
+	Moves []Move `json:"Moves"`
+}
+
 // MoveRelease reports that an owner forwards no more requests under the stated
 // grants. A partition that is moving goes to its new owner, any other becomes
 // unowned.
