--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -36,7 +36,13 @@
 // NewLogger returns a logger of JSON lines with the fields that each line of a
 // process carries.
 func NewLogger(w io.Writer, role, name string) zerolog.Logger {
-	return zerolog.New(w).With().Timestamp().Str("Role", role).Str("Name", name).Logger()
+	return zerolog.New(w).With().Str("Role", role).Str("Name", name).Logger().Hook(zerolog.HookFunc(stamp))
+}
+
+// stamp adds the time in milliseconds: changes of leadership and ownership follow
+// each other within one second. The library's own format is a global variable.
+func stamp(e *zerolog.Event, _ zerolog.Level, _ string) {
+	e.Str(zerolog.TimestampFieldName, time.Now().UTC().Format("2006-01-02T15:04:05.000Z07:00"))
 }
 
 // SignalContext returns a context that ends on SIGTERM or SIGINT.
--- /dev/null
+++ b/internal/process/process_test.go
@@ -0,0 +1,76 @@
+package process
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Guards against log lines of different processes that cannot be put in order.
+func TestLogLinesCarryMilliseconds(t *testing.T) {
+	var out bytes.Buffer
+	log := NewLogger(&out, "node", "catalogue-1")
+	log.Info().Msg("leading")
+	var line struct{ Role, Name, Time string }
+	qt.Assert(t, json.Unmarshal(out.Bytes(), &line), qt.IsNil)
+	qt.Assert(t, line.Role+" "+line.Name, qt.Equals, "node catalogue-1")
+	_, err := time.Parse("2006-01-02T15:04:05.000Z", line.Time)
+	qt.Assert(t, err, qt.IsNil)
+}
+
+// Guards against a planned stop that cuts a request in flight.
+func TestServeHTTPFinishesRequests(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	ctx, stop := context.WithCancel(t.Context())
+	begun, release := make(chan struct{}), make(chan struct{})
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		<-release
+		_, _ = io.WriteString(w, "whole")
+	})}
+	served := make(chan error, 1)
+	go func() { served <- ServeHTTP(ctx, l, s, time.Minute) }()
+	body := make(chan string, 1)
+	go func() {
+		r, err := http.Get("http://" + l.Addr().String())
+		if err != nil {
+			body <- err.Error()
+			return
+		}
+		defer func() { _ = r.Body.Close() }()
+		b, _ := io.ReadAll(r.Body)
+		body <- string(b)
+	}()
+	<-begun
+	stop()
+	close(release)
+	qt.Assert(t, <-body, qt.Equals, "whole")
+	qt.Assert(t, <-served, qt.IsNil)
+}
+
+func TestMetricsListenerServesHealthAndMetrics(t *testing.T) {
+	for name, path := range map[string]string{"health": "/healthz", "metrics": "/metrics"} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			qt.Assert(t, err, qt.IsNil)
+			ctx, stop := context.WithCancel(t.Context())
+			served := make(chan error, 1)
+			go func() { served <- ServeMetrics(ctx, l, prometheus.NewRegistry(), func() error { return nil }) }()
+			r, err := http.Get("http://" + l.Addr().String() + path)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, r.Body.Close(), qt.IsNil)
+			qt.Assert(t, r.StatusCode, qt.Equals, http.StatusOK)
+			stop()
+			qt.Assert(t, <-served, qt.IsNil)
+		})
+	}
+}
