control: let planned moves wait for 1 s before they are cancelled

Ruled out: no limit, with which a hanging request keeps a key unserved for more than 2 s (TestNetworkSilentConnections). Change: 1 s, and the partition is left alone for 3 s in place of 10 s. Conclusion: a compromise; handing requests that still wait in the owner's queue back to the ingress when a move starts should serve both.

--- a/internal/control/stuck_moves.go
+++ b/internal/control/stuck_moves.go
@@ -11,12 +11,13 @@
 	// movesEvery is the pace at which planned moves are looked at.
 	movesEvery clock.Millis = 100
 	// maxMove is how long a planned move may wait for the owner's requests in
-	// flight. New requests wait at the ingress nodes for 500 ms and are refused
-	// after that, so a move that takes longer costs more than it gains.
-	maxMove clock.Millis = 300
+	// flight. With 300 ms, moves away from a slow target were cancelled while they
+	// waited in its queue; with none, a request that hung on a silent connection
+	// kept its key unserved for longer than the bound of 2 s.
+	maxMove clock.Millis = 1000
 	// movePause is how long a partition is left alone after a cancelled move. A
 	// request that hangs until its deadline would hold up the next one too.
-	movePause clock.Millis = 10_000
+	movePause clock.Millis = 3000
 )
 
 // moving is a planned move that this leader has seen in progress.
