--- a/internal/capacity/main.go
+++ b/internal/capacity/main.go
@@ -44,7 +44,7 @@
 
 func run() error {
 	o := options{gentiansail: "bin/gentiansail", standin: "bin/standin", partitionsPerNode: 16}
-	sizes, rates, seconds := "30,100,300", "100,300,1000", 8
+	sizes, rates, seconds := "30,100,300", "200,500,1000,2000", 8
 	flaggy.SetName("capacity")
 	flaggy.SetDescription("measure the cost of control over several sizes")
 	flaggy.String(&o.gentiansail, "", "gentiansail", "path of the gentiansail program")
