limit: read the rates and the time once when a share is set

Cause: SetShare read the rates twice under the budget's lock and the clock up to three times, so one call could mix two configurations. Change: both are read once; ratesNow, its only user gone, is removed.

--- a/pkg/limit/caller.go
+++ b/pkg/limit/caller.go
@@ -124,23 +124,25 @@
 // top of the others. Zero restores the equal share.
 func (b *CallerBudget) SetShare(caller string, c Class, share float64) {
 	b.mu.RLock()
-	rate, nodes := b.rates[c], b.nodes
+	rates, nodes := b.rates, b.nodes
 	b.mu.RUnlock()
+	rate := rates[c]
 	if rate <= 0 {
 		return
 	}
 	s := b.shard(caller)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	v := s.state(callerClass{caller, c}, b.clock.Now(), rate, nodes, b.perShard)
+	now := b.clock.Now()
+	v := s.state(callerClass{caller, c}, now, rate, nodes, b.perShard)
 	if v == s.overflow[c] {
-		s.loseShare(b.clock.Now(), b.ratesNow(), nodes)
+		s.loseShare(now, rates, nodes)
 		return
 	}
 	if share <= 0 && s.lost {
 		share = equalPart / nodes
 	}
-	v.setShare(math.Min(math.Max(share, 0), 1), b.clock.Now(), rate, nodes)
+	v.setShare(math.Min(math.Max(share, 0), 1), now, rate, nodes)
 }
 
 // Allow reports whether the caller may send one more request now.
@@ -172,12 +174,6 @@
 	return all
 }
 
-func (b *CallerBudget) ratesNow() PerClass {
-	b.mu.RLock()
-	defer b.mu.RUnlock()
-	return b.rates
-}
-
 func (b *CallerBudget) shard(caller string) *budgetShard {
 	return &b.shards[b.hash(caller)%budgetShards]
 }
