integration: wait for the key that the network tests use

Cause: TestNetworkAnswers asked twice which keys the owner has, once to wait and once to take the first. Ruled out: a fault of the router; keys of a target with failed probes may move at any time. Change: keyOf waits for a key and returns that one. Conclusion: no check is changed; the wait has the limit that it had.

--- a/internal/integration/network_answers_test.go
+++ b/internal/integration/network_answers_test.go
@@ -59,9 +59,7 @@
 			if only := faults[fault].hop; only != "" && only != hop {
 				continue
 			}
-			// A target whose probes fail loses its keys, and gets some again.
-			n.wait("the owner has keys", func() bool { return len(n.keysOf(owner)) > 0 })
-			k := n.keysOf(owner)[0]
+			k := n.keyOf(owner)
 			l, tt := hops[hop], faults[fault]
 			qt.Assert(t, l.Add(cluster.Responses, tt.kind, tt.toxic), qt.IsNil)
 			n.leave(k)
--- a/internal/integration/network_node_test.go
+++ b/internal/integration/network_node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -55,11 +56,23 @@
 		now := n.incarnation(h)
 		return now != "" && now != before
 	})
-	n.wait("the node owns keys", func() bool { return len(n.keysOf(h)) > 0 })
+	n.keyOf(h)
 	qt.Assert(t, n.WaitReady(n.ctx), qt.IsNil)
 	n.check()
 }
 
+// keyOf waits until the host's target owns a key, and returns it. A target whose
+// probes fail loses its keys, and gets some again.
+func (n *network) keyOf(h *cluster.Host) string {
+	n.t.Helper()
+	var out []string
+	n.wait(fmt.Sprintf("%s owns a key", h.Name), func() bool {
+		out = n.keysOf(h)
+		return len(out) > 0
+	})
+	return out[0]
+}
+
 // keysOf returns the keys that the host's target owns.
 func (n *network) keysOf(h *cluster.Host) []string {
 	n.t.Helper()
@@ -153,7 +166,7 @@
 // ingress are running at the target of owner, and returns what became of them.
 func (n *network) silence(ingress, owner *cluster.Host, links []*cluster.Link) map[sent]answer {
 	n.t.Helper()
-	k := n.keysOf(owner)[0]
+	k := n.keyOf(owner)
 	var mu sync.Mutex
 	out := make(map[sent]answer)
 	var group sync.WaitGroup
@@ -193,7 +206,7 @@
 func TestNetworkSilentCaller(t *testing.T) {
 	n := startNetwork(t)
 	h := n.Hosts[0]
-	r := n.request(http.MethodPost, n.keysOf(h)[0], slow)
+	r := n.request(http.MethodPost, n.keyOf(h), slow)
 	ctx, giveUp := context.WithCancel(n.ctx)
 	defer giveUp()
 	done := make(chan error, 1)
