process: stop every HTTP listener as the node does

Cause: the graceful stop that answers connections accepted just before it was in internal/node. The listener for metrics and the stand-in target used a weaker one; the stand-in called Shutdown twice to make up for part of it. Ruled out: hooks for each listener; all need the same order. Change: process.ServeHTTP closes the listener first, waits for first requests and requests in flight, then shuts down. The node and the stand-in use it. Conclusion: one stop for all listeners.

--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -5,6 +5,7 @@
 	"io"
 	"log"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -20,6 +21,10 @@
 // quietLog drops net/http's lines about single connections; counters show them.
 var quietLog = log.New(io.Discard, "", 0)
 
+// idleTimeout closes connections that callers leave idle. It is far above the
+// time after which other nodes' pools close theirs.
+const idleTimeout = 75 * time.Second
+
 // listeners are the node's open ports.
 type listeners struct {
 	callers, peers, targets, metrics net.Listener
@@ -97,6 +102,13 @@
 	return err
 }
 
+// serve serves until ctx ends, then finishes requests in flight, each of which
+// has a deadline of at most maxDeadline.
+func serve(ctx context.Context, l net.Listener, h http.Handler) error {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: idleTimeout, ErrorLog: quietLog}
+	return process.ServeHTTP(ctx, l, s, maxDeadline.Duration())
+}
+
 func (n *node) coreTasks(l listeners) []supervisor.Child {
 	return []supervisor.Child{
 		{Name: "heartbeat", Run: n.heartbeat},
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -68,20 +68,3 @@
 	r.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	return ServeHTTP(ctx, l, &http.Server{Handler: r, ReadHeaderTimeout: 5 * time.Second}, metricsStopTimeout)
 }
-
-// ServeHTTP serves s on l until ctx ends, then shuts it down gracefully: it
-// stops accepting and waits up to stopTimeout for requests in flight.
-func ServeHTTP(ctx context.Context, l net.Listener, s *http.Server, stopTimeout time.Duration) error {
-	ends := make(chan error, 1)
-	go func() { ends <- s.Serve(l) }()
-	select {
-	case err := <-ends:
-		return merry.Wrap(ErrListener, merry.WithCause(err), merry.AppendMessagef("%s: %v", l.Addr(), err))
-	case <-ctx.Done():
-	}
-	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
-	defer cancel()
-	err := s.Shutdown(stopping)
-	<-ends
-	return err
-}
--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -26,37 +25,6 @@
 	qt.Assert(t, err, qt.IsNil)
 }
 
-// Guards against a planned stop that cuts a request in flight.
-func TestServeHTTPFinishesRequests(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	ctx, stop := context.WithCancel(t.Context())
-	begun, release := make(chan struct{}), make(chan struct{})
-	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		close(begun)
-		<-release
-		_, _ = io.WriteString(w, "whole")
-	})}
-	served := make(chan error, 1)
-	go func() { served <- ServeHTTP(ctx, l, s, time.Minute) }()
-	body := make(chan string, 1)
-	go func() {
-		r, err := http.Get("http://" + l.Addr().String())
-		if err != nil {
-			body <- err.Error()
-			return
-		}
-		defer func() { _ = r.Body.Close() }()
-		b, _ := io.ReadAll(r.Body)
-		body <- string(b)
-	}()
-	<-begun
-	stop()
-	close(release)
-	qt.Assert(t, <-body, qt.Equals, "whole")
-	qt.Assert(t, <-served, qt.IsNil)
-}
-
 func TestMetricsListenerServesHealthAndMetrics(t *testing.T) {
 	for name, path := range map[string]string{"health": "/healthz", "metrics": "/metrics"} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/node/serve.go
+++ b/internal/process/serve.go
@@ -1,4 +1,4 @@
-package node
+package process
 
 import (
 	"context"
@@ -8,45 +8,38 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-
-	"github.com/gentiansail/gentiansail/internal/process"
-	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
-const (
-	// idleTimeout closes connections that callers leave idle. It is far above the
-	// time after which other nodes' pools close theirs.
-	idleTimeout = 75 * time.Second
-	// firstRequestWait is how long a stop waits for the first request on
-	// connections that were accepted just before it. A caller sends it right
-	// after it connects.
-	firstRequestWait clock.Millis = 1000
-)
+// firstRequestWait is how long a stop waits for the first request on
+// connections that were accepted just before it. A caller sends it right after
+// it connects.
+const firstRequestWait = time.Second
 
-// serve serves until ctx ends, then finishes requests in flight. Each has a
-// deadline of at most maxDeadline.
+// ServeHTTP serves s on l until ctx ends, then shuts it down gracefully: it
+// stops accepting and waits up to stopTimeout for requests in flight. It takes
+// over the ConnState hook of s.
 //
 // http.Server.Shutdown alone is not graceful enough: it closes a connection
 // without a response when its first request is read after Shutdown began, even
 // if the connection was accepted before. So the listener is closed first, and
 // Shutdown follows when no connection has a request.
-func serve(ctx context.Context, l net.Listener, h http.Handler) error {
+func ServeHTTP(ctx context.Context, l net.Listener, s *http.Server, stopTimeout time.Duration) error {
 	c := &connections{states: make(map[net.Conn]http.ConnState), changed: make(chan struct{})}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: idleTimeout, ErrorLog: quietLog, ConnState: c.set}
+	s.ConnState = c.set
 	ends := make(chan error, 1)
 	go func() { ends <- s.Serve(l) }()
 	select {
 	case err := <-ends:
-		return merry.Wrap(process.ErrListener, merry.WithCause(err), merry.AppendMessagef("%s: %v", l.Addr(), err))
+		return merry.Wrap(ErrListener, merry.WithCause(err), merry.AppendMessagef("%s: %v", l.Addr(), err))
 	case <-ctx.Done():
 	}
 	_ = l.Close()
 	// From here on every accepted connection has a state.
 	<-ends
 	s.SetKeepAlivesEnabled(false)
-	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), maxDeadline.Duration())
+	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer cancel()
-	first, stop := context.WithTimeout(stopping, firstRequestWait.Duration())
+	first, stop := context.WithTimeout(stopping, firstRequestWait)
 	defer stop()
 	c.awaitNone(first, http.StateNew)
 	c.awaitNone(stopping, http.StateActive)
--- a/internal/node/serve_test.go
+++ b/internal/process/serve_test.go
@@ -1,4 +1,4 @@
-package node
+package process
 
 import (
 	"bufio"
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -19,7 +20,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	h := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }
-	go func() { done <- serve(ctx, l, http.HandlerFunc(h)) }()
+	go func() { done <- ServeHTTP(ctx, l, &http.Server{Handler: http.HandlerFunc(h)}, time.Minute) }()
 	early, err := net.Dial("tcp", l.Addr().String())
 	qt.Assert(t, err, qt.IsNil)
 	defer func() { _ = early.Close() }()
@@ -40,6 +41,37 @@
 	qt.Assert(t, <-done, qt.IsNil)
 }
 
+// Guards against a planned stop that cuts a request in flight.
+func TestServeHTTPFinishesRequests(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	ctx, stop := context.WithCancel(t.Context())
+	begun, release := make(chan struct{}), make(chan struct{})
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		<-release
+		_, _ = io.WriteString(w, "whole")
+	})}
+	served := make(chan error, 1)
+	go func() { served <- ServeHTTP(ctx, l, s, time.Minute) }()
+	body := make(chan string, 1)
+	go func() {
+		r, err := http.Get("http://" + l.Addr().String())
+		if err != nil {
+			body <- err.Error()
+			return
+		}
+		defer func() { _ = r.Body.Close() }()
+		b, _ := io.ReadAll(r.Body)
+		body <- string(b)
+	}()
+	<-begun
+	stop()
+	close(release)
+	qt.Assert(t, <-body, qt.Equals, "whole")
+	qt.Assert(t, <-served, qt.IsNil)
+}
+
 func exchangeOn(c net.Conn) error {
 	r, err := http.NewRequest(http.MethodGet, "http://node/", nil)
 	if err != nil {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -124,10 +124,7 @@
 	t := supervisor.Start(serving, "standin",
 		supervisor.Child{Name: "listener", Run: func(ctx context.Context) error {
 			h := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: 5 * time.Second}
-			err := process.ServeHTTP(ctx, l, h, stopTimeout)
-			// A connection that was accepted while the shutdown began is not seen
-			// by the first Shutdown.
-			return errors.Join(err, h.Shutdown(context.WithoutCancel(ctx)))
+			return process.ServeHTTP(ctx, l, h, stopTimeout)
 		}},
 	)
 	var announcing sync.WaitGroup
