--- a/internal/capacity/main.go
+++ b/internal/capacity/main.go
@@ -33,6 +33,8 @@
 	partitionsPerNode int
 	window            clock.Millis
 	rates             []int
+	// only names the part to measure; empty measures all.
+	only string
 }
 
 func main() {
@@ -53,6 +55,7 @@
 	flaggy.String(&rates, "", "rates", "operations a second, at least three")
 	flaggy.Int(&seconds, "", "seconds", "length of each measurement")
 	flaggy.Int(&o.partitionsPerNode, "", "partitions", "partitions for each node")
+	flaggy.String(&o.only, "", "only", "part to measure: nodes, operations, requests or tables; all if not given")
 	flaggy.Parse()
 	var err error
 	if o.sizes, err = numbers(sizes); err != nil {
@@ -82,36 +85,61 @@
 	return out, nil
 }
 
+// part is one table of the output.
+type part struct {
+	name    string
+	size    string
+	samples func(context.Context, options) ([]sample, error)
+}
+
+var parts = []part{
+	{"nodes", "nodes", each(func(o options) []int { return o.sizes }, measureNodes)},
+	{"operations", "operations/s", each(func(o options) []int { return o.rates }, measureOperations)},
+	{"requests", "requests/s over 5 nodes", measureRequests},
+	{"tables", "members in a routing table", measureTables},
+}
+
+// measure prints the parts that were asked for, or all of them.
 func measure(ctx context.Context, o options) error {
-	var heartbeats []sample
-	for _, n := range o.sizes {
-		s, err := measureNodes(ctx, o, n)
-		if err != nil {
-			return fmt.Errorf("%d nodes: %w", n, err)
+	known := false
+	for _, p := range parts {
+		if o.only != "" && o.only != p.name {
+			continue
 		}
-		heartbeats = append(heartbeats, s)
-	}
-	printSamples("nodes", heartbeats)
-	var operations []sample
-	for _, r := range o.rates {
-		s, err := measureOperations(ctx, o, r)
+		known = true
+		samples, err := p.samples(ctx, o)
 		if err != nil {
-			return fmt.Errorf("%d operations/s: %w", r, err)
+			return fmt.Errorf("%s: %w", p.name, err)
 		}
-		operations = append(operations, s)
+		printSamples(p.size, samples)
 	}
-	printSamples("operations/s", operations)
-	requests, err := measureRequests(ctx, o)
-	if err != nil {
-		return err
+	if !known {
+		return fmt.Errorf("no part is named %q", o.only)
 	}
-	printSamples("requests/s over 5 nodes", requests)
-	var tables []sample
+	return nil
+}
+
+// each measures one quantity at each size.
+func each(sizes func(options) []int, one func(context.Context, options, int) (sample, error)) func(context.Context, options) ([]sample, error) {
+	return func(ctx context.Context, o options) ([]sample, error) {
+		var out []sample
+		for _, n := range sizes(o) {
+			s, err := one(ctx, o, n)
+			if err != nil {
+				return nil, fmt.Errorf("at %d: %w", n, err)
+			}
+			out = append(out, s)
+		}
+		return out, nil
+	}
+}
+
+func measureTables(_ context.Context, o options) ([]sample, error) {
+	var out []sample
 	for _, n := range o.sizes {
-		tables = append(tables, measureTable(n*10, o.partitionsPerNode))
+		out = append(out, measureTable(n*10, o.partitionsPerNode))
 	}
-	printSamples("members in a routing table", tables)
-	return nil
+	return out, nil
 }
 
 // printSamples prints a table with a line for each quantity: its value at each
--- a/internal/capacity/requests.go
+++ b/internal/capacity/requests.go
@@ -92,7 +92,7 @@
 	if err != nil {
 		return sample{}, err
 	}
-	before, err := nodeSeconds(c)
+	before, _, err := nodeUsage(c)
 	if err != nil {
 		return sample{}, err
 	}
@@ -102,7 +102,7 @@
 		return sample{}, err
 	}
 	seconds := float64(clock.System().Now()-began) / 1000
-	after, err := nodeSeconds(c)
+	after, memory, err := nodeUsage(c)
 	if err != nil {
 		return sample{}, err
 	}
@@ -115,6 +115,7 @@
 		{"ratio p99", routed.Latency.P99 / direct.Latency.P99},
 		{"complete, %", 100 * float64(routed.Outcomes[wire.OutcomeComplete]) / float64(routed.Requests)},
 		{"all nodes, % of a core", 100 * (after - before) / seconds},
+		{"largest node, MB", memory / 1e6},
 	}}, nil
 }
 
@@ -131,15 +132,16 @@
 	return r, json.Unmarshal(out.Bytes(), &r)
 }
 
-// nodeSeconds returns the processor time of all nodes.
-func nodeSeconds(c *cluster.Cluster) (float64, error) {
-	var sum float64
+// nodeUsage returns the processor time of all nodes, and the largest memory of
+// one.
+func nodeUsage(c *cluster.Cluster) (seconds, largestBytes float64, err error) {
 	for _, h := range c.Hosts {
 		u, err := usageOf(h.Node.PID())
 		if err != nil {
-			return 0, err
+			return 0, 0, err
 		}
-		sum += u.cpuSeconds
+		seconds += u.cpuSeconds
+		largestBytes = max(largestBytes, u.residentBytes)
 	}
-	return sum, nil
+	return seconds, largestBytes, nil
 }
