node: use copy buffers again

Cause: each response took a new buffer of 16 KiB on each of its two hops, a quarter of the bytes that a node allocated in a profile at 1,500 requests/s. Change: the buffers come from a pool. Figures: 24 % of alloc_space before by /debug/pprof/allocs. Conclusion: kept for the garbage that it saves; not yet measured in processor time.

--- a/internal/node/reply.go
+++ b/internal/node/reply.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/gentiansail/gentiansail/internal/header"
@@ -140,6 +141,10 @@
 // copyBufferBytes is the size of one read of a response body.
 const copyBufferBytes = 16 << 10
 
+// copyBuffers are used again, because a new one for each response on each of two
+// hops was a quarter of what a node allocated.
+var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
+
 // writeBody streams the body and flushes after each read, so that partial
 // results arrive early. The error is that of the source or of the receiver; the
 // response must then be aborted, not ended.
@@ -151,9 +156,10 @@
 	flush := http.NewResponseController(w)
 	_ = flush.SetWriteDeadline(time.Now().Add((max(left, 0) + writeGrace).Duration()))
 	defer func() { _ = flush.SetWriteDeadline(time.Time{}) }()
-	buffer := make([]byte, copyBufferBytes)
+	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
+	defer copyBuffers.Put(buffer)
 	for {
-		n, err := p.body.Read(buffer)
+		n, err := p.body.Read(buffer[:])
 		if n > 0 {
 			if _, e := w.Write(buffer[:n]); e != nil {
 				return e
