control, table: send only what differs in the configuration

Cause: every change of the configuration carried the whole of it.

Ruled out: reading the order from names alone (an entry in the middle of a file would cost the list of all names); a change without a checksum (a node with a configuration of another history would hold a mixture); the new form for every node (a node of an earlier version refuses a revision without its configuration and loses its lease).

Change: internal/revision compares two configurations and names what was added, removed, changed or moved; the history keeps the names, a delta merges them and sends the entries with their positions and a checksum of the result. A node states in each request which form it understands; others get whole configurations. A node that cannot connect a change keeps its revision and asks for the full table, now also after a delta that contradicts itself.

--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -201,7 +201,7 @@
 		member, client := v.announcement(), v.client()
 		request := wire.HeartbeatRequest{
 			Group: v.group, Node: v.id, Process: v.process, Address: "127.0.0.1:1", FailureDomain: v.domain,
-			KnownVersion: version, RevisionInForce: revision, Member: &member,
+			DeltaFormat: wire.DeltaFormatChanges, KnownVersion: version, RevisionInForce: revision, Member: &member,
 			Released: grants, Loads: []wire.PartitionLoad{}, HotKeys: []wire.HotKey{},
 		}
 		timed, cancel := context.WithTimeout(ctx, callTimeout.Duration())
@@ -222,7 +222,10 @@
 func (v *standinNode) watch(ctx context.Context) {
 	for ctx.Err() == nil {
 		version, _, _ := v.seen()
-		request := wire.WatchRequest{Group: v.group, Node: v.id, KnownVersion: version, WaitMillis: wire.Millis(watchWait)}
+		request := wire.WatchRequest{
+			Group: v.group, Node: v.id, DeltaFormat: wire.DeltaFormatChanges,
+			KnownVersion: version, WaitMillis: wire.Millis(watchWait),
+		}
 		client := v.client()
 		timed, cancel := context.WithTimeout(ctx, (watchWait + callTimeout).Duration())
 		response, err := rpc.Call[watchResponse](timed, client, wire.MethodNodeWatch, request)
--- a/internal/control/delta_cache.go
+++ b/internal/control/delta_cache.go
@@ -15,7 +15,7 @@
 const maxCachedDeltas = 32
 
 // deltaCache encodes a change of the routing table once for all nodes that know
-// the same version. Without it the leader spends most of its time on encoding
+// the same version and understand the same form. Without it the leader spends most of its time on encoding
 // the same change for each node.
 type deltaCache struct {
 	machine *state.Machine
@@ -23,7 +23,13 @@
 	mu sync.Mutex
 	// version is the last change that the cached encodings contain.
 	version wire.Version
-	byKnown map[wire.Version]*encoding
+	byKnown map[cacheKey]*encoding
+}
+
+// cacheKey says for whom a change is encoded.
+type cacheKey struct {
+	format wire.DeltaFormat
+	known  wire.Version
 }
 
 // encoding is one change; done is closed when the rest is set.
@@ -34,15 +40,18 @@
 }
 
 func newDeltaCache(m *state.Machine) *deltaCache {
-	return &deltaCache{machine: m, byKnown: make(map[wire.Version]*encoding)}
+	return &deltaCache{machine: m, byKnown: make(map[cacheKey]*encoding)}
 }
 
 // get returns the encoded delta from the known version to one that is at least
-// as new as the call.
-func (c *deltaCache) get(known wire.Version) (json.RawMessage, error) {
-	e, first := c.entry(known)
+// as new as the call, in the highest form that the receiver understands.
+func (c *deltaCache) get(f wire.DeltaFormat, known wire.Version) (json.RawMessage, error) {
+	// Forms that this program does not know share the entry of the one that it
+	// uses for them.
+	f = max(0, min(f, wire.DeltaFormatChanges))
+	e, first := c.entry(cacheKey{format: f, known: known})
 	if first {
-		e.data, e.err = json.Marshal(compact(c.machine.Delta(known)))
+		e.data, e.err = json.Marshal(compact(c.machine.DeltaIn(f, known)))
 		close(e.done)
 	}
 	<-e.done
@@ -52,23 +61,24 @@
 // compactDelta is a wire.Delta without its empty lists. Most responses carry no
 // change, and the names of empty lists would be half of their bytes.
 type compactDelta struct {
-	Configuration     *wire.Configuration `json:",omitempty"`
-	FromVersion       wire.Version
-	Full              bool
-	Members           []wire.Member      `json:",omitempty"`
-	Partitions        wire.PartitionList `json:",omitempty"`
-	RemovedMembers    []wire.Incarnation `json:",omitempty"`
-	RemovedPartitions []wire.PartitionID `json:",omitempty"`
-	RemovedSuspects   []wire.Fingerprint `json:",omitempty"`
-	Revision          wire.Revision
-	Suspects          []wire.Suspect `json:",omitempty"`
-	ToVersion         wire.Version
+	Configuration       *wire.Configuration       `json:",omitempty"`
+	ConfigurationChange *wire.ConfigurationChange `json:",omitempty"`
+	FromVersion         wire.Version
+	Full                bool
+	Members             []wire.Member      `json:",omitempty"`
+	Partitions          wire.PartitionList `json:",omitempty"`
+	RemovedMembers      []wire.Incarnation `json:",omitempty"`
+	RemovedPartitions   []wire.PartitionID `json:",omitempty"`
+	RemovedSuspects     []wire.Fingerprint `json:",omitempty"`
+	Revision            wire.Revision
+	Suspects            []wire.Suspect `json:",omitempty"`
+	ToVersion           wire.Version
 }
 
 func compact(d wire.Delta) compactDelta { return compactDelta(d) }
 
 // entry returns the encoding to use, and whether the caller must fill it.
-func (c *deltaCache) entry(known wire.Version) (*encoding, bool) {
+func (c *deltaCache) entry(k cacheKey) (*encoding, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// Read under the mutex and before the delta is made: an entry of this version
@@ -77,12 +87,12 @@
 		c.version = v
 		clear(c.byKnown)
 	}
-	if e, ok := c.byKnown[known]; ok {
+	if e, ok := c.byKnown[k]; ok {
 		return e, false
 	}
 	e := &encoding{done: make(chan struct{})}
 	if len(c.byKnown) < maxCachedDeltas {
-		c.byKnown[known] = e
+		c.byKnown[k] = e
 	}
 	return e, true
 }
@@ -105,7 +115,7 @@
 	if err != nil {
 		return encodedHeartbeat{}, err
 	}
-	delta, err := s.deltas.get(r.KnownVersion)
+	delta, err := s.deltas.get(r.DeltaFormat, r.KnownVersion)
 	return encodedHeartbeat{
 		Granted: response.Granted, LeaseMillis: response.LeaseMillis, Refusal: response.Refusal, Delta: delta,
 	}, err
@@ -115,6 +125,6 @@
 	if err := s.answerWatch(ctx, r, watchSettle); err != nil {
 		return encodedWatch{}, err
 	}
-	delta, err := s.deltas.get(r.KnownVersion)
+	delta, err := s.deltas.get(r.DeltaFormat, r.KnownVersion)
 	return encodedWatch{Delta: delta}, err
 }
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -16,7 +16,7 @@
 	if err != nil {
 		return wire.HeartbeatResponse{}, err
 	}
-	response.Delta = s.Machine.Delta(r.KnownVersion)
+	response.Delta = s.Machine.DeltaIn(r.DeltaFormat, r.KnownVersion)
 	return response, nil
 }
 
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -24,7 +24,7 @@
 	if err := s.answerWatch(ctx, r, 0); err != nil {
 		return wire.WatchResponse{}, err
 	}
-	return wire.WatchResponse{Delta: s.Machine.Delta(r.KnownVersion)}, nil
+	return wire.WatchResponse{Delta: s.Machine.DeltaIn(r.DeltaFormat, r.KnownVersion)}, nil
 }
 
 // answerWatch is watch without the routing table. It waits for settle after a
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -152,7 +152,7 @@
 		}
 		f.assign()
 	}
-	out.Delta = f.machine.Delta(r.KnownVersion)
+	out.Delta = f.machine.DeltaIn(r.DeltaFormat, r.KnownVersion)
 	return out, nil
 }
 
@@ -188,7 +188,7 @@
 		case <-timed.Done():
 		}
 	}
-	return wire.WatchResponse{Delta: f.machine.Delta(r.KnownVersion)}, nil
+	return wire.WatchResponse{Delta: f.machine.DeltaIn(r.DeltaFormat, r.KnownVersion)}, nil
 }
 
 // target is a stand-in whose crash closes its listener and connections.
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -152,7 +152,7 @@
 	s := n.settings
 	r := wire.HeartbeatRequest{
 		Group: s.Group, Node: s.Name, Address: s.Advertise, FailureDomain: s.FailureDomain,
-		Process: n.process, KnownVersion: n.routing.known(), RevisionInForce: n.routing.snapshot().Revision(),
+		Process: n.process, DeltaFormat: wire.DeltaFormatChanges, KnownVersion: n.routing.known(), RevisionInForce: n.routing.snapshot().Revision(),
 		Stopping: n.stopping.Load(), Released: []wire.Grant{}, Loads: []wire.PartitionLoad{}, HotKeys: []wire.HotKey{},
 	}
 	now := n.clock.Now()
@@ -179,7 +179,10 @@
 func (n *node) watch(ctx context.Context) error {
 	for ctx.Err() == nil {
 		known := n.routing.known()
-		request := wire.WatchRequest{Group: n.settings.Group, Node: n.settings.Name, KnownVersion: known, WaitMillis: wire.Millis(watchWait)}
+		request := wire.WatchRequest{
+			Group: n.settings.Group, Node: n.settings.Name, DeltaFormat: wire.DeltaFormatChanges,
+			KnownVersion: known, WaitMillis: wire.Millis(watchWait),
+		}
 		response, err := tryCall[wire.WatchResponse](ctx, n.control, wire.MethodNodeWatch, request, watchTimeout)
 		if err == nil && response.Delta.ToVersion > known {
 			err = n.routing.apply(response.Delta, known)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/gentiansail/gentiansail/internal/exchange"
 	"github.com/gentiansail/gentiansail/internal/header"
+	"github.com/gentiansail/gentiansail/internal/revision"
 	"github.com/gentiansail/gentiansail/internal/wire"
 	"github.com/gentiansail/gentiansail/pkg/clock"
 	"github.com/gentiansail/gentiansail/pkg/lease"
@@ -116,3 +117,26 @@
 	c.Assert(truthful(unavailable(reasonMoving), false).outcome, qt.Equals, wire.OutcomeNotRun)
 	c.Assert(truthful(&reply{outcome: wire.OutcomeComplete}, true).outcome, qt.Equals, wire.OutcomeComplete)
 }
+
+// Guards against a node that reports a revision which it could not apply, or
+// that states the same version for ever after a delta that does not fit.
+func TestNodeAsksForTheFullTableAfterADeltaThatDoesNotFit(t *testing.T) {
+	whole := wire.Configuration{Services: []wire.ServiceConfig{{Name: "courier"}, {Name: "pledges"}}}
+	cases := map[string]wire.Delta{
+		"revision without its configuration": {FromVersion: 9, ToVersion: 10, Revision: 2},
+		"change from a later revision":       {FromVersion: 9, ToVersion: 10, Revision: 3, ConfigurationChange: revision.Change(revision.Names{}, 2, whole)},
+		"change of another history":          {FromVersion: 9, ToVersion: 10, Revision: 2, ConfigurationChange: revision.Change(revision.Names{}, 1, wire.Configuration{})},
+	}
+	for name, d := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRouting(clock.NewManual(0).Clock())
+			qt.Assert(t, r.apply(wire.Delta{Full: true, ToVersion: 9, Revision: 1, Configuration: &whole}, 0), qt.IsNil)
+			qt.Assert(t, r.known(), qt.Equals, wire.Version(9))
+			qt.Assert(t, r.apply(d, 9), qt.IsNotNil)
+			qt.Assert(t, r.snapshot().Revision(), qt.Equals, wire.Revision(1))
+			qt.Assert(t, r.known(), qt.Equals, wire.Version(0))
+			qt.Assert(t, r.apply(wire.Delta{Full: true, ToVersion: 10, Revision: 2, Configuration: &whole}, 0), qt.IsNil)
+			qt.Assert(t, r.known(), qt.Equals, wire.Version(10))
+		})
+	}
+}
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -22,7 +22,7 @@
 	mu        sync.Mutex
 	confirmed bool
 	freshAt   clock.Millis // when the latest confirmed version was asked for
-	gap       bool
+	gap       bool         // the last delta did not fit; the next request asks for the full table
 	change    chan struct{}
 }
 
@@ -57,7 +57,7 @@
 		r.change = make(chan struct{})
 	case errors.Is(err, table.ErrOld) && d.ToVersion >= known && d.ToVersion < r.snapshot().Version():
 		return nil
-	case errors.Is(err, table.ErrGap):
+	case errors.Is(err, table.ErrGap), errors.Is(err, table.ErrDelta):
 		r.gap = true
 	}
 	return err
--- a/internal/state/config.go
+++ b/internal/state/config.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"github.com/gentiansail/gentiansail/internal/revision"
 	"github.com/gentiansail/gentiansail/internal/wire"
 	"github.com/gentiansail/gentiansail/pkg/partition"
 )
@@ -67,8 +68,11 @@
 		return wire.ApplyResponse{Revision: m.Revision, Refusal: refusal}
 	}
 	m.Revision++
-	m.Configuration = r.Configuration
 	c := change{Configuration: true}
+	if names, ok := revision.Compare(m.Configuration, r.Configuration); ok {
+		c.Names = &names
+	}
+	m.Configuration = r.Configuration
 	c.Partitions = m.updateServices()
 	m.change(c)
 	m.audit(string(r.Operator), "configuration applied", itoa(int(r.BaseRevision)), itoa(int(m.Revision)))
--- a/internal/state/history.go
+++ b/internal/state/history.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"github.com/gentiansail/gentiansail/internal/revision"
 	"github.com/gentiansail/gentiansail/internal/wire"
 )
 
@@ -18,11 +19,16 @@
 // change says which parts of the routing table the entry at Index touched. The
 // parts themselves are read from the state when a delta is made.
 type change struct {
-	Index         wire.Version
-	Configuration bool               `json:",omitempty"`
-	Members       []wire.Incarnation `json:",omitempty"`
-	Partitions    []wire.PartitionID `json:",omitempty"`
-	Suspects      []wire.Fingerprint `json:",omitempty"`
+	Index wire.Version
+	// Configuration is set for every new revision. Replicas of earlier versions
+	// know only this field, and send the whole configuration.
+	Configuration bool `json:",omitempty"`
+	// Names says what the revision changed; absent in entries of earlier versions
+	// and where the whole configuration should be sent.
+	Names      *revision.Names    `json:",omitempty"`
+	Members    []wire.Incarnation `json:",omitempty"`
+	Partitions []wire.PartitionID `json:",omitempty"`
+	Suspects   []wire.Fingerprint `json:",omitempty"`
 }
 
 func (m *Machine) change(c change) {
@@ -50,6 +56,11 @@
 // is full when the history does not reach back that far, or when the known
 // version is not one of this state.
 func (m *Machine) Delta(known wire.Version) wire.Delta {
+	return m.DeltaIn(wire.DeltaFormatChanges, known)
+}
+
+// DeltaIn is Delta in the highest form that the receiver understands.
+func (m *Machine) DeltaIn(f wire.DeltaFormat, known wire.Version) wire.Delta {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	if known <= 0 || known < m.HistoryStart || known > m.Index {
@@ -59,7 +70,10 @@
 	// and equal for all nodes while operations fill the log.
 	d := wire.Delta{FromVersion: known, ToVersion: max(known, m.TableVersion), Revision: m.Revision}
 	c := m.since(known)
-	if c.Configuration {
+	if c.Configuration && f >= wire.DeltaFormatChanges {
+		d.ConfigurationChange = m.configurationChange(known)
+	}
+	if c.Configuration && d.ConfigurationChange == nil {
 		configuration := m.Configuration
 		d.Configuration = &configuration
 	}
@@ -72,8 +86,7 @@
 // since merges the changes after the known version.
 func (m *Machine) since(known wire.Version) change {
 	var all change
-	first, _ := slices.BinarySearchFunc(m.History, known+1, func(c change, v wire.Version) int { return int(c.Index - v) })
-	for _, c := range m.History[first:] {
+	for _, c := range m.historyAfter(known) {
 		all.Configuration = all.Configuration || c.Configuration
 		all.Members = append(all.Members, c.Members...)
 		all.Partitions = append(all.Partitions, c.Partitions...)
@@ -88,6 +101,30 @@
 	return all
 }
 
+func (m *Machine) historyAfter(known wire.Version) []change {
+	first, _ := slices.BinarySearchFunc(m.History, known+1, func(c change, v wire.Version) int { return int(c.Index - v) })
+	return m.History[first:]
+}
+
+// configurationChange returns what differs in the configuration after the known
+// version, nil when the whole configuration should be sent.
+func (m *Machine) configurationChange(known wire.Version) *wire.ConfigurationChange {
+	var names revision.Names
+	from := m.Revision
+	for _, c := range m.historyAfter(known) {
+		if !c.Configuration {
+			continue
+		}
+		if c.Names == nil {
+			return nil
+		}
+		names = names.Merge(*c.Names)
+		// Every entry that sets Configuration raises the revision by one.
+		from--
+	}
+	return revision.Change(names, from, m.Configuration)
+}
+
 func (m *Machine) full() wire.Delta {
 	configuration := m.Configuration
 	d := wire.Delta{Full: true, ToVersion: m.TableVersion, Revision: m.Revision, Configuration: &configuration}
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -6,9 +6,11 @@
 // throughout. Lookups read the snapshot through an atomic pointer and take no
 // lock; applying a delta copies only the services that it touches.
 //
-// A table never goes back: a delta with a lower version or revision, or one that
-// starts after the table's version, is refused. After a refused gap the node
-// asks for the full table by stating version zero.
+// A table never goes back: a delta with a lower version or revision is refused,
+// and so is one that starts after the table's version, or whose change of the
+// configuration does not lead from the table's revision to a configuration with
+// the stated checksum. After a refused delta that is not merely old the node asks
+// for the full table by stating version zero.
 //
 // # Usage
 //
@@ -30,6 +32,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/gentiansail/gentiansail/internal/revision"
 	"github.com/gentiansail/gentiansail/internal/wire"
 )
 
@@ -38,7 +41,8 @@
 	// ErrOld means that the delta ends at a lower version or revision than the
 	// table has.
 	ErrOld = merry.Sentinel("delta is older than the routing table")
-	// ErrGap means that the delta starts after the table's version.
+	// ErrGap means that the delta starts after the table's version or revision, or
+	// that its change does not fit the table's configuration.
 	ErrGap = merry.Sentinel("delta does not connect to the routing table")
 	// ErrDelta means that the delta contradicts itself.
 	ErrDelta = merry.Sentinel("invalid delta")
@@ -68,7 +72,11 @@
 	if err := check(old, d); err != nil {
 		return err
 	}
-	t.current.Store(next(old, d))
+	c, err := configurationAfter(old, d)
+	if err != nil {
+		return err
+	}
+	t.current.Store(next(old, d, c))
 	return nil
 }
 
@@ -80,14 +88,33 @@
 		return merry.Wrap(ErrOld, merry.AppendMessagef("revision %d, table has %d", d.Revision, old.revision))
 	case !d.Full && d.FromVersion > old.version:
 		return merry.Wrap(ErrGap, merry.AppendMessagef("starts at %d, table has %d", d.FromVersion, old.version))
-	case d.Revision != old.revision && d.Configuration == nil:
+	case d.Revision != old.revision && d.Configuration == nil && d.ConfigurationChange == nil:
 		return merry.Wrap(ErrDelta, merry.AppendMessagef("revision %d without its configuration", d.Revision))
+	case d.Configuration != nil && d.ConfigurationChange != nil:
+		return merry.Wrap(ErrDelta, merry.AppendMessage("a whole configuration and a change of it"))
 	case d.Full && d.Configuration == nil:
 		return merry.Wrap(ErrDelta, merry.AppendMessage("full table without configuration"))
 	}
 	return nil
 }
 
+// configurationAfter returns the configuration that the delta leads to, nil when
+// it stays the same.
+func configurationAfter(old *Snapshot, d wire.Delta) (*wire.Configuration, error) {
+	c := d.ConfigurationChange
+	if c == nil {
+		return d.Configuration, nil
+	}
+	if c.FromRevision > old.revision {
+		return nil, merry.Wrap(ErrGap, merry.AppendMessagef("change starts at revision %d, table has %d", c.FromRevision, old.revision))
+	}
+	next, err := revision.Apply(old.configuration, *c)
+	if err != nil {
+		return nil, merry.Wrap(ErrGap, merry.WithCause(err), merry.AppendMessagef("revision %d to %d: %s", old.revision, d.Revision, err))
+	}
+	return &next, nil
+}
+
 // Snapshot is one version of the routing table. It never changes.
 type Snapshot struct {
 	version       wire.Version
@@ -115,7 +142,9 @@
 	}
 }
 
-func next(old *Snapshot, d wire.Delta) *Snapshot {
+// next returns the snapshot after the delta; c is the configuration that it leads
+// to, nil when that stays the same.
+func next(old *Snapshot, d wire.Delta, c *wire.Configuration) *Snapshot {
 	if d.Full {
 		old = empty()
 	}
@@ -124,11 +153,11 @@
 	touched := make(map[wire.ServiceName]bool)
 	s.applySuspects(d)
 	s.applyMembers(d, touched)
-	if d.Configuration != nil {
-		s.applyConfiguration(*d.Configuration)
+	if c != nil {
+		s.applyConfiguration(*c)
 	}
 	s.applyPartitions(d, touched)
-	s.listMembers(touched, d.Configuration != nil)
+	s.listMembers(touched, c != nil)
 	return &s
 }
 
--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/gentiansail/gentiansail/internal/revision"
 	"github.com/gentiansail/gentiansail/internal/table"
 	"github.com/gentiansail/gentiansail/internal/wire"
 	"github.com/gentiansail/gentiansail/pkg/partition"
@@ -32,6 +33,13 @@
 // Guards against a table that goes back, skips changes, or claims a revision
 // whose configuration it never received.
 func TestApplyRefusesWhatDoesNotConnect(t *testing.T) {
+	change := func(from wire.Revision, deadline wire.Millis) *wire.ConfigurationChange {
+		c := *full().Configuration
+		c.Routes[2].DeadlineMillis = deadline
+		return revision.Change(revision.Names{Routes: []wire.RouteName{c.Routes[2].Name}}, from, c)
+	}
+	foreign := change(2, 20000)
+	foreign.Routes[0].Route.DeadlineMillis++
 	cases := map[string]struct {
 		delta wire.Delta
 		want  error
@@ -40,6 +48,11 @@
 		"lower revision":                 {wire.Delta{FromVersion: 10, ToVersion: 12, Revision: 1}, table.ErrOld},
 		"full table of a lower revision": {wire.Delta{Full: true, ToVersion: 12, Revision: 1, Configuration: &wire.Configuration{}}, table.ErrOld},
 		"gap":                            {wire.Delta{FromVersion: 11, ToVersion: 12, Revision: 2}, table.ErrGap},
+		"change from a later revision":   {wire.Delta{FromVersion: 10, ToVersion: 12, Revision: 4, ConfigurationChange: change(3, 20000)}, table.ErrGap},
+		"change of another history":      {wire.Delta{FromVersion: 10, ToVersion: 12, Revision: 3, ConfigurationChange: foreign}, table.ErrGap},
+		"change and whole":               {wire.Delta{FromVersion: 10, ToVersion: 12, Revision: 3, Configuration: &wire.Configuration{}, ConfigurationChange: change(2, 20000)}, table.ErrDelta},
+		"change":                         {wire.Delta{FromVersion: 10, ToVersion: 12, Revision: 3, ConfigurationChange: change(2, 20000)}, nil},
+		"change of several revisions":    {wire.Delta{FromVersion: 8, ToVersion: 12, Revision: 3, ConfigurationChange: change(1, 20000)}, nil},
 		"revision without configuration": {wire.Delta{FromVersion: 10, ToVersion: 12, Revision: 3}, table.ErrDelta},
 		"overlap":                        {wire.Delta{FromVersion: 8, ToVersion: 12, Revision: 2}, nil},
 	}
@@ -54,6 +67,11 @@
 				want = 12
 			}
 			qt.Assert(t, x.Snapshot().Version(), qt.Equals, want)
+			// A revision that is not in force must not be reported as such.
+			if c.want != nil {
+				c.delta.Revision = 2
+			}
+			qt.Assert(t, x.Snapshot().Revision(), qt.Equals, c.delta.Revision)
 		})
 	}
 }
--- a/internal/wire/doc.go
+++ b/internal/wire/doc.go
@@ -35,3 +35,9 @@
 	MethodReplicaBootstrap   = "Replica.Bootstrap"
 	MethodReplicaIdentity    = "Replica.Identity"
 )
+
+// DeltaFormatChanges is the form with ConfigurationChange. A version that adds
+// fields to services, routes, regions or limits needs a higher form: a node that
+// does not know them computes another checksum, and would ask for the full table
+// after each change.
+const DeltaFormatChanges DeltaFormat = 1
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -188,6 +188,12 @@
 	RequestsPerSecond float64 `json:"RequestsPerSecond"`
 }
 
+// CallerLimitList is the whole list of limits for each caller.
+type CallerLimitList struct {
+	// CallerLimits corresponds to the JSON schema field "CallerLimits".
+	CallerLimits []CallerLimit `json:"CallerLimits"`
+}
+
 // ClearSuspectRequest reports that a suspect request ran alone and the target
 // survived.
 type ClearSuspectRequest struct {
@@ -284,6 +290,34 @@
 	Services []ServiceConfig `json:"Services"`
 }
 
+// ConfigurationChange is what differs between two revisions of the configuration.
+type ConfigurationChange struct {
+	// Absent when the limits are the same.
+	CallerLimits *CallerLimitList `json:"CallerLimits,omitempty"`
+
+	// Checksum of the configuration that results.
+	Checksum string `json:"Checksum"`
+
+	// Lowest revision to which the change applies; it also applies to each later one
+	// up to that of the delta.
+	FromRevision Revision `json:"FromRevision"`
+
+	// Absent when the regions are the same.
+	Regions *RegionList `json:"Regions,omitempty"`
+
+	// RemovedRoutes corresponds to the JSON schema field "RemovedRoutes".
+	RemovedRoutes []RouteName `json:"RemovedRoutes,omitempty"`
+
+	// RemovedServices corresponds to the JSON schema field "RemovedServices".
+	RemovedServices []ServiceName `json:"RemovedServices,omitempty"`
+
+	// Routes that were added, changed or moved, in the order of Index.
+	Routes []PlacedRoute `json:"Routes,omitempty"`
+
+	// Services that were added, changed or moved, in the order of Index.
+	Services []PlacedService `json:"Services,omitempty"`
+}
+
 type Decision string
 
 const DecisionExpired Decision = "expired"
@@ -296,9 +330,14 @@
 
 // Delta brings a routing table from one version to a later one.
 type Delta struct {
-	// Configuration corresponds to the JSON schema field "Configuration".
+	// The whole configuration; present in full tables, and where it is not worth
+	// while to send a change.
 	Configuration *Configuration `json:"Configuration,omitempty"`
 
+	// What differs in the configuration; only for nodes whose request states
+	// DeltaFormat one or higher.
+	ConfigurationChange *ConfigurationChange `json:"ConfigurationChange,omitempty"`
+
 	// FromVersion corresponds to the JSON schema field "FromVersion".
 	FromVersion Version `json:"FromVersion"`
 
@@ -330,6 +369,10 @@
 	ToVersion Version `json:"ToVersion"`
 }
 
+// DeltaFormat is the form of Delta that a node understands. Zero: each change of
+// the configuration carries the whole of it. One: ConfigurationChange as well.
+type DeltaFormat int
+
 // DownRequest ends an incarnation.
 type DownRequest struct {
 	// Whether the target died, in contrast to a planned stop.
@@ -425,6 +468,9 @@
 	// Address corresponds to the JSON schema field "Address".
 	Address Address `json:"Address"`
 
+	// Highest form that the node understands; zero in requests of earlier versions.
+	DeltaFormat DeltaFormat `json:"DeltaFormat"`
+
 	// FailureDomain corresponds to the JSON schema field "FailureDomain".
 	FailureDomain FailureDomain `json:"FailureDomain"`
 
@@ -781,6 +827,24 @@
 	RequestsPerSecond float64 `json:"RequestsPerSecond"`
 }
 
+// PlacedRoute is a route and its position in the list that results.
+type PlacedRoute struct {
+	// Index corresponds to the JSON schema field "Index".
+	Index int `json:"Index"`
+
+	// Route corresponds to the JSON schema field "Route".
+	Route RouteConfig `json:"Route"`
+}
+
+// PlacedService is a service and its position in the list that results.
+type PlacedService struct {
+	// Index corresponds to the JSON schema field "Index".
+	Index int `json:"Index"`
+
+	// Service corresponds to the JSON schema field "Service".
+	Service ServiceConfig `json:"Service"`
+}
+
 // ProcessID is the random id of one start of a node process. Incarnations of the
 // same process are ordered by their announcement's sequence number.
 type ProcessID string
@@ -809,6 +873,12 @@
 	Name Region `json:"Name"`
 }
 
+// RegionList is the whole list of regions.
+type RegionList struct {
+	// Regions corresponds to the JSON schema field "Regions".
+	Regions []RegionConfig `json:"Regions"`
+}
+
 // RegisterMember makes an incarnation known.
 type RegisterMember struct {
 	// Member corresponds to the JSON schema field "Member".
@@ -1023,6 +1093,9 @@
 
 // WatchRequest waits for a routing table later than a version.
 type WatchRequest struct {
+	// Highest form that the node understands; zero in requests of earlier versions.
+	DeltaFormat DeltaFormat `json:"DeltaFormat"`
+
 	// Group corresponds to the JSON schema field "Group".
 	Group GroupID `json:"Group"`
 
