operator: ask only for the nodes that a wait is waiting for

Ruled out: a method of its own for the wait; a control replica of an earlier version does not know it, while it ignores new fields of a request and lists all nodes, which the command filters as before.

Change: a status request can name one node, or a revision that the listed nodes do not have in force, and the largest number of nodes; the response counts the nodes that this leaves out, and has no services. The waits use it. The message and the JSON output of apply name at most 20 nodes and count the others (NotInForceOthers).

Conclusion: the cost of a wait no longer grows with the number of nodes. The leader still collects the status of all nodes for each request.

--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -179,12 +179,38 @@
 	log := s.Status()
 	members, partitions := s.Machine.MemberList(), s.Machine.PartitionList()
 	revision, c := s.Machine.Config()
-	return wire.StatusResponse{
+	out := wire.StatusResponse{
 		Group: s.Group, Version: s.Machine.Version(), Revision: revision,
-		CanLoseOne: log.CanLoseOne, Replicas: log.Replicas,
-		Nodes:    s.nodeStatuses(o, members, partitions),
-		Services: serviceStatuses(c, members, partitions),
-	}, nil
+		CanLoseOne: log.CanLoseOne, Replicas: log.Replicas, Services: []wire.ServiceStatus{},
+	}
+	out.Nodes, out.NodesOmitted = selectNodes(s.nodeStatuses(o, members, partitions), r)
+	if wholeStatus(r) {
+		out.Services = serviceStatuses(c, members, partitions)
+	}
+	return out, nil
+}
+
+// wholeStatus reports whether a request asks for everything. Commands that wait
+// ask several times a second, and only for the nodes that they wait for.
+func wholeStatus(r wire.StatusRequest) bool {
+	return r.Node == "" && r.BelowRevision == 0 && r.MaxNodes == 0
+}
+
+// selectNodes returns the nodes that a request asks for, and how many more its
+// limit leaves out.
+func selectNodes(all []wire.NodeStatus, r wire.StatusRequest) ([]wire.NodeStatus, int) {
+	listed, omitted := []wire.NodeStatus{}, 0
+	for _, n := range all {
+		switch {
+		case r.Node != "" && n.Node != r.Node:
+		case r.BelowRevision > 0 && n.RevisionInForce >= r.BelowRevision:
+		case r.MaxNodes > 0 && len(listed) >= r.MaxNodes:
+			omitted++
+		default:
+			listed = append(listed, n)
+		}
+	}
+	return listed, omitted
 }
 
 // awaitNodes waits until a new leader has been in office for the longest lease.
--- a/internal/control/service_test.go
+++ b/internal/control/service_test.go
@@ -666,3 +666,39 @@
 		})
 	}
 }
+
+// Guards against waits that read the status of every node several times a
+// second, and against a wait that ends while a node is left out by the limit.
+// Prints the bytes at 3,000 nodes.
+func TestStatusForAWaitListsFewNodes(t *testing.T) {
+	var all []wire.NodeStatus
+	for i := range 3000 {
+		n := wire.NodeID(fmt.Sprintf("dsm-a-%d", i))
+		all = append(all, wire.NodeStatus{
+			Node: n, Address: "192.0.2.5:7101", FailureDomain: "dsm-a", RevisionInForce: wire.Revision(7 + i%2), KnownVersion: 1000000, Owned: 16,
+			Member: &wire.Member{Node: n, Incarnation: "01234567-89ab-7def-8123-456789abcdef", Process: "01234567-89ab-7def-8123-456789abcdef", Service: "catalogue", Address: "192.0.2.5:7201", FailureDomain: "dsm-a", Slots: 10, Connections: 130},
+		})
+	}
+	cases := map[string]struct {
+		request         wire.StatusRequest
+		listed, omitted int
+	}{
+		"all nodes":             {wire.StatusRequest{}, 3000, 0},
+		"half of them behind":   {wire.StatusRequest{BelowRevision: 8, MaxNodes: 20}, 20, 1480},
+		"all of them behind":    {wire.StatusRequest{BelowRevision: 9, MaxNodes: 20}, 20, 2980},
+		"none behind":           {wire.StatusRequest{BelowRevision: 7, MaxNodes: 20}, 0, 0},
+		"behind without limit":  {wire.StatusRequest{BelowRevision: 8}, 1500, 0},
+		"one node":              {wire.StatusRequest{Node: "dsm-a-17"}, 1, 0},
+		"one node that is gone": {wire.StatusRequest{Node: "dsm-b-17"}, 0, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			nodes, omitted := selectNodes(all, c.request)
+			data, err := json.Marshal(wire.StatusResponse{Nodes: nodes, NodesOmitted: omitted})
+			qt.Assert(t, err, qt.IsNil)
+			t.Logf("%d B", len(data))
+			qt.Assert(t, nodes, qt.HasLen, c.listed)
+			qt.Assert(t, omitted, qt.Equals, c.omitted)
+		})
+	}
+}
--- a/internal/operator/apply.go
+++ b/internal/operator/apply.go
@@ -17,6 +17,11 @@
 // pollEvery is how often a wait reads the status.
 const pollEvery clock.Millis = 200
 
+// maxMissing is how many nodes are named that a wait is still waiting for. With
+// about 300 B for each node it keeps a response below 10 KB, however many
+// nodes there are.
+const maxMissing = 20
+
 // CurrentRevision as ApplyOptions.Base means the revision that is current when
 // the command starts.
 const CurrentRevision wire.Revision = -1
@@ -40,8 +45,17 @@
 	BaseRevision wire.Revision
 	wire.ApplyResponse
 	// NotInForce names the nodes that had not reported the revision when the
-	// wait ended; absent without a wait.
+	// wait ended, the first maxMissing of them; absent without a wait.
 	NotInForce []wire.NodeID `json:",omitempty"`
+	// NotInForceOthers is the number of further nodes.
+	NotInForceOthers int `json:",omitempty"`
+}
+
+// missing are the nodes that a wait is still waiting for.
+type missing struct {
+	nodes []wire.NodeID
+	// others is the number of further nodes.
+	others int
 }
 
 // Validate checks a configuration folder without any control replica.
@@ -102,7 +116,9 @@
 func (s *Session) finishApply(ctx context.Context, o ApplyOptions, out applyOutcome) error {
 	var waited error
 	if out.Accepted && o.Wait > 0 {
-		out.NotInForce, waited = s.waitInForce(ctx, out.Revision, o.Wait)
+		var m missing
+		m, waited = s.waitInForce(ctx, out.Revision, o.Wait)
+		out.NotInForce, out.NotInForceOthers = m.nodes, m.others
 	}
 	if err := s.print(out, func(t *table) { t.apply(out, o.Wait > 0 && waited == nil) }); err != nil {
 		return err
@@ -136,24 +152,26 @@
 
 // waitInForce polls the status until every node reports the revision, and
 // returns the nodes that do not.
-func (s *Session) waitInForce(ctx context.Context, r wire.Revision, wait clock.Millis) ([]wire.NodeID, error) {
-	return s.waitFor(ctx, wait, fmt.Sprintf("revision %d is not in force on", r), func(n wire.NodeStatus) bool {
+func (s *Session) waitInForce(ctx context.Context, r wire.Revision, wait clock.Millis) (missing, error) {
+	request := wire.StatusRequest{BelowRevision: r, MaxNodes: maxMissing}
+	return s.waitFor(ctx, wait, fmt.Sprintf("revision %d is not in force on", r), request, func(n wire.NodeStatus) bool {
 		return n.RevisionInForce >= r
 	})
 }
 
-// waitFor polls the status until ok holds for every node.
-func (s *Session) waitFor(ctx context.Context, wait clock.Millis, what string, ok func(wire.NodeStatus) bool) ([]wire.NodeID, error) {
+// waitFor polls the status until ok holds for every node. The request may leave
+// out nodes for which ok holds.
+func (s *Session) waitFor(ctx context.Context, wait clock.Millis, what string, r wire.StatusRequest, ok func(wire.NodeStatus) bool) (missing, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
 	defer cancel()
-	var missing []wire.NodeID
+	var m missing
 	known := false
 	for {
-		status, err := s.FetchStatus(ctx)
+		status, err := s.fetchNodes(ctx, r)
 		if err == nil {
-			missing, known = nodesWhere(status, ok), true
-			if len(missing) == 0 {
-				return nil, nil
+			m, known = missingIn(status, ok), true
+			if len(m.nodes)+m.others == 0 {
+				return m, nil
 			}
 		}
 		if clock.System().Sleep(ctx, pollEvery) != nil {
@@ -161,26 +179,36 @@
 		}
 	}
 	if !known {
-		return nil, merry.Wrap(ErrWait, merry.AppendMessagef("%s: not known, no control replica responded", what))
+		return m, merry.Wrap(ErrWait, merry.AppendMessagef("%s: not known, no control replica responded", what))
 	}
-	return missing, merry.Wrap(ErrWait, merry.AppendMessagef("%s %s", what, joinNodes(missing)))
+	return m, merry.Wrap(ErrWait, merry.AppendMessagef("%s %s", what, m))
 }
 
-// nodesWhere returns the nodes for which ok does not hold.
-func nodesWhere(status wire.StatusResponse, ok func(wire.NodeStatus) bool) []wire.NodeID {
-	var out []wire.NodeID
+// missingIn returns the nodes for which ok does not hold. A control replica of an
+// earlier version lists all nodes, so the limit is applied here too.
+func missingIn(status wire.StatusResponse, ok func(wire.NodeStatus) bool) missing {
+	m := missing{others: status.NodesOmitted}
 	for _, n := range status.Nodes {
-		if !ok(n) {
-			out = append(out, n.Node)
+		switch {
+		case ok(n):
+		case len(m.nodes) >= maxMissing:
+			m.others++
+		default:
+			m.nodes = append(m.nodes, n.Node)
 		}
 	}
-	return out
+	return m
 }
 
-func joinNodes(nodes []wire.NodeID) string {
-	text := make([]string, len(nodes))
-	for i, n := range nodes {
+// String lists the nodes, and the number of those without a name.
+func (m missing) String() string {
+	text := make([]string, len(m.nodes))
+	for i, n := range m.nodes {
 		text[i] = string(n)
 	}
-	return strings.Join(text, ", ")
+	list := strings.Join(text, ", ")
+	if m.others > 0 {
+		list += fmt.Sprintf(" and %d others", m.others)
+	}
+	return list
 }
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -12,7 +12,14 @@
 
 // FetchStatus returns what Status prints.
 func (s *Session) FetchStatus(ctx context.Context) (wire.StatusResponse, error) {
-	return call[wire.StatusResponse](ctx, s, wire.MethodOperatorStatus, wire.StatusRequest{Group: s.Group})
+	return s.fetchNodes(ctx, wire.StatusRequest{})
+}
+
+// fetchNodes returns the status with the nodes that the request asks for. A
+// control replica of an earlier version lists all of them.
+func (s *Session) fetchNodes(ctx context.Context, r wire.StatusRequest) (wire.StatusResponse, error) {
+	r.Group = s.Group
+	return call[wire.StatusResponse](ctx, s, wire.MethodOperatorStatus, r)
 }
 
 func (s *Session) fetchConfig(ctx context.Context) (wire.ConfigResponse, error) {
@@ -49,7 +56,7 @@
 	if wait <= 0 {
 		return nil
 	}
-	_, err := s.waitFor(ctx, wait, "partitions remain on", func(o wire.NodeStatus) bool {
+	_, err := s.waitFor(ctx, wait, "partitions remain on", wire.StatusRequest{Node: n}, func(o wire.NodeStatus) bool {
 		return o.Node != n || o.Owned == 0
 	})
 	if err != nil || s.Output == JSON {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -245,3 +245,28 @@
 	qt.Assert(t, strings.Contains(out.String(), "warning: the control group would lose its majority with one more replica"), qt.IsTrue)
 	qt.Assert(t, strings.Contains(out.String(), "warning: node dsm-b-1 is at configuration revision 6"), qt.IsTrue)
 }
+
+// Guards against a wait that ends early, or names thousands of nodes, with
+// control replicas that list all nodes and with those that keep to the limit.
+func TestWaitCountsNodesWithoutNaming(t *testing.T) {
+	behind := func(n wire.NodeStatus) bool { return n.RevisionInForce >= 7 }
+	nodes := make([]wire.NodeStatus, maxMissing+5)
+	for i := range nodes {
+		nodes[i].Node = "dsm-a-1"
+	}
+	list := strings.Repeat("dsm-a-1, ", maxMissing-1) + "dsm-a-1"
+	cases := map[string]struct {
+		status wire.StatusResponse
+		want   string
+	}{
+		"earlier version": {wire.StatusResponse{Nodes: nodes}, list + " and 5 others"},
+		"limit":           {wire.StatusResponse{Nodes: nodes[:maxMissing], NodesOmitted: 2980}, list + " and 2980 others"},
+		"one":             {wire.StatusResponse{Nodes: nodes[:1]}, "dsm-a-1"},
+		"in force":        {wire.StatusResponse{Nodes: []wire.NodeStatus{{Node: "dsm-a-1", RevisionInForce: 7}}}, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			qt.Assert(t, missingIn(c.status, behind).String(), qt.Equals, c.want)
+		})
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1033,10 +1033,20 @@
 // leader derives from its own soft state carry it.
 type SessionID string
 
-// StatusRequest asks for the state of a control group.
+// StatusRequest asks for the state of a control group. A request for some of the
+// nodes gets no services.
 type StatusRequest struct {
+	// Only nodes that have a lower revision in force; zero for all.
+	BelowRevision Revision `json:"BelowRevision"`
+
 	// Group corresponds to the JSON schema field "Group".
 	Group GroupID `json:"Group"`
+
+	// Largest number of nodes in the response; zero for no limit.
+	MaxNodes int `json:"MaxNodes"`
+
+	// Only this node; empty for all.
+	Node NodeID `json:"Node"`
 }
 
 // StatusResponse is the state of a control group as of a confirmed version.
@@ -1051,6 +1061,9 @@
 	// Nodes corresponds to the JSON schema field "Nodes".
 	Nodes []NodeStatus `json:"Nodes"`
 
+	// Number of further nodes that the request asks for and MaxNodes leaves out.
+	NodesOmitted int `json:"NodesOmitted"`
+
 	// Replicas corresponds to the JSON schema field "Replicas".
 	Replicas []ReplicaStatus `json:"Replicas"`
 
