node: test that nodes follow changes of the configuration

Cause: no test failed when a node left out the form of delta that it understands, in which case it gets whole configurations and everything else works.

Ruled out: comparing the fields of requests; the cost is what matters.

Change: the stand-in control group of the node tests honours the stated form and counts whole configurations; a test changes a route five times and expects none.

Conclusion: guards both the saving and the change path of a real node.

--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -39,6 +39,7 @@
 	mu     sync.Mutex
 	index  wire.Version
 	silent bool // refuses all calls
+	whole  int  // whole configurations sent, without the one of a node's first table
 	// behind gives peer addresses that replace those the nodes state.
 	behind map[wire.NodeID]wire.Address
 }
@@ -152,10 +153,20 @@
 		}
 		f.assign()
 	}
-	out.Delta = f.machine.DeltaIn(r.DeltaFormat, r.KnownVersion)
+	out.Delta = f.delta(r.DeltaFormat, r.KnownVersion)
 	return out, nil
 }
 
+func (f *fakeControl) delta(format wire.DeltaFormat, known wire.Version) wire.Delta {
+	d := f.machine.DeltaIn(format, known)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if known > 0 && d.Configuration != nil {
+		f.whole++
+	}
+	return d
+}
+
 // assign gives unowned partitions to the members that are not draining.
 func (f *fakeControl) assign() {
 	var open []wire.Incarnation
@@ -188,7 +199,7 @@
 		case <-timed.Done():
 		}
 	}
-	return wire.WatchResponse{Delta: f.machine.DeltaIn(r.DeltaFormat, r.KnownVersion)}, nil
+	return wire.WatchResponse{Delta: f.delta(r.DeltaFormat, r.KnownVersion)}, nil
 }
 
 // target is a stand-in whose crash closes its listener and connections.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -140,3 +140,24 @@
 		})
 	}
 }
+
+// Guards against a node that does not state in each request that it understands
+// changes, and so gets the whole configuration with each of them.
+func TestNodeFollowsChangesOfTheConfiguration(t *testing.T) {
+	f := startControl(t)
+	n, _ := startNode(t, f, "a")
+	eventually(n.routing.usable)
+	for range 5 {
+		base, c := f.machine.Config()
+		c.Routes = append([]wire.RouteConfig{}, c.Routes...)
+		c.Routes[1].DeadlineMillis++
+		id := wire.RequestID(fmt.Sprint("change ", base))
+		f.commit(wire.Command{Apply: &wire.ApplyRequest{RequestID: id, BaseRevision: base, Configuration: c}})
+		eventually(func() bool { return n.routing.snapshot().Revision() == base+1 })
+		route, _ := n.routing.snapshot().RouteByName("pledge")
+		qt.Assert(t, route.DeadlineMillis, qt.Equals, c.Routes[1].DeadlineMillis)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	qt.Assert(t, f.whole, qt.Equals, 0)
+}
