capacity: measure changes in large configurations

Cause: the measure of configuration changes had one service and one route, so it could not show what a change costs at the two-year size.

Ruled out: two builds for before and after; stand-ins that ask as nodes of earlier versions do give both within the same programs.

--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -31,6 +31,8 @@
 	group   wire.GroupID
 	service wire.ServiceName
 	domain  wire.FailureDomain
+	// format is the form of delta that the node understands.
+	format  wire.DeltaFormat
 	process wire.ProcessID
 	control []wire.Address
 	// lose ends the node without a word, as the loss of its host does.
@@ -105,13 +107,13 @@
 	ends  sync.WaitGroup
 }
 
-func startFleet(ctx context.Context, n int, group wire.GroupID, service wire.ServiceName, control []wire.Address) *fleet {
+func startFleet(ctx context.Context, n int, group wire.GroupID, service wire.ServiceName, control []wire.Address, format wire.DeltaFormat) *fleet {
 	ctx, stop := context.WithCancel(ctx)
 	f := &fleet{stop: stop}
 	for i := range n {
 		ctx, lose := context.WithCancel(ctx)
 		v := &standinNode{
-			id: wire.NodeID(fmt.Sprintf("node-%d", i)), group: group, service: service,
+			id: wire.NodeID(fmt.Sprintf("node-%d", i)), group: group, service: service, format: format,
 			domain:  wire.FailureDomain([]string{"dsm-a", "dsm-b", "dsm-c"}[i%3]),
 			process: wire.ProcessID(uuid.NewString()),
 			control: control, leader: control[0], clients: make(map[wire.Address]*rpc.Client),
@@ -201,7 +203,7 @@
 		member, client := v.announcement(), v.client()
 		request := wire.HeartbeatRequest{
 			Group: v.group, Node: v.id, Process: v.process, Address: "127.0.0.1:1", FailureDomain: v.domain,
-			DeltaFormat: wire.DeltaFormatChanges, KnownVersion: version, RevisionInForce: revision, Member: &member,
+			DeltaFormat: v.format, KnownVersion: version, RevisionInForce: revision, Member: &member,
 			Released: grants, Loads: []wire.PartitionLoad{}, HotKeys: []wire.HotKey{},
 		}
 		timed, cancel := context.WithTimeout(ctx, callTimeout.Duration())
@@ -223,7 +225,7 @@
 	for ctx.Err() == nil {
 		version, _, _ := v.seen()
 		request := wire.WatchRequest{
-			Group: v.group, Node: v.id, DeltaFormat: wire.DeltaFormatChanges,
+			Group: v.group, Node: v.id, DeltaFormat: v.format,
 			KnownVersion: version, WaitMillis: wire.Millis(watchWait),
 		}
 		client := v.client()
--- a/internal/capacity/main.go
+++ b/internal/capacity/main.go
@@ -8,6 +8,10 @@
 // # Usage
 //
 //	go run ./internal/capacity --gentiansail bin/gentiansail --standin bin/standin
+//
+// The cost of a changed route in a configuration of 100 services and 199 routes:
+//
+//	go run ./internal/capacity --services 99
 package main
 
 import (
@@ -31,8 +35,13 @@
 	sizes       []int
 	// partitionsPerNode sets the size of the routing table.
 	partitionsPerNode int
-	window            clock.Millis
-	rates             []int
+	// services is how many services without partitions, with two routes each, the
+	// configuration has besides the one that is measured.
+	services int
+	// wholeConfigurations makes the stand-ins ask as nodes of earlier versions do.
+	wholeConfigurations bool
+	window              clock.Millis
+	rates               []int
 }
 
 func main() {
@@ -53,6 +62,8 @@
 	flaggy.String(&rates, "", "rates", "operations a second, at least three")
 	flaggy.Int(&seconds, "", "seconds", "length of each measurement")
 	flaggy.Int(&o.partitionsPerNode, "", "partitions", "partitions for each node")
+	flaggy.Int(&o.services, "", "services", "further services in the configuration, with two routes each")
+	flaggy.Bool(&o.wholeConfigurations, "", "whole-configurations", "ask for whole configurations, as nodes of earlier versions do")
 	flaggy.Parse()
 	var err error
 	if o.sizes, err = numbers(sizes); err != nil {
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -45,7 +45,7 @@
 	}
 	_, before := b.fleet.traffic()
 	began := clock.System().Now()
-	worst, err := b.changeConfiguration(ctx, nodes*o.partitionsPerNode)
+	worst, err := b.changeConfiguration(ctx, o, nodes*o.partitionsPerNode)
 	if err != nil {
 		return sample{}, err
 	}
@@ -112,12 +112,12 @@
 
 // changeConfiguration returns the longest time from the request to the moment
 // at which the last node had the new revision in its table.
-func (b *system) changeConfiguration(ctx context.Context, partitions int) (clock.Millis, error) {
+func (b *system) changeConfiguration(ctx context.Context, o options, partitions int) (clock.Millis, error) {
 	c := clock.System()
 	var worst clock.Millis
 	for i := range changes {
 		began := c.Now()
-		revision, err := b.apply(ctx, wire.Revision(i+1), configuration(partitions, i+2))
+		revision, err := b.apply(ctx, wire.Revision(i+1), configuration(o.services, partitions, i+2))
 		if err != nil {
 			return 0, err
 		}
@@ -268,7 +268,7 @@
 // measureTable measures the memory of a node's routing table.
 func measureTable(members, partitionsPerMember int) sample {
 	delta := wire.Delta{Full: true, ToVersion: 1, Revision: 1}
-	c := configuration(members*partitionsPerMember, 1)
+	c := configuration(0, members*partitionsPerMember, 1)
 	delta.Configuration = &c
 	for i := range members {
 		m := wire.Member{Node: wire.NodeID(fmt.Sprintf("node-%d", i)), Incarnation: wire.Incarnation(uuid.NewString()), Service: service, Address: "127.0.0.1:1", FailureDomain: "dsm-a", Slots: 10}
--- a/internal/capacity/system.go
+++ b/internal/capacity/system.go
@@ -49,7 +49,7 @@
 	if err := b.findLeader(ctx); err != nil {
 		return err
 	}
-	if _, err := b.apply(ctx, 0, configuration(nodes*o.partitionsPerNode, 1)); err != nil {
+	if _, err := b.apply(ctx, 0, configuration(o.services, nodes*o.partitionsPerNode, 1)); err != nil {
 		return err
 	}
 	control := c.Control()
@@ -60,7 +60,7 @@
 		}
 		return 0
 	})
-	b.fleet = startFleet(ctx, nodes, group, service, control)
+	b.fleet = startFleet(ctx, nodes, group, service, control, o.format())
 	if err := b.waitAssigned(ctx, nodes); err != nil {
 		return err
 	}
@@ -81,10 +81,18 @@
 	_ = os.RemoveAll(b.folder)
 }
 
-// configuration has one keyed service and one for operations. The deadline of a
-// route is what changes between revisions.
-func configuration(partitions, deadline int) wire.Configuration {
-	return wire.Configuration{
+// format is the form of delta that the stand-ins understand.
+func (o options) format() wire.DeltaFormat {
+	if o.wholeConfigurations {
+		return 0
+	}
+	return wire.DeltaFormatChanges
+}
+
+// configuration has one keyed service, and others that only make it larger. The
+// deadline of a route is what changes between revisions.
+func configuration(services, partitions, deadline int) wire.Configuration {
+	c := wire.Configuration{
 		Regions: []wire.RegionConfig{{Name: "tz-coast", FailureDomains: []wire.FailureDomain{"dsm-a", "dsm-b", "dsm-c"}}},
 		Services: []wire.ServiceConfig{
 			{Name: service, Keyed: true, Partitions: partitions, MoveBudget: 4},
@@ -95,6 +103,17 @@
 		},
 		CallerLimits: []wire.CallerLimit{},
 	}
+	for i := range services {
+		name := wire.ServiceName(fmt.Sprintf("courier-%d", i))
+		c.Services = append(c.Services, wire.ServiceConfig{Name: name})
+		for _, kind := range []string{"offer", "pickup"} {
+			c.Routes = append(c.Routes, wire.RouteConfig{
+				Name: wire.RouteName(fmt.Sprintf("%s-%d", kind, i)), Service: name, Methods: []string{"GET"},
+				Path: fmt.Sprintf("/courier-%d/%s/", i, kind), Repeatable: true, Class: wire.RouteClassNormal, DeadlineMillis: 10000,
+			})
+		}
+	}
+	return c
 }
 
 // apply makes a configuration the accepted one. It follows the leader, which may
