--- a/pkg/replog/applier.go
+++ b/pkg/replog/applier.go
@@ -7,11 +7,10 @@
 )
 
 // applier feeds the state machine in its own goroutine, so that a slow machine
-// or a large snapshot does not delay heartbeats.
+// does not delay heartbeats.
 type applier struct {
 	o       Options
-	store   *store
-	input   chan []task
+	input   chan taskBatch
 	reports chan report
 
 	applied    Index
@@ -26,16 +25,23 @@
 	proposal *proposal
 }
 
-// report tells the loop how far the state machine is. Snapshot is set when a new
-// one is durable.
+// taskBatch is what the applier handles before it reports.
+type taskBatch struct {
+	tasks []task
+	// mayTake allows a snapshot, if one is due after the tasks.
+	mayTake bool
+}
+
+// report tells the loop how far the state machine is. Taken is set when a
+// snapshot was captured.
 type report struct {
-	applied  Index
-	snapshot *Snapshot
-	err      error
+	applied Index
+	taken   *saveJob
+	err     error
 }
 
-func newApplier(o Options, s *store) *applier {
-	return &applier{o: o, store: s, input: make(chan []task), reports: make(chan report)}
+func newApplier(o Options) *applier {
+	return &applier{o: o, input: make(chan taskBatch), reports: make(chan report)}
 }
 
 // run ends with its context. After an error it reports the error and ends.
@@ -44,8 +50,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case ts := <-a.input:
-			r := a.handle(ts)
+		case b := <-a.input:
+			r := a.handle(b)
 			select {
 			case a.reports <- r:
 			case <-ctx.Done():
@@ -58,8 +64,8 @@
 	}
 }
 
-func (a *applier) handle(ts []task) report {
-	for _, t := range ts {
+func (a *applier) handle(b taskBatch) report {
+	for _, t := range b.tasks {
 		if t.Restore != nil {
 			if err := a.restore(t.Restore); err != nil {
 				return report{err: err}
@@ -68,8 +74,11 @@
 		}
 		a.apply(t)
 	}
-	s, err := a.snapshot(ts)
-	return report{a.applied, s, err}
+	if !b.mayTake || a.applied < a.snapshotAt+Index(a.o.SnapshotEvery) {
+		return report{applied: a.applied}
+	}
+	j, err := a.capture(b.tasks[len(b.tasks)-1].Entry.Term)
+	return report{a.applied, j, err}
 }
 
 func (a *applier) restore(s *Snapshot) error {
@@ -99,23 +108,14 @@
 	}
 }
 
-// snapshot takes a snapshot if one is due after the tasks.
-func (a *applier) snapshot(ts []task) (*Snapshot, error) {
-	if a.applied < a.snapshotAt+Index(a.o.SnapshotEvery) {
-		return nil, nil
-	}
-	b, err := a.o.Snapshot()
+// capture takes the state after the last applied entry, which has the given
+// term.
+func (a *applier) capture(t Term) (*saveJob, error) {
+	encode, err := a.o.Snapshot()
 	if err != nil {
 		return nil, merry.Wrap(ErrState, merry.WithCause(err), merry.AppendMessagef("take snapshot: %v", err))
 	}
-	if len(b) > maxSnapshotBytes {
-		return nil, merry.Wrap(ErrState, merry.AppendMessagef("snapshot has %d bytes, at most %d", len(b), maxSnapshotBytes))
-	}
-	last := ts[len(ts)-1].Entry
-	s := &Snapshot{Index: a.applied, Term: last.Term, Membership: a.membership, Initial: a.initial, Data: b}
-	if err := a.store.saveSnapshot(s); err != nil {
-		return nil, err
-	}
-	a.snapshotAt = s.Index
-	return s, nil
+	a.snapshotAt = a.applied
+	s := &Snapshot{Index: a.applied, Term: t, Membership: a.membership, Initial: a.initial}
+	return &saveJob{snapshot: s, encode: encode}, nil
 }
--- a/pkg/replog/codec.go
+++ b/pkg/replog/codec.go
@@ -55,12 +55,13 @@
 	e.bytes(n.Data)
 }
 
-func (e *encoder) snapshot(s *Snapshot) {
+// snapshotHead encodes a snapshot but for its data, which follow.
+func (e *encoder) snapshotHead(s *Snapshot) {
 	e.u64(uint64(s.Index))
 	e.u64(uint64(s.Term))
 	e.membership(s.Membership)
 	e.members(s.Initial)
-	e.bytes(s.Data)
+	e.u32(uint32(len(s.Data)))
 }
 
 // decoder reads what an encoder wrote. After the first invalid field, bad is set
--- a/pkg/replog/core.go
+++ b/pkg/replog/core.go
@@ -42,6 +42,9 @@
 	votes            map[Identity]bool
 	lead             *leadership
 	incoming         incoming
+	// saving is a snapshot from the leader that is complete and being made
+	// durable.
+	saving *Snapshot
 
 	out   batch
 	fault error
@@ -66,11 +69,13 @@
 }
 
 // batch is what the core wants done, in this order: send Early, make State,
-// Install and Entries durable together, send Messages, then the rest.
+// Install and Entries durable together, send Messages, then the rest. Install is
+// a snapshot that was given out as Save before and is durable as a file.
 type batch struct {
 	// State is nil when term and vote are unchanged.
 	State   *hardState
 	Install *Snapshot
+	Save    *saveJob
 	// Entries replace everything in the log from the first one's index.
 	Entries   []Entry
 	Early     []Message
@@ -81,7 +86,7 @@
 }
 
 func (b *batch) empty() bool {
-	return b.State == nil && b.Install == nil && len(b.Entries)+len(b.Early)+len(b.Messages)+len(b.Committed)+len(b.Confirmed)+len(b.Roles) == 0
+	return b.State == nil && b.Install == nil && b.Save == nil && len(b.Entries)+len(b.Early)+len(b.Messages)+len(b.Committed)+len(b.Confirmed)+len(b.Roles) == 0
 }
 
 // newCore returns a follower with what the store has loaded.
--- a/pkg/replog/doc.go
+++ b/pkg/replog/doc.go
@@ -24,6 +24,16 @@
 // replica is opened, an incomplete last frame is cut off; any other damage is
 // ErrCorrupt with file and offset.
 //
+// # Snapshots
+//
+// A snapshot is captured between two entries, and encoded, written and fsynced
+// beside the loop and the state machine, so neither heartbeats nor Apply wait for
+// its size. Its file is written under a temporary name. Only once it is durable
+// does the loop rename it, and only then does it remove older snapshots and the
+// log segments before it. A snapshot from the leader goes the same way. One is
+// written at a time. A failed write or fsync ends the replica; a planned stop
+// leaves an unfinished file behind, which the next start removes.
+//
 // # Usage
 //
 //	r, err := replog.Open(ctx, replog.Options{
@@ -31,7 +41,7 @@
 //		Clock: clock.System(), Random: rand.New(rand.NewPCG(seed, 0)),
 //		HeartbeatEvery: 50, ElectionTimeout: 250, SnapshotEvery: 10000,
 //		Send: transport.Send, Apply: machine.Apply,
-//		Snapshot: machine.Snapshot, Restore: machine.Restore,
+//		Snapshot: machine.Capture, Restore: machine.Restore,
 //		OnRole: func(role replog.Role, term replog.Term) { roles.Set(role) },
 //	})
 //	result, err := r.Propose(ctx, command)
--- a/pkg/replog/engine.go
+++ b/pkg/replog/engine.go
@@ -12,7 +12,10 @@
 // effects are a batch's outputs for the replica's clients and state machine.
 type effects struct {
 	// Work is in the order of the log.
-	Work      []work
+	Work []work
+	// Save is a snapshot from the leader that must be made durable beside the
+	// loop; saved takes it back.
+	Save      *saveJob
 	Confirmed []confirmation
 	Roles     []roleChange
 }
@@ -47,7 +50,9 @@
 		e.send(m)
 	}
 	if b.Install != nil {
-		if err := e.store.saveSnapshot(b.Install); err != nil {
+		// The file is complete and durable; a crash before the log is reset
+		// leaves a log that ends before the snapshot, which the store expects.
+		if err := e.store.publishSnapshot(b.Install.Index); err != nil {
 			return err
 		}
 	}
@@ -68,13 +73,31 @@
 	for _, n := range b.Committed {
 		f.Work = append(f.Work, work{Entry: n})
 	}
+	if b.Save != nil {
+		f.Save = b.Save
+	}
 	f.Confirmed = append(f.Confirmed, b.Confirmed...)
 	f.Roles = append(f.Roles, b.Roles...)
 }
 
-// compact takes over a snapshot of this replica's state that is durable, and
-// keeps the given number of entries before it.
-func (e *engine) compact(s *Snapshot, keep Index) error {
+// saved takes back a snapshot that is durable under its temporary name. It
+// switches to it, or removes it if a newer one or the log has overtaken it. Of an
+// own snapshot, the given number of entries before it are kept.
+func (e *engine) saved(j *saveJob, keep Index) error {
+	s := j.snapshot
+	if !j.own() {
+		if e.core.saved(s) {
+			return nil // The next flush switches to it, together with the log.
+		}
+		return e.store.discardSnapshot(s.Index)
+	}
+	if e.core.snapshot != nil && s.Index <= e.core.snapshot.Index {
+		return e.store.discardSnapshot(s.Index)
+	}
+	// Entries and older snapshots may go only once this one has its name.
+	if err := e.store.publishSnapshot(s.Index); err != nil {
+		return err
+	}
 	e.core.compact(s, s.Index-min(keep, s.Index))
 	return e.store.compact(e.core.snapshot.Index, e.core.log.base)
 }
--- a/pkg/replog/example_test.go
+++ b/pkg/replog/example_test.go
@@ -25,10 +25,13 @@
 		Folder: folder, Group: "example", Name: "a",
 		Clock: clock.System(), Random: rand.New(rand.NewPCG(1, 2)),
 		HeartbeatEvery: 10, ElectionTimeout: 50, SnapshotEvery: 1000,
-		Send:     func(replog.Message) {},
-		Apply:    func(e replog.Entry) any { sum += len(e.Data); return sum },
-		Snapshot: func() ([]byte, error) { return []byte{byte(sum)}, nil },
-		Restore:  func(b []byte) error { sum = int(b[0]); return nil },
+		Send:  func(replog.Message) {},
+		Apply: func(e replog.Entry) any { sum += len(e.Data); return sum },
+		Snapshot: func() (func() ([]byte, error), error) {
+			captured := sum
+			return func() ([]byte, error) { return []byte{byte(captured)}, nil }, nil
+		},
+		Restore: func(b []byte) error { sum = int(b[0]); return nil },
 		OnRole: func(role replog.Role, _ replog.Term) {
 			if role == replog.Leader {
 				leads <- struct{}{}
--- a/pkg/replog/files.go
+++ b/pkg/replog/files.go
@@ -1,10 +1,12 @@
 package replog
 
 import (
+	"context"
 	"errors"
 	"io/fs"
 	"os"
 	"path/filepath"
+	"slices"
 	"syscall"
 )
 
@@ -88,7 +90,7 @@
 // writeWhole replaces a file so that a crash leaves the old or the new content.
 func (f files) writeWhole(path string, content []byte) error {
 	temporary := path + temporarySuffix
-	if err := f.writeNew(temporary, content); err != nil {
+	if err := f.writeNew(context.Background(), temporary, content); err != nil {
 		return err
 	}
 	if err := f.Rename(temporary, path); err != nil {
@@ -97,14 +99,39 @@
 	return f.SyncFolder(filepath.Dir(path))
 }
 
-func (f files) writeNew(path string, content []byte) error {
+// syncBytes is how much of a large file is written before an fsync. A single one
+// at the end would let the fsyncs of the log wait behind the whole file.
+const syncBytes = 8 << 20
+
+// writeNew creates a durable file of the given parts. The end of ctx cuts it
+// short with the context's error.
+func (f files) writeNew(ctx context.Context, path string, parts ...[]byte) error {
 	w, err := f.Create(path)
 	if err != nil {
 		return err
 	}
-	_, err = w.Write(content)
+	for _, p := range parts {
+		for piece := range slices.Chunk(p, syncBytes) {
+			if err == nil {
+				err = writePiece(ctx, w, piece)
+			}
+		}
+	}
 	if err == nil {
 		err = w.Sync()
 	}
 	return errors.Join(err, w.Close())
 }
+
+func writePiece(ctx context.Context, w file, piece []byte) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if _, err := w.Write(piece); err != nil {
+		return err
+	}
+	if len(piece) < syncBytes {
+		return nil
+	}
+	return w.Sync()
+}
--- a/pkg/replog/follow.go
+++ b/pkg/replog/follow.go
@@ -10,7 +10,10 @@
 	term  Term
 	index Index
 	total uint64
-	data  []byte
+	// chunks are the data in the pieces that arrived: joining them would copy
+	// all of it again and again in the loop.
+	chunks   [][]byte
+	received uint64
 }
 
 // followLeader notes a message from the leader of the current term. It returns
@@ -93,11 +96,15 @@
 	switch {
 	case c.coveredBy(m):
 		reply.Match = m.Index
+	case c.saving != nil && c.saving.Index >= m.Index:
+		// All data are here, but not durable yet. The leader asks again with its
+		// next heartbeat.
+		reply.Offset = m.Total
 	case c.collect(m):
-		c.install(m)
-		reply.Match = m.Index
+		c.save(m)
+		reply.Offset = m.Total
 	default:
-		reply.Offset = uint64(len(c.incoming.data))
+		reply.Offset = c.incoming.received
 	}
 	c.send(reply)
 }
@@ -124,15 +131,44 @@
 	if n.from != m.From.Identity || n.term != m.Term || n.index != m.Index || n.total != m.Total {
 		*n = incoming{from: m.From.Identity, term: m.Term, index: m.Index, total: m.Total}
 	}
-	if m.Offset == uint64(len(n.data)) {
-		n.data = append(n.data, m.Chunk...)
+	if m.Offset == n.received && len(m.Chunk) > 0 {
+		n.chunks = append(n.chunks, m.Chunk)
+		n.received += uint64(len(m.Chunk))
 	}
-	return uint64(len(n.data)) == n.total
+	return n.received == n.total
 }
 
-func (c *core) install(m Message) {
-	s := &Snapshot{Index: m.Index, Term: m.LogTerm, Membership: m.Membership, Initial: m.Initial, Data: c.incoming.data}
+// save gives out a complete snapshot to be made durable beside the loop.
+func (c *core) save(m Message) {
+	c.saving = &Snapshot{Index: m.Index, Term: m.LogTerm, Membership: m.Membership, Initial: m.Initial}
+	c.out.Save = &saveJob{snapshot: c.saving, chunks: c.incoming.chunks}
 	c.incoming = incoming{}
+}
+
+// saved takes back a snapshot from save that is durable now, and installs it
+// unless it is no longer needed. All that it stands for is committed, so terms
+// and leaders that came since do not matter.
+func (c *core) saved(s *Snapshot) bool {
+	if c.saving != s {
+		return false
+	}
+	c.saving = nil
+	if s.Index <= c.commit {
+		return false
+	}
+	if t, ok := c.log.term(s.Index); ok && t == s.Term {
+		c.commit = s.Index
+		return false
+	}
+	if c.lead != nil {
+		c.fail("snapshot %d of term %d contradicts the log of the leader", s.Index, s.Term)
+		return false
+	}
+	c.install(s)
+	return true
+}
+
+func (c *core) install(s *Snapshot) {
 	c.log.reset(s.Index, s.Term)
 	c.stable, c.commit, c.handed = s.Index, s.Index, s.Index
 	c.snapshot, c.initial = s, s.Initial
--- a/pkg/replog/loop.go
+++ b/pkg/replog/loop.go
@@ -22,6 +22,8 @@
 	replica *Replica
 	engine  *engine
 	applier *applier
+	saver   *saver
+	saves   saveQueue
 	ticks   chan struct{}
 
 	proposals  map[Index]pendingProposal
@@ -56,7 +58,7 @@
 
 func newLoop(r *Replica, e *engine) *loop {
 	return &loop{
-		replica: r, engine: e, applier: newApplier(r.o, e.store),
+		replica: r, engine: e, applier: newApplier(r.o), saver: newSaver(e.store),
 		ticks:     make(chan struct{}, 1),
 		proposals: map[Index]pendingProposal{},
 		confirms:  map[uint64]*confirmWaiter{},
@@ -105,10 +107,15 @@
 	if !n.takesProposals() {
 		proposals = nil
 	}
-	var tasks chan []task
+	var tasks chan taskBatch
 	if len(n.tasks) > 0 {
 		tasks = n.applier.input
 	}
+	var saves chan *saveJob
+	save := n.saves.next()
+	if save != nil {
+		saves = n.saver.input
+	}
 	stopped := stop.Done()
 	if n.stopping {
 		stopped = nil
@@ -126,8 +133,12 @@
 	case request := <-r.requests:
 		c.now = r.o.Clock.Now()
 		request(n)
-	case tasks <- n.tasks:
+	case tasks <- taskBatch{n.tasks, n.saves.mayTake()}:
 		n.tasks = nil
+	case saves <- save:
+		n.saves.start()
+	case err := <-n.saver.reports:
+		n.noteSaved(err)
 	case p := <-n.applier.reports:
 		n.noteReport(p)
 	}
@@ -219,6 +230,9 @@
 	for _, w := range f.Work {
 		n.tasks = append(n.tasks, task{w, n.proposalFor(w)})
 	}
+	if f.Save != nil {
+		n.saves.add(f.Save)
+	}
 	for _, x := range f.Confirmed {
 		n.noteConfirmation(x)
 	}
@@ -293,9 +307,18 @@
 	n.applied = p.applied
 	n.publish()
 	n.finishConfirmed()
-	if p.snapshot != nil {
-		n.err = n.engine.compact(p.snapshot, Index(n.replica.o.SnapshotEvery))
+	if p.taken != nil {
+		n.saves.add(p.taken)
+	}
+}
+
+// noteSaved switches to the snapshot that has been made durable.
+func (n *loop) noteSaved(err error) {
+	j := n.saves.finish()
+	if err == nil {
+		err = n.engine.saved(j, Index(n.replica.o.SnapshotEvery))
 	}
+	n.err = err
 }
 
 // continueAdmissions takes the next step of each admission and answers those
--- a/pkg/replog/property_test.go
+++ b/pkg/replog/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -46,10 +47,13 @@
 // simNode is a replica with the applier and a machine of its own.
 type simNode struct {
 	machine
-	name     ReplicaID
-	disk     *simDisk
-	engine   *engine
-	applier  *applier
+	name    ReplicaID
+	disk    *simDisk
+	engine  *engine
+	applier *applier
+	saves   saveQueue
+	// written says that the file of the running save is complete.
+	written  bool
 	identity Identity
 	paused   bool
 	writes   map[Index]simWrite
@@ -132,7 +136,8 @@
 	s.limit = 2048
 	n.identity, n.paused, n.commands = l.identity, false, nil
 	n.writes, n.reads, n.ready = map[Index]simWrite{}, map[uint64]int{}, map[uint64]simRead{}
-	n.applier = newApplier(Options{SnapshotEvery: simKeep, Apply: n.apply, Snapshot: n.snapshot, Restore: n.restore}, s)
+	n.saves, n.written = saveQueue{}, false
+	n.applier = newApplier(Options{SnapshotEvery: simKeep, Apply: n.apply, Snapshot: n.snapshot, Restore: n.restore})
 	if l.snapshot != nil {
 		w.work(n, work{Restore: l.snapshot})
 	}
@@ -175,6 +180,9 @@
 			w.leaders[r.term] = n.identity
 		}
 	}
+	if f.Save != nil {
+		n.saves.add(f.Save)
+	}
 	for _, x := range f.Work {
 		w.work(n, x)
 	}
@@ -208,7 +216,7 @@
 			w.commands = append(w.commands, string(e.Data))
 		}
 	}
-	r := n.applier.handle([]task{{work: x}})
+	r := n.applier.handle(taskBatch{[]task{{work: x}}, n.saves.mayTake()})
 	if len(n.commands) > len(w.commands) || !slices.Equal(n.commands, w.commands[:len(n.commands)]) {
 		w.check(fmt.Errorf("state machine safety: %s differs after entry %d", n.identity, n.applier.applied))
 	}
@@ -217,14 +225,42 @@
 		w.acked++
 	}
 	delete(n.writes, x.Entry.Index)
-	if r.err == nil && r.snapshot != nil && n.engine != nil {
-		r.err = n.engine.compact(r.snapshot, simKeep)
+	if r.taken != nil {
+		n.saves.add(r.taken)
 	}
 	if r.err != nil {
 		w.storageEnds(n, r.err)
 	}
 }
 
+// save takes one step of writing a snapshot: it begins, its file is complete, or
+// the loop takes it back. Crashes and other inputs may come between any two.
+func (w *world) save(n *simNode) {
+	if n.engine == nil || n.paused {
+		return
+	}
+	var err error
+	switch {
+	case n.saves.running == nil && n.saves.next() == nil:
+		return
+	case n.saves.running == nil:
+		n.saves.start()
+	case !n.written:
+		err = n.saves.running.run(context.Background(), n.engine.store)
+		n.written = true
+	default:
+		n.engine.core.now, n.written = w.now, false
+		err = n.engine.saved(n.saves.finish(), simKeep)
+	}
+	if err != nil {
+		w.storageEnds(n, err)
+		return
+	}
+	if w.random.IntN(4) > 0 {
+		w.flush(n)
+	}
+}
+
 // checkLog checks log matching: an index and term determine the entry and the
 // term before it.
 func (w *world) checkLog(n *simNode) {
@@ -288,6 +324,9 @@
 			if w.random.IntN(3) > 0 {
 				w.input(n, (*core).tick)
 			}
+			if w.random.IntN(2) == 0 {
+				w.save(n)
+			}
 		}
 		if n := w.nodes[w.random.IntN(len(w.nodes))]; lossy && n.engine != nil && w.random.IntN(30) == 0 {
 			w.crash(n)
--- a/pkg/replog/replica.go
+++ b/pkg/replog/replica.go
@@ -100,12 +100,13 @@
 	return r, nil
 }
 
-// start runs the loop, its ticker and the applier, and reports on Done when all
+// start runs the loop, its ticker, the applier and the saver, and reports on Done when all
 // of them have ended.
 func (r *Replica) start(stop context.Context, n *loop) {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
 	var helpers sync.WaitGroup
 	helpers.Go(func() { n.applier.run(ctx) })
+	helpers.Go(func() { n.saver.run(ctx) })
 	helpers.Go(func() { n.tickEvery(ctx) })
 	go func() {
 		err := n.run(stop)
--- a/pkg/replog/replica_test.go
+++ b/pkg/replog/replica_test.go
@@ -91,12 +91,15 @@
 	return len(m.commands)
 }
 
-func (m *machine) snapshot() ([]byte, error) {
-	e := encoder{}
-	for _, s := range m.commands {
-		e.text(s)
-	}
-	return e.b, nil
+func (m *machine) snapshot() (func() ([]byte, error), error) {
+	commands := m.commands[:len(m.commands):len(m.commands)]
+	return func() ([]byte, error) {
+		e := encoder{}
+		for _, s := range commands {
+			e.text(s)
+		}
+		return e.b, nil
+	}, nil
 }
 
 func (m *machine) restore(b []byte) error {
--- /dev/null
+++ b/pkg/replog/snapshot_bench_test.go
@@ -0,0 +1,130 @@
+package replog
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+// benchRecordBytes is the size of a record of internal/state in a snapshot.
+const benchRecordBytes = 500
+
+// sized is a state machine whose snapshot has a given size.
+type sized struct{ state []byte }
+
+func (s *sized) encode() ([]byte, error) { return append([]byte(nil), s.state...), nil }
+
+// gaps records the longest silence of each sender.
+type gaps struct {
+	mu      sync.Mutex
+	last    map[Identity]time.Time
+	longest map[Identity]time.Duration
+}
+
+func (g *gaps) note(m Message) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	if last, ok := g.last[m.From.Identity]; ok {
+		g.longest[m.From.Identity] = max(g.longest[m.From.Identity], now.Sub(last))
+	}
+	g.last[m.From.Identity] = now
+}
+
+func (g *gaps) reset() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.last, g.longest = map[Identity]time.Time{}, map[Identity]time.Duration{}
+}
+
+func (g *gaps) of(id Identity) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.longest[id]
+}
+
+// benchOpen starts a replica whose state has the given size.
+func benchOpen(b *testing.B, n *localNetwork, g *gaps, name string, size int) *localReplica {
+	l := &localReplica{}
+	s := &sized{state: make([]byte, size)}
+	ctx, stop := context.WithCancel(context.Background())
+	ready := make(chan struct{})
+	o := Options{
+		Folder: b.TempDir(), Group: "g", Name: ReplicaID(name), Clock: clock.System(), Random: rand.New(rand.NewPCG(rand.Uint64(), 0)),
+		HeartbeatEvery: 50, ElectionTimeout: 250, SnapshotEvery: 200,
+		Send: func(m Message) { g.note(m); n.send(m) }, Apply: func(Entry) any { return nil },
+		Snapshot: benchSnapshot(s), Restore: func(data []byte) error { s.state = data; return nil },
+		OnRole: func(r Role, _ Term) {
+			if <-ready; r == Leader {
+				n.leaders <- l
+			}
+		},
+	}
+	r, err := Open(ctx, o)
+	qt.Assert(b, err, qt.IsNil)
+	l.Replica, l.stop = r, stop
+	n.mu.Lock()
+	n.replicas[r.identity] = l
+	n.mu.Unlock()
+	close(ready)
+	b.Cleanup(func() { stop(); <-r.ended })
+	return l
+}
+
+// BenchmarkSnapshotBlocks measures the longest proposal and confirmation of a
+// group of one while snapshots are written, then the longest silence of leader
+// and follower while a new replica gets the state by a snapshot.
+func BenchmarkSnapshotBlocks(b *testing.B) {
+	for _, records := range []int{100_000, 300_000, 1_000_000} {
+		b.Run(fmt.Sprintf("records=%d", records), func(b *testing.B) {
+			size := records * benchRecordBytes
+			n, g := newLocalNetwork(), &gaps{}
+			g.reset()
+			leader := benchOpen(b, n, g, "a", size)
+			qt.Assert(b, leader.Bootstrap([]Member{leader.Status().Self}), qt.IsNil)
+			<-n.leaders
+			var propose, confirm time.Duration
+			term := leader.Status().Term
+			for range b.N {
+				for began := leader.Status().Snapshot; leader.Status().Snapshot < began+400; {
+					at := time.Now()
+					_, err := leader.Propose(b.Context(), make([]byte, 300))
+					qt.Assert(b, err, qt.IsNil)
+					propose = max(propose, time.Since(at))
+					at = time.Now()
+					_, _, err = leader.Confirm(b.Context())
+					qt.Assert(b, err, qt.IsNil)
+					confirm = max(confirm, time.Since(at))
+				}
+			}
+			g.reset()
+			fresh := benchOpen(b, n, g, "b", 0)
+			began := time.Now()
+			err := leader.Admit(b.Context(), fresh.Status().Self)
+			for errors.Is(err, ErrStillAnswers) {
+				err = leader.Admit(b.Context(), fresh.Status().Self)
+			}
+			qt.Assert(b, err, qt.IsNil)
+			milliseconds := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+			b.ReportMetric(milliseconds(propose), "slowest-propose-ms")
+			b.ReportMetric(milliseconds(confirm), "slowest-confirm-ms")
+			b.ReportMetric(milliseconds(time.Since(began)), "admit-ms")
+			b.ReportMetric(milliseconds(g.of(leader.identity)), "leader-silent-ms")
+			b.ReportMetric(milliseconds(g.of(fresh.identity)), "follower-silent-ms")
+			b.ReportMetric(float64(leader.Status().Term-term), "elections")
+		})
+	}
+}
+
+// benchSnapshot adapts the machine to Options.Snapshot.
+func benchSnapshot(s *sized) func() (func() ([]byte, error), error) {
+	return func() (func() ([]byte, error), error) { return s.encode, nil }
+}
--- a/pkg/replog/store.go
+++ b/pkg/replog/store.go
@@ -1,6 +1,8 @@
 package replog
 
 import (
+	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"hash/crc32"
@@ -431,16 +433,48 @@
 	return s.resumeSegment(q, int64(len(b)), 0)
 }
 
-// saveSnapshot makes a snapshot durable. It may run while write does.
-func (s *store) saveSnapshot(n *Snapshot) error {
-	e := encoder{}
-	e.snapshot(n)
-	if err := s.files.writeWhole(s.path(snapshotName(n.Index)), seal(e.b)); err != nil {
+func (s *store) temporarySnapshot(i Index) string { return snapshotName(i) + temporarySuffix }
+
+// writeSnapshot makes a snapshot durable under its temporary name. It touches no
+// other file and none of the store's fields that change, so it may run while
+// anything else does. The end of ctx cuts it short with the context's error.
+func (s *store) writeSnapshot(ctx context.Context, n *Snapshot) error {
+	e := encoder{b: make([]byte, 4)}
+	e.snapshotHead(n)
+	sum := crc32.Update(crc32.Checksum(e.b[4:], castagnoli), castagnoli, n.Data)
+	binary.BigEndian.PutUint32(e.b, sum)
+	err := s.files.writeNew(ctx, s.path(s.temporarySnapshot(n.Index)), e.b, n.Data)
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return ctx.Err()
+	case err != nil:
 		return storageError("write snapshot", err)
 	}
 	return nil
 }
 
+// publishSnapshot gives a snapshot that writeSnapshot has made durable its name.
+func (s *store) publishSnapshot(i Index) error {
+	if s.failed != nil {
+		return s.failed
+	}
+	if err := s.files.Rename(s.path(s.temporarySnapshot(i)), s.path(snapshotName(i))); err != nil {
+		return s.fail("rename snapshot", err)
+	}
+	if err := s.files.SyncFolder(s.folder); err != nil {
+		return s.fail("sync folder", err)
+	}
+	return nil
+}
+
+// discardSnapshot removes what writeSnapshot has written.
+func (s *store) discardSnapshot(i Index) error {
+	if s.failed != nil {
+		return s.failed
+	}
+	return s.remove(s.temporarySnapshot(i))
+}
+
 // compact removes snapshots before the one at newest and segments that hold only
 // entries up to base. The folder is synced after each removal, so that a crash
 // leaves no gap between segments.
--- a/pkg/replog/store_test.go
+++ b/pkg/replog/store_test.go
@@ -25,7 +25,10 @@
 		n := Entry{Index: i + 1, Term: 7, Kind: EntryCommand, Data: fmt.Appendf(nil, "command %2d", i+1)}
 		qt.Assert(t, s.write(nil, nil, []Entry{n}), qt.IsNil)
 	}
-	qt.Assert(t, s.saveSnapshot(&Snapshot{Index: 2, Term: 7, Membership: storeMembers}), qt.IsNil)
+	qt.Assert(t, s.writeSnapshot(t.Context(), &Snapshot{Index: 2, Term: 7, Membership: storeMembers}), qt.IsNil)
+	qt.Assert(t, s.publishSnapshot(2), qt.IsNil)
+	// The file of a snapshot that the process did not get to switch to.
+	qt.Assert(t, s.writeSnapshot(t.Context(), &Snapshot{Index: 9, Term: 7, Membership: storeMembers}), qt.IsNil)
 	qt.Assert(t, len(s.sealed) > 1, qt.IsTrue)
 }
 
@@ -83,6 +86,7 @@
 		"sealed segment cut short":        {"*.log", 0, cutTo(-3), 0, `0000000000000001\.log: offset \d+: .*`},
 		"missing segment":                 {"*.log", 1, remove, 0, `0000000000000002\.log: offset 0: segment is missing`},
 		"flipped byte in snapshot":        {"*.snapshot", 0, flip(-1), 0, `0000000000000002\.snapshot: offset 0: .*`},
+		"partly written snapshot":         {"*.temporary", 0, cutTo(-3), 12, ""},
 		"flipped byte in identity":        {"identity", 0, flip(-1), 0, `identity: offset 0: .*`},
 		"missing identity":                {"identity", 0, remove, 0, `0000000000000001\.log: offset 0: log without identity file`},
 	}
@@ -102,6 +106,10 @@
 			qt.Assert(t, l.log.last(), qt.Equals, x.last)
 			qt.Assert(t, l.state, qt.Equals, hardState{Term: 7, Vote: "id"})
 			qt.Assert(t, l.identity, qt.Equals, Identity("id"))
+			qt.Assert(t, l.snapshot.Index, qt.Equals, Index(2))
+			left, err := filepath.Glob(filepath.Join(folder, "*"+temporarySuffix))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, left, qt.HasLen, 0)
 		})
 	}
 }
--- a/pkg/replog/types.go
+++ b/pkg/replog/types.go
@@ -140,9 +140,13 @@
 	// Apply is called in order, once for each committed EntryCommand, from the
 	// goroutine that also calls Snapshot and Restore.
 	Apply func(e Entry) any
-	// Snapshot returns the machine's state, at most 1 GiB.
-	Snapshot func() ([]byte, error)
-	Restore  func([]byte) error
+	// Snapshot captures the machine's state and returns a function that encodes
+	// it, to at most 1 GiB. Snapshot is called in order with Apply, which waits
+	// for it; the returned function is called once, on another goroutine, and
+	// must not see what is applied in the meantime. A planned stop waits for it.
+	Snapshot func() (func() ([]byte, error), error)
+	// Restore replaces the machine's state by what Snapshot's function returned.
+	Restore func([]byte) error
 	// OnRole is told about each change of role or term. It must not block.
 	OnRole func(Role, Term)
 }
