--- a/pkg/replog/core.go
+++ b/pkg/replog/core.go
@@ -93,12 +93,12 @@
 func newCore(group GroupID, self Member, l loaded, heartbeat, timeout clock.Millis, random *rand.Rand, now clock.Millis) *core {
 	c := &core{
 		group: group, self: self, heartbeatEvery: heartbeat, electionTimeout: timeout,
-		random: random, now: now, state: l.state, log: l.log, snapshot: l.snapshot,
+		random: random, now: now, state: l.state, log: l.log,
 		members: []memberAt{{}}, appendBytes: maxAppendBytes, chunkBytes: snapshotChunkBytes,
 	}
 	c.stable = c.log.last()
 	if s := l.snapshot; s != nil {
-		c.commit, c.handed, c.initial = s.Index, s.Index, s.Initial
+		c.snapshot, c.commit, c.handed, c.initial = s.withoutData(), s.Index, s.Index, s.Initial
 		c.members = []memberAt{{s.Index, s.Membership}}
 	}
 	for _, n := range c.log.entries {
@@ -205,6 +205,7 @@
 		return
 	}
 	c.snapshot = s
+	c.restartTransfers()
 	if keepAfter = min(keepAfter, s.Index); keepAfter <= c.log.base {
 		return
 	}
@@ -214,6 +215,19 @@
 	}
 }
 
+// restartTransfers lets replicas that do not answer begin again with the newest
+// snapshot when they return, so that older files are not kept for them.
+func (c *core) restartTransfers() {
+	if c.lead == nil {
+		return
+	}
+	for _, p := range c.lead.peers {
+		if p.sending != nil && !c.hears(p) {
+			p.sending = nil
+		}
+	}
+}
+
 // bootstrap writes the initial membership to an empty replica. It accepts a
 // replica that was started with the same members.
 func (c *core) bootstrap(members []Member) error {
--- a/pkg/replog/disk_test.go
+++ b/pkg/replog/disk_test.go
@@ -109,6 +109,17 @@
 			}
 			return nil, fs.ErrNotExist
 		},
+		ReadAt: func(p string, offset int64, n int) ([]byte, error) {
+			f := d.names[base(p)]
+			if d.fails() {
+				return nil, errDisk
+			}
+			if f == nil {
+				// Not an error, which would pass for a failure of the disk.
+				panic("read of a removed file: " + p)
+			}
+			return slices.Clone(f.content[offset:][:n]), nil
+		},
 		Create: func(p string) (file, error) {
 			f := &simFile{}
 			return d.open(f), d.rename(func(m map[string]*simFile) { m[base(p)] = f })
--- a/pkg/replog/doc.go
+++ b/pkg/replog/doc.go
@@ -34,6 +34,10 @@
 // written at a time. A failed write or fsync ends the replica; a planned stop
 // leaves an unfinished file behind, which the next start removes.
 //
+// No snapshot stays in memory. A replica that is behind gets the file in chunks,
+// the last one only if the whole file still has its checksum. The file is kept
+// until that replica holds it or no longer answers.
+//
 // # Usage
 //
 //	r, err := replog.Open(ctx, replog.Options{
--- a/pkg/replog/engine.go
+++ b/pkg/replog/engine.go
@@ -7,6 +7,8 @@
 	core  *core
 	store *store
 	send  func(Message)
+	// readers read snapshots for replicas that are behind.
+	readers map[Identity]*chunkReader
 }
 
 // effects are a batch's outputs for the replica's clients and state machine.
@@ -47,7 +49,9 @@
 
 func (e *engine) carryOut(b batch) error {
 	for _, m := range b.Early {
-		e.send(m)
+		if err := e.readAndSend(m); err != nil {
+			return err
+		}
 	}
 	if b.Install != nil {
 		// The file is complete and durable; a crash before the log is reset
@@ -61,8 +65,28 @@
 	}
 	e.core.persisted()
 	for _, m := range b.Messages {
-		e.send(m)
+		if err := e.readAndSend(m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// readAndSend sends a message, with the chunk of a snapshot that the core asks
+// for.
+func (e *engine) readAndSend(m Message) error {
+	if m.read > 0 {
+		r := e.readers[m.To.Identity]
+		if r == nil {
+			r = &chunkReader{}
+			e.readers[m.To.Identity] = r
+		}
+		var err error
+		if m.Chunk, err = r.read(e.store, m.Index, m.stored, m.Offset, m.read); err != nil {
+			return err
+		}
 	}
+	e.send(m)
 	return nil
 }
 
@@ -98,6 +122,6 @@
 	if err := e.store.publishSnapshot(s.Index); err != nil {
 		return err
 	}
-	e.core.compact(s, s.Index-min(keep, s.Index))
-	return e.store.compact(e.core.snapshot.Index, e.core.log.base)
+	e.core.compact(s.withoutData(), s.Index-min(keep, s.Index))
+	return e.store.compact(e.core.snapshot.Index, e.core.log.base, e.core.sendingSnapshots())
 }
--- a/pkg/replog/files.go
+++ b/pkg/replog/files.go
@@ -16,7 +16,9 @@
 	MakeFolder func(path string) error
 	Names      func(folder string) ([]string, error)
 	// Read returns fs.ErrNotExist for a file that does not exist.
-	Read       func(path string) ([]byte, error)
+	Read func(path string) ([]byte, error)
+	// ReadAt returns exactly n bytes.
+	ReadAt     func(path string, offset int64, n int) ([]byte, error)
 	Create     func(path string) (file, error)
 	Append     func(path string) (file, error)
 	Truncate   func(path string, size int64) error
@@ -48,6 +50,7 @@
 		MakeFolder: func(p string) error { return os.MkdirAll(p, 0o700) },
 		Names:      osNames,
 		Read:       os.ReadFile,
+		ReadAt:     osReadAt,
 		Create:     func(p string) (file, error) { return open(p, os.O_WRONLY|os.O_CREATE|os.O_TRUNC) },
 		Append:     func(p string) (file, error) { return open(p, os.O_WRONLY|os.O_APPEND) },
 		Truncate:   os.Truncate,
@@ -67,6 +70,16 @@
 	return names, err
 }
 
+func osReadAt(path string, offset int64, n int) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	b := make([]byte, n)
+	_, err = f.ReadAt(b, offset)
+	return b, errors.Join(err, f.Close())
+}
+
 func osSyncFolder(path string) error {
 	d, err := os.Open(path)
 	if err != nil {
--- a/pkg/replog/follow.go
+++ b/pkg/replog/follow.go
@@ -171,7 +171,7 @@
 func (c *core) install(s *Snapshot) {
 	c.log.reset(s.Index, s.Term)
 	c.stable, c.commit, c.handed = s.Index, s.Index, s.Index
-	c.snapshot, c.initial = s, s.Initial
+	c.snapshot, c.initial = s.withoutData(), s.Initial
 	c.members = []memberAt{{s.Index, s.Membership}}
 	c.out.Install = s
 }
--- a/pkg/replog/leader.go
+++ b/pkg/replog/leader.go
@@ -183,16 +183,30 @@
 	s := p.sending
 	m := Message{
 		Kind: KindSnapshot, To: to, Index: s.Index, LogTerm: s.Term, Membership: s.Membership, Initial: s.Initial,
-		Offset: p.offset, Total: uint64(len(s.Data)), Round: c.lead.confirm.round,
+		Offset: p.offset, Total: s.stored.size, Round: c.lead.confirm.round,
 	}
 	if !p.waiting {
-		m.Chunk = s.Data[p.offset:min(p.offset+c.chunkBytes, m.Total)]
+		m.read, m.stored = int(min(c.chunkBytes, m.Total-p.offset)), s.stored
 		p.chunkSent = c.now
 	}
 	c.out.Early = append(c.out.Early, c.stamp(m))
 	p.waiting = true
 }
 
+// sendingSnapshots returns those that other replicas are being sent.
+func (c *core) sendingSnapshots() []Index {
+	var out []Index
+	if c.lead == nil {
+		return nil
+	}
+	for _, p := range c.lead.peers {
+		if p.sending != nil {
+			out = append(out, p.sending.Index)
+		}
+	}
+	return out
+}
+
 // noteReply records that a replica follows this leader, and returns it. Answers
 // to what was never sent are ignored.
 func (c *core) noteReply(m Message) *peer {
@@ -259,7 +273,7 @@
 	if m.Offset <= p.offset && c.now-p.chunkSent < 2*c.heartbeatEvery {
 		return
 	}
-	if m.Offset <= uint64(len(p.sending.Data)) {
+	if m.Offset <= p.sending.stored.size {
 		p.offset, p.waiting = m.Offset, false
 	}
 }
--- a/pkg/replog/message.go
+++ b/pkg/replog/message.go
@@ -59,6 +59,10 @@
 	Chunk      []byte
 	Membership Membership
 	Initial    []Member
+
+	// read asks the engine to fill Chunk with as many bytes of the stored data.
+	read   int
+	stored storedData
 }
 
 const (
--- a/pkg/replog/property_test.go
+++ b/pkg/replog/property_test.go
@@ -145,7 +145,7 @@
 	c := newCore("g", self, l, simHeartbeat, simTimeout, w.random, w.now)
 	// Small messages, so that entries and snapshots need several of them.
 	c.appendBytes, c.chunkBytes = 64, 256
-	n.engine = &engine{core: c, store: s, send: func(m Message) { w.network = append(w.network, m.Encode()) }}
+	n.engine = &engine{core: c, store: s, readers: map[Identity]*chunkReader{}, send: func(m Message) { w.network = append(w.network, m.Encode()) }}
 }
 
 // storageEnds ends a process whose disk failed. Any other error is a fault.
--- a/pkg/replog/replica.go
+++ b/pkg/replog/replica.go
@@ -87,7 +87,7 @@
 	}
 	self := Member{Name: o.Name, Identity: l.identity, Address: o.Address}
 	c := newCore(o.Group, self, l, o.HeartbeatEvery, o.ElectionTimeout, o.Random, o.Clock.Now())
-	n := newLoop(r, &engine{core: c, store: s, send: o.Send})
+	n := newLoop(r, &engine{core: c, store: s, send: o.Send, readers: map[Identity]*chunkReader{}})
 	if l.snapshot != nil {
 		if err := n.applier.restore(l.snapshot); err != nil {
 			s.close()
--- a/pkg/replog/store.go
+++ b/pkg/replog/store.go
@@ -242,6 +242,8 @@
 	if !d.end() || n.Index != i {
 		return nil, s.corrupt(snapshotName(i), int64(len(b)-len(d.b)), "encoding")
 	}
+	n.stored = storedData{offset: int64(len(b) - len(n.Data)), size: uint64(len(n.Data)), sum: binary.BigEndian.Uint32(b)}
+	n.stored.headSum = crc32.Checksum(b[4:n.stored.offset], castagnoli)
 	return n, nil
 }
 
@@ -441,8 +443,9 @@
 func (s *store) writeSnapshot(ctx context.Context, n *Snapshot) error {
 	e := encoder{b: make([]byte, 4)}
 	e.snapshotHead(n)
-	sum := crc32.Update(crc32.Checksum(e.b[4:], castagnoli), castagnoli, n.Data)
-	binary.BigEndian.PutUint32(e.b, sum)
+	n.stored = storedData{offset: int64(len(e.b)), size: uint64(len(n.Data)), headSum: crc32.Checksum(e.b[4:], castagnoli)}
+	n.stored.sum = crc32.Update(n.stored.headSum, castagnoli, n.Data)
+	binary.BigEndian.PutUint32(e.b, n.stored.sum)
 	err := s.files.writeNew(ctx, s.path(s.temporarySnapshot(n.Index)), e.b, n.Data)
 	switch {
 	case err != nil && ctx.Err() != nil:
@@ -475,10 +478,51 @@
 	return s.remove(s.temporarySnapshot(i))
 }
 
-// compact removes snapshots before the one at newest and segments that hold only
-// entries up to base. The folder is synced after each removal, so that a crash
+// chunkReader reads the data of a snapshot for one replica.
+type chunkReader struct {
+	index  Index
+	summed uint64
+	sum    uint32
+}
+
+// read returns n bytes of the snapshot's data. It gives out the last ones only if
+// the whole file still has its checksum, so that no other replica can complete a
+// snapshot that is damaged here.
+func (r *chunkReader) read(s *store, i Index, d storedData, offset uint64, n int) ([]byte, error) {
+	if r.index != i || offset == 0 {
+		*r = chunkReader{index: i, sum: d.headSum}
+	}
+	last := offset+uint64(n) == d.size
+	// A late reply from before a restart of the other replica can skip a part.
+	for last && r.summed < offset {
+		if _, err := r.next(s, d, r.summed, int(min(offset-r.summed, snapshotChunkBytes))); err != nil {
+			return nil, err
+		}
+	}
+	b, err := r.next(s, d, offset, n)
+	if err == nil && last && r.sum != d.sum {
+		return nil, s.corrupt(snapshotName(i), 0, "checksum")
+	}
+	return b, err
+}
+
+// next reads a part and adds it to the checksum, if it follows the parts before.
+func (r *chunkReader) next(s *store, d storedData, offset uint64, n int) ([]byte, error) {
+	b, err := s.files.ReadAt(s.path(snapshotName(r.index)), d.offset+int64(offset), n)
+	if err != nil {
+		return nil, s.fail("read snapshot", err)
+	}
+	if offset == r.summed {
+		r.sum = crc32.Update(r.sum, castagnoli, b)
+		r.summed += uint64(n)
+	}
+	return b, nil
+}
+
+// compact removes snapshots before the one at newest that are not in use, and
+// segments that hold only entries up to base. The folder is synced after each removal, so that a crash
 // leaves no gap between segments.
-func (s *store) compact(newest, base Index) error {
+func (s *store) compact(newest, base Index, inUse []Index) error {
 	if s.failed != nil {
 		return s.failed
 	}
@@ -487,7 +531,8 @@
 		return s.fail("read folder", err)
 	}
 	for _, n := range names {
-		if strings.HasSuffix(n, snapshotSuffix) && n < snapshotName(newest) {
+		used := slices.ContainsFunc(inUse, func(i Index) bool { return n == snapshotName(i) })
+		if strings.HasSuffix(n, snapshotSuffix) && n < snapshotName(newest) && !used {
 			if err := s.remove(n); err != nil {
 				return err
 			}
--- a/pkg/replog/store_test.go
+++ b/pkg/replog/store_test.go
@@ -138,6 +138,47 @@
 	qt.Assert(t, errors.Is(err, ErrStorage), qt.IsTrue)
 }
 
+// Guards against a damaged snapshot that another replica can complete, and against
+// an intact one that is refused when chunks are repeated or skipped.
+func TestChunksOfSnapshot(t *testing.T) {
+	tests := map[string]struct {
+		offsets []uint64
+		change  func([]byte) []byte
+		bad     bool
+	}{
+		"in order":              {[]uint64{0, 4, 8}, cutTo(0), false},
+		"repeated":              {[]uint64{0, 4, 4, 0, 4, 8, 8}, cutTo(0), false},
+		"last one first":        {[]uint64{8, 0, 4, 8}, cutTo(0), false},
+		"part skipped":          {[]uint64{0, 8, 4, 8}, cutTo(0), false},
+		"damaged":               {[]uint64{0, 4, 8}, flip(-7), true},
+		"damaged, part skipped": {[]uint64{8}, flip(-12), true},
+		"cut short":             {[]uint64{0, 4, 8}, cutTo(-1), true},
+	}
+	for name, x := range tests {
+		t.Run(name, func(t *testing.T) {
+			folder := t.TempDir()
+			s, _, err := openStore(osFiles(), folder, "g", func() Identity { return "id" })
+			qt.Assert(t, err, qt.IsNil)
+			defer s.close()
+			n := &Snapshot{Index: 2, Term: 1, Membership: storeMembers, Data: []byte("knitted wool")}
+			qt.Assert(t, s.writeSnapshot(t.Context(), n), qt.IsNil)
+			qt.Assert(t, s.publishSnapshot(2), qt.IsNil)
+			loaded, err := s.loadSnapshot(2)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, loaded.stored, qt.Equals, n.stored)
+			edit(t, folder, "*.snapshot", 0, x.change)
+			r := &chunkReader{}
+			for _, o := range x.offsets {
+				var b []byte
+				if b, err = r.read(s, 2, n.stored, o, 4); err == nil && !x.bad {
+					qt.Assert(t, string(b), qt.Equals, string(n.Data[o:o+4]))
+				}
+			}
+			qt.Assert(t, err != nil, qt.Equals, x.bad)
+		})
+	}
+}
+
 // failing returns file operations of which those called what fail while broken.
 func failing(what string, broken func() bool) files {
 	f := osFiles()
--- a/pkg/replog/types.go
+++ b/pkg/replog/types.go
@@ -115,6 +115,26 @@
 	// Initial holds the members that Bootstrap was called with.
 	Initial []Member
 	Data    []byte
+	// stored describes the file, once there is one. The core keeps a snapshot
+	// without its data: chunks for a replica that is behind are read from the
+	// file.
+	stored storedData
+}
+
+// withoutData returns the snapshot as the core keeps it.
+func (s *Snapshot) withoutData() *Snapshot {
+	kept := *s
+	kept.Data = nil
+	return &kept
+}
+
+// storedData is the place of a snapshot's data in its file, and the checksums
+// that the file begins with and that cover what comes before the data.
+type storedData struct {
+	offset  int64
+	size    uint64
+	sum     uint32
+	headSum uint32
 }
 
 // Options configure a Replica. All fields but OnRole are required.
