--- a/pkg/replog/engine.go
+++ b/pkg/replog/engine.go
@@ -105,23 +105,27 @@
 }
 
 // saved takes back a snapshot that is durable under its temporary name. It
-// switches to it, or removes it if a newer one or the log has overtaken it. Of an
-// own snapshot, the given number of entries before it are kept.
-func (e *engine) saved(j *saveJob, keep Index) error {
+// switches to it, or gives it up if a newer one or the log has overtaken it. Of an
+// own snapshot, the given number of entries before it are kept. It returns the
+// files of older snapshots, which may be removed now.
+func (e *engine) saved(j *saveJob, keep Index) (obsolete []string, err error) {
 	s := j.snapshot
 	if !j.own() {
 		if e.core.saved(s) {
-			return nil // The next flush switches to it, together with the log.
+			return nil, nil // The next flush switches to it, together with the log.
 		}
-		return e.store.discardSnapshot(s.Index)
+		return []string{temporarySnapshot(s.Index)}, nil
 	}
 	if e.core.snapshot != nil && s.Index <= e.core.snapshot.Index {
-		return e.store.discardSnapshot(s.Index)
+		return []string{temporarySnapshot(s.Index)}, nil
 	}
 	// Entries and older snapshots may go only once this one has its name.
 	if err := e.store.publishSnapshot(s.Index); err != nil {
-		return err
+		return nil, err
 	}
 	e.core.compact(s.withoutData(), s.Index-min(keep, s.Index))
-	return e.store.compact(e.core.snapshot.Index, e.core.log.base, e.core.sendingSnapshots())
+	if err := e.store.compact(e.core.log.base); err != nil {
+		return nil, err
+	}
+	return e.store.olderSnapshots(s.Index, e.core.sendingSnapshots())
 }
--- a/pkg/replog/loop.go
+++ b/pkg/replog/loop.go
@@ -111,10 +111,8 @@
 	if len(n.tasks) > 0 {
 		tasks = n.applier.input
 	}
-	var saves chan *saveJob
-	save := n.saves.next()
-	if save != nil {
-		saves = n.saver.input
+	if n.saves.next() != nil {
+		n.saver.input <- n.saves.start()
 	}
 	stopped := stop.Done()
 	if n.stopping {
@@ -135,8 +133,6 @@
 		request(n)
 	case tasks <- taskBatch{n.tasks, n.saves.mayTake()}:
 		n.tasks = nil
-	case saves <- save:
-		n.saves.start()
 	case err := <-n.saver.reports:
 		n.noteSaved(err)
 	case p := <-n.applier.reports:
@@ -316,7 +312,7 @@
 func (n *loop) noteSaved(err error) {
 	j := n.saves.finish()
 	if err == nil {
-		err = n.engine.saved(j, Index(n.replica.o.SnapshotEvery))
+		n.saves.obsolete, err = n.engine.saved(j, Index(n.replica.o.SnapshotEvery))
 	}
 	n.err = err
 }
--- a/pkg/replog/property_test.go
+++ b/pkg/replog/property_test.go
@@ -250,7 +250,7 @@
 		n.written = true
 	default:
 		n.engine.core.now, n.written = w.now, false
-		err = n.engine.saved(n.saves.finish(), simKeep)
+		n.saves.obsolete, err = n.engine.saved(n.saves.finish(), simKeep)
 	}
 	if err != nil {
 		w.storageEnds(n, err)
--- a/pkg/replog/snapshots.go
+++ b/pkg/replog/snapshots.go
@@ -15,13 +15,22 @@
 	encode func() ([]byte, error)
 	// chunks are the data of a snapshot that arrived.
 	chunks [][]byte
+	// obsolete are files of older snapshots to be removed first. Removing a large
+	// file takes long, so the loop leaves it to the saver.
+	obsolete []string
 }
 
 // own says whether the snapshot is one of this replica's own state.
 func (j *saveJob) own() bool { return j.encode != nil }
 
-// run encodes the data and writes the file. The end of ctx cuts it short.
+// run removes older files, encodes the data and writes the file. The end of ctx
+// cuts it short.
 func (j *saveJob) run(ctx context.Context, s *store) error {
+	for _, n := range j.obsolete {
+		if err := s.files.Remove(s.path(n)); err != nil {
+			return storageError("remove snapshot", err)
+		}
+	}
 	if err := j.assemble(); err != nil {
 		return err
 	}
@@ -50,6 +59,8 @@
 	running *saveJob
 	install *saveJob
 	taken   *saveJob
+	// obsolete are files that the next job removes.
+	obsolete []string
 }
 
 // mayTake says whether the state machine may capture another snapshot.
@@ -76,14 +87,17 @@
 	return q.taken
 }
 
-// start notes that the snapshot returned by next is being written.
-func (q *saveQueue) start() {
-	q.running = q.next()
-	if q.running == q.install {
+// start takes the snapshot returned by next as the one being written.
+func (q *saveQueue) start() *saveJob {
+	j := q.next()
+	q.running = j
+	j.obsolete, q.obsolete = q.obsolete, nil
+	if j == q.install {
 		q.install = nil
-		return
+	} else {
+		q.taken = nil
 	}
-	q.taken = nil
+	return j
 }
 
 // finish returns the snapshot that was being written.
@@ -97,13 +111,14 @@
 // nor the state machine wait for it, whatever their size. The loop owns it: it
 // gives it one job at a time and switches to the finished file.
 type saver struct {
-	store   *store
+	store *store
+	// input has room for the one job, so that the loop never waits.
 	input   chan *saveJob
 	reports chan error
 }
 
 func newSaver(s *store) *saver {
-	return &saver{store: s, input: make(chan *saveJob), reports: make(chan error)}
+	return &saver{store: s, input: make(chan *saveJob, 1), reports: make(chan error)}
 }
 
 // run ends with its context, which also cuts short what is being written. The
--- a/pkg/replog/store.go
+++ b/pkg/replog/store.go
@@ -435,7 +435,7 @@
 	return s.resumeSegment(q, int64(len(b)), 0)
 }
 
-func (s *store) temporarySnapshot(i Index) string { return snapshotName(i) + temporarySuffix }
+func temporarySnapshot(i Index) string { return snapshotName(i) + temporarySuffix }
 
 // writeSnapshot makes a snapshot durable under its temporary name. It touches no
 // other file and none of the store's fields that change, so it may run while
@@ -446,7 +446,7 @@
 	n.stored = storedData{offset: int64(len(e.b)), size: uint64(len(n.Data)), headSum: crc32.Checksum(e.b[4:], castagnoli)}
 	n.stored.sum = crc32.Update(n.stored.headSum, castagnoli, n.Data)
 	binary.BigEndian.PutUint32(e.b, n.stored.sum)
-	err := s.files.writeNew(ctx, s.path(s.temporarySnapshot(n.Index)), e.b, n.Data)
+	err := s.files.writeNew(ctx, s.path(temporarySnapshot(n.Index)), e.b, n.Data)
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return ctx.Err()
@@ -461,7 +461,7 @@
 	if s.failed != nil {
 		return s.failed
 	}
-	if err := s.files.Rename(s.path(s.temporarySnapshot(i)), s.path(snapshotName(i))); err != nil {
+	if err := s.files.Rename(s.path(temporarySnapshot(i)), s.path(snapshotName(i))); err != nil {
 		return s.fail("rename snapshot", err)
 	}
 	if err := s.files.SyncFolder(s.folder); err != nil {
@@ -470,14 +470,6 @@
 	return nil
 }
 
-// discardSnapshot removes what writeSnapshot has written.
-func (s *store) discardSnapshot(i Index) error {
-	if s.failed != nil {
-		return s.failed
-	}
-	return s.remove(s.temporarySnapshot(i))
-}
-
 // chunkReader reads the data of a snapshot for one replica.
 type chunkReader struct {
 	index  Index
@@ -519,24 +511,24 @@
 	return b, nil
 }
 
-// compact removes snapshots before the one at newest that are not in use, and
-// segments that hold only entries up to base. The folder is synced after each removal, so that a crash
-// leaves no gap between segments.
-func (s *store) compact(newest, base Index, inUse []Index) error {
-	if s.failed != nil {
-		return s.failed
-	}
+// olderSnapshots returns the files of snapshots before the one at newest that are
+// not in use.
+func (s *store) olderSnapshots(newest Index, inUse []Index) ([]string, error) {
 	names, err := s.files.Names(s.folder)
 	if err != nil {
-		return s.fail("read folder", err)
+		return nil, s.fail("read folder", err)
 	}
-	for _, n := range names {
+	return slices.DeleteFunc(names, func(n string) bool {
 		used := slices.ContainsFunc(inUse, func(i Index) bool { return n == snapshotName(i) })
-		if strings.HasSuffix(n, snapshotSuffix) && n < snapshotName(newest) && !used {
-			if err := s.remove(n); err != nil {
-				return err
-			}
-		}
+		return !strings.HasSuffix(n, snapshotSuffix) || n >= snapshotName(newest) || used
+	}), nil
+}
+
+// compact removes segments that hold only entries up to base. The folder is
+// synced after each removal, so that a crash leaves no gap between segments.
+func (s *store) compact(base Index) error {
+	if s.failed != nil {
+		return s.failed
 	}
 	for len(s.sealed) > 0 && s.sealed[0].highest <= base {
 		if err := s.remove(segmentName(s.sealed[0].sequence)); err != nil {
