state: check restored records without unpacking them

Cause: Restore unpacked each record to check it, 0.74 s at 300,000 records, during which a follower applies nothing. Change: lengths are checked without decoding, the header of a response only where it differs from the one before, and records are appended without a search.

--- a/internal/state/packing.go
+++ b/internal/state/packing.go
@@ -68,6 +68,10 @@
 type unpacker struct {
 	s   string
 	bad bool
+	// skip checks fields without decoding them.
+	skip bool
+	// header is the encoded header of the result.
+	header string
 }
 
 func (u *unpacker) number() uint64 {
@@ -83,20 +87,30 @@
 	return 0
 }
 
-func (u *unpacker) text() string {
+// field returns the bytes of a packed text and their form.
+func (u *unpacker) field() (v string, form uint64) {
 	head := u.number()
 	n := head / forms
 	if n > uint64(len(u.s)) || u.bad {
 		u.bad = true
+		return "", formPlain
+	}
+	v, u.s = u.s[:n], u.s[n:]
+	if head%forms == formUUID && len(v) != len(uuid.UUID{}) {
+		u.bad = true
+		return "", formPlain
+	}
+	return v, head % forms
+}
+
+func (u *unpacker) text() string {
+	v, form := u.field()
+	if u.skip {
 		return ""
 	}
-	v := u.s[:n]
-	u.s = u.s[n:]
-	switch head % forms {
+	switch form {
 	case formUUID:
-		id, err := uuid.FromBytes([]byte(v))
-		u.bad = u.bad || err != nil
-		return id.String()
+		return uuid.UUID([]byte(v)).String()
 	case formHex:
 		return hex.EncodeToString([]byte(v))
 	case formBase64:
@@ -139,10 +153,39 @@
 
 // unpackOperation reads a packed record.
 func unpackOperation(data string) (operation, error) {
-	if data == "" || data[0] >= flagsEnd {
+	u := unpacker{s: data}
+	o := u.operation()
+	if o.Result != nil && !u.bad {
+		u.bad = json.Unmarshal([]byte(u.header), &o.Result.Header) != nil
+	}
+	if u.bad {
 		return operation{}, errRecord
 	}
-	u := unpacker{s: data[1:]}
+	return o, nil
+}
+
+// recordChecker says whether packed records are valid. It costs much less than
+// unpacking them, since most records repeat the header of the one before.
+type recordChecker struct{ header string }
+
+func (c *recordChecker) valid(data string) bool {
+	u := unpacker{s: data, skip: true}
+	o := u.operation()
+	known := o.Result == nil || (u.header == c.header && u.header != "")
+	if u.bad || known {
+		return !u.bad
+	}
+	var header wire.OperationResultHeader
+	if json.Unmarshal([]byte(u.header), &header) != nil {
+		return false
+	}
+	c.header = u.header
+	return true
+}
+
+// operation reads all fields but the header of the result.
+func (u *unpacker) operation() operation {
+	flags := u.number()
 	o := operation{
 		Service: wire.ServiceName(u.text()), Caller: wire.CallerID(u.text()), Fingerprint: wire.Fingerprint(u.text()),
 		Execution: wire.ExecutionID(u.text()), Incarnation: wire.Incarnation(u.text()),
@@ -150,17 +193,12 @@
 	for n := u.number(); n > 0 && !u.bad; n-- {
 		o.Released = append(o.Released, wire.ExecutionID(u.text()))
 	}
-	if data[0]&flagResult != 0 {
-		o.Result = u.result(data[0]&flagBodyKept != 0)
-	}
-	if u.bad || u.s != "" {
-		return operation{}, errRecord
+	if flags&flagResult != 0 {
+		o.Result = &wire.OperationResult{
+			BodyKept: flags&flagBodyKept != 0, Outcome: wire.Outcome(u.text()), Status: int(u.number()), Body: u.text(),
+		}
+		u.header, _ = u.field()
 	}
-	return o, nil
-}
-
-func (u *unpacker) result(kept bool) *wire.OperationResult {
-	r := &wire.OperationResult{BodyKept: kept, Outcome: wire.Outcome(u.text()), Status: int(u.number()), Body: u.text()}
-	u.bad = json.Unmarshal([]byte(u.text()), &r.Header) != nil || u.bad
-	return r
+	u.bad = u.bad || flags >= flagsEnd || u.s != ""
+	return o
 }
--- a/internal/state/records.go
+++ b/internal/state/records.go
@@ -104,8 +104,7 @@
 		r.own(b).records[i].data = data
 	case b < 0 || (b == len(r.blocks)-1 && i == blockRecords):
 		// Keys mostly arrive in the order of their times, which fills each block.
-		r.ownList()
-		r.blocks = append(r.blocks, &block{generation: r.generation, records: []record{{k, data}}})
+		r.add(record{k, data})
 	case len(r.blocks[b].records) == blockRecords:
 		r.split(b)
 		r.put(k, data)
@@ -115,6 +114,18 @@
 	}
 }
 
+// add appends a record with a key above all others.
+func (r *records) add(x record) {
+	last := len(r.blocks) - 1
+	if last < 0 || len(r.blocks[last].records) == blockRecords {
+		r.ownList()
+		r.blocks = append(r.blocks, &block{generation: r.generation, records: make([]record, 0, blockRecords)})
+		last++
+	}
+	b := r.own(last)
+	b.records = append(b.records, x)
+}
+
 // split divides a full block. Most later keys belong after the last block, so
 // only a little of that one is moved.
 func (r *records) split(b int) {
--- a/internal/state/records_test.go
+++ b/internal/state/records_test.go
@@ -74,13 +74,17 @@
 	}
 }
 
-// Guards against panics and large allocations on damaged records, and against two
+// Guards against panics and large allocations on damaged records, against a restored
+// record that cannot be read later, and against two
 // packings of one operation, which would make equal snapshots differ.
 func FuzzUnpackOperation(f *testing.F) {
 	f.Add(packOperation(operation{Service: "pledges", Caller: "c", Fingerprint: "00ff", Released: []wire.ExecutionID{"e"}}))
 	f.Add(packOperation(operation{Execution: "7c7b52aa-2f0e-4c55-9a52-0123456789ab", Result: &wire.OperationResult{Status: -1, Body: "AAAA", BodyKept: true}}))
 	f.Fuzz(func(t *testing.T, data string) {
 		o, err := unpackOperation(data)
+		if (&recordChecker{}).valid(data) != (err == nil) {
+			t.Fatalf("record is said to be valid: %v, unpacking says %v", err != nil, err)
+		}
 		if err != nil {
 			return
 		}
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -106,7 +106,8 @@
 	if err := json.Unmarshal(first, &h); err != nil {
 		return h.contents, merry.Wrap(ErrSnapshot, merry.WithCause(err), merry.AppendMessage(err.Error()))
 	}
-	read := readRecord
+	var c recordChecker
+	read := c.readRecord
 	switch h.Format {
 	case 0:
 		read = readTextRecord
@@ -120,7 +121,7 @@
 		if r, rest, ok = read(rest); !ok || bytes.Compare(r.key[:], last[:]) <= 0 {
 			return h.contents, merry.Wrap(ErrSnapshot, merry.AppendMessagef("invalid operation after %d others", count))
 		}
-		h.Operations.put(r.key, r.data)
+		h.Operations.add(r)
 		count, last = count+1, r.key
 	}
 	h.Operations.blocks = slices.Clip(h.Operations.blocks)
@@ -128,7 +129,7 @@
 }
 
 // readRecord reads one operation and returns the bytes after it.
-func readRecord(b []byte) (r record, rest []byte, ok bool) {
+func (c *recordChecker) readRecord(b []byte) (r record, rest []byte, ok bool) {
 	if copy(r.key[:], b) < len(r.key) || r.key[6]>>4 != 7 {
 		return r, nil, false
 	}
@@ -140,8 +141,7 @@
 	b = b[used:]
 	// Copied, so that the records do not keep the whole snapshot in memory.
 	r.data = string(b[:n])
-	_, err := unpackOperation(r.data)
-	return r, b[n:], err == nil
+	return r, b[n:], c.valid(r.data)
 }
 
 // readTextRecord reads one operation of format 0.
