--- a/pkg/replog/core.go
+++ b/pkg/replog/core.go
@@ -198,23 +198,58 @@
 	}
 }
 
-// compact records a snapshot of this replica's own state and forgets entries up
-// to keepAfter.
-func (c *core) compact(s *Snapshot, keepAfter Index) {
+// compact records a snapshot of this replica's own state and forgets the entries
+// that neither the given number to keep nor another replica calls for.
+func (c *core) compact(s *Snapshot, keep Index) {
 	if c.snapshot != nil && s.Index <= c.snapshot.Index {
 		return
 	}
 	c.snapshot = s
 	c.restartTransfers()
-	if keepAfter = min(keepAfter, s.Index); keepAfter <= c.log.base {
+	after := keepAfter(s.Index, keep, c.neededAfter())
+	if after <= c.log.base {
 		return
 	}
-	c.log.compact(keepAfter)
+	c.log.compact(after)
 	for len(c.members) > 1 && c.members[1].index <= c.log.base {
 		c.members = c.members[1:]
 	}
 }
 
+// maxKept bounds the entries that are kept for replicas that are behind, as a
+// multiple of those that are kept anyway: memory and disk must not grow for as
+// long as one of them is slow.
+const maxKept = 8
+
+// keepAfter returns the index after which entries are kept when there is a
+// snapshot. Without those that other replicas still need, one that takes longer
+// for a snapshot than the log for the entries to keep would never catch up.
+func keepAfter(snapshot, keep Index, needed []Index) Index {
+	after := snapshot - min(keep, snapshot)
+	for _, i := range needed {
+		after = min(after, i)
+	}
+	return max(after, snapshot-min(maxKept*keep, snapshot))
+}
+
+// neededAfter returns where the replicas that answer this leader go on.
+func (c *core) neededAfter() []Index {
+	var out []Index
+	if c.lead == nil {
+		return nil
+	}
+	for _, p := range c.lead.peers {
+		switch {
+		case !c.hears(p):
+		case p.sending != nil:
+			out = append(out, p.sending.Index)
+		case p.match > 0:
+			out = append(out, p.match)
+		}
+	}
+	return out
+}
+
 // restartTransfers lets replicas that do not answer begin again with the newest
 // snapshot when they return, so that older files are not kept for them.
 func (c *core) restartTransfers() {
--- a/pkg/replog/core_test.go
+++ b/pkg/replog/core_test.go
@@ -125,3 +125,49 @@
 	qt.Assert(t, out.Early, qt.HasLen, 0)
 	qt.Assert(t, out.Messages, qt.HasLen, 1)
 }
+
+// Guards against a log that grows without a bound for a slow replica, and against
+// one that forgets what a replica needs after the snapshot that it is being sent.
+func TestKeepAfter(t *testing.T) {
+	tests := map[string]struct {
+		snapshot, keep Index
+		needed         []Index
+		want           Index
+	}{
+		"nobody is behind":           {1000, 100, []Index{1000, 950}, 900},
+		"no other replica":           {1000, 100, nil, 900},
+		"one takes a snapshot":       {1000, 100, []Index{1000, 600}, 600},
+		"one is very far behind":     {1000, 100, []Index{20}, 200},
+		"log is shorter than that":   {300, 100, []Index{20}, 20},
+		"log is shorter than keep":   {50, 100, nil, 0},
+		"everything is still needed": {50, 100, []Index{0}, 0},
+	}
+	for name, x := range tests {
+		t.Run(name, func(t *testing.T) {
+			qt.Assert(t, keepAfter(x.snapshot, x.keep, x.needed), qt.Equals, x.want)
+		})
+	}
+}
+
+// Guards against a leader that forgets the entries after a snapshot while it sends
+// it, and against one that keeps them for a replica that does not answer.
+func TestEntriesAfterSentSnapshotAreKept(t *testing.T) {
+	n, b := elected(t)
+	p := n.lead.peers[b.Identity]
+	n.step(Message{Kind: KindAppendReply, Group: "g", From: b, To: n.self, Term: 4, Match: 3})
+	for range 20 {
+		_, _, err := n.propose(nil)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	n.step(Message{Kind: KindAppendReply, Group: "g", From: b, To: n.self, Term: 4, Match: 23})
+	n.take()
+	n.persisted()
+	p.sending = &Snapshot{Index: 10, Term: 4}
+	n.compact(&Snapshot{Index: 20, Term: 4}, 4)
+	qt.Assert(t, n.log.base, qt.Equals, Index(10))
+	qt.Assert(t, n.sendingSnapshots(), qt.DeepEquals, []Index{10})
+	n.now += n.electionTimeout
+	n.compact(&Snapshot{Index: 22, Term: 4}, 4)
+	qt.Assert(t, n.log.base, qt.Equals, Index(18))
+	qt.Assert(t, n.sendingSnapshots(), qt.HasLen, 0)
+}
--- a/pkg/replog/engine.go
+++ b/pkg/replog/engine.go
@@ -106,7 +106,8 @@
 
 // saved takes back a snapshot that is durable under its temporary name. It
 // switches to it, or gives it up if a newer one or the log has overtaken it. Of an
-// own snapshot, the given number of entries before it are kept. It returns the
+// own snapshot, at least the given number of entries before it are kept. It
+// returns the
 // files of older snapshots, which may be removed now.
 func (e *engine) saved(j *saveJob, keep Index) (obsolete []string, err error) {
 	s := j.snapshot
@@ -123,7 +124,7 @@
 	if err := e.store.publishSnapshot(s.Index); err != nil {
 		return nil, err
 	}
-	e.core.compact(s.withoutData(), s.Index-min(keep, s.Index))
+	e.core.compact(s.withoutData(), keep)
 	if err := e.store.compact(e.core.log.base); err != nil {
 		return nil, err
 	}
--- a/pkg/replog/types.go
+++ b/pkg/replog/types.go
@@ -151,9 +151,10 @@
 	HeartbeatEvery clock.Millis
 	// ElectionTimeout is T; each wait for a leader is drawn from [T, 2T).
 	ElectionTimeout clock.Millis
-	// SnapshotEvery is the number of applied entries between snapshots. As many
-	// older entries are kept, so that a replica that restarts catches up from
-	// the log.
+	// SnapshotEvery is the least number of applied entries between snapshots; the
+	// next one is not taken before the last one is written. As many older entries
+	// are kept, so that a replica that restarts catches up from the log, and up to
+	// 8 times as many while a replica that answers is further behind.
 	SnapshotEvery int
 	// Send sends a message to m.To. It must not block and may lose the message.
 	Send func(m Message)
