--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -141,7 +141,7 @@
 		HeartbeatEvery: heartbeatEvery, ElectionTimeout: electionTimeout, SnapshotEvery: snapshotEvery,
 		Send:     p.peers.send,
 		Apply:    func(e replog.Entry) any { return m.Apply(wire.Version(e.Index), e.Data) },
-		Snapshot: m.Snapshot, Restore: m.Restore,
+		Snapshot: m.Capture, Restore: m.Restore,
 		OnRole: func(r replog.Role, _ replog.Term) { p.service.SetLeading(r == replog.Leader) },
 	}
 }
--- a/pkg/replog/core.go
+++ b/pkg/replog/core.go
@@ -42,6 +42,9 @@
 	votes            map[Identity]bool
 	lead             *leadership
 	incoming         incoming
+	// saving is a snapshot from the leader that is complete and being made
+	// durable.
+	saving *Snapshot
 
 	out   batch
 	fault error
@@ -66,11 +69,13 @@
 }
 
 // batch is what the core wants done, in this order: send Early, make State,
-// Install and Entries durable together, send Messages, then the rest.
+// Install and Entries durable together, send Messages, then the rest. Install is
+// a snapshot that was given out as Save before and is durable as a file.
 type batch struct {
 	// State is nil when term and vote are unchanged.
 	State   *hardState
 	Install *Snapshot
+	Save    *saveJob
 	// Entries replace everything in the log from the first one's index.
 	Entries   []Entry
 	Early     []Message
@@ -81,19 +86,19 @@
 }
 
 func (b *batch) empty() bool {
-	return b.State == nil && b.Install == nil && len(b.Entries)+len(b.Early)+len(b.Messages)+len(b.Committed)+len(b.Confirmed)+len(b.Roles) == 0
+	return b.State == nil && b.Install == nil && b.Save == nil && len(b.Entries)+len(b.Early)+len(b.Messages)+len(b.Committed)+len(b.Confirmed)+len(b.Roles) == 0
 }
 
 // newCore returns a follower with what the store has loaded.
 func newCore(group GroupID, self Member, l loaded, heartbeat, timeout clock.Millis, random *rand.Rand, now clock.Millis) *core {
 	c := &core{
 		group: group, self: self, heartbeatEvery: heartbeat, electionTimeout: timeout,
-		random: random, now: now, state: l.state, log: l.log, snapshot: l.snapshot,
+		random: random, now: now, state: l.state, log: l.log,
 		members: []memberAt{{}}, appendBytes: maxAppendBytes, chunkBytes: snapshotChunkBytes,
 	}
 	c.stable = c.log.last()
 	if s := l.snapshot; s != nil {
-		c.commit, c.handed, c.initial = s.Index, s.Index, s.Initial
+		c.snapshot, c.commit, c.handed, c.initial = s.withoutData(), s.Index, s.Index, s.Initial
 		c.members = []memberAt{{s.Index, s.Membership}}
 	}
 	for _, n := range c.log.entries {
@@ -193,22 +198,71 @@
 	}
 }
 
-// compact records a snapshot of this replica's own state and forgets entries up
-// to keepAfter.
-func (c *core) compact(s *Snapshot, keepAfter Index) {
+// compact records a snapshot of this replica's own state and forgets the entries
+// that neither the given number to keep nor another replica calls for.
+func (c *core) compact(s *Snapshot, keep Index) {
 	if c.snapshot != nil && s.Index <= c.snapshot.Index {
 		return
 	}
 	c.snapshot = s
-	if keepAfter = min(keepAfter, s.Index); keepAfter <= c.log.base {
+	c.restartTransfers()
+	after := keepAfter(s.Index, keep, c.neededAfter())
+	if after <= c.log.base {
 		return
 	}
-	c.log.compact(keepAfter)
+	c.log.compact(after)
 	for len(c.members) > 1 && c.members[1].index <= c.log.base {
 		c.members = c.members[1:]
 	}
 }
 
+// maxKept bounds the entries that are kept for replicas that are behind, as a
+// multiple of those that are kept anyway: memory and disk must not grow for as
+// long as one of them is slow.
+const maxKept = 8
+
+// keepAfter returns the index after which entries are kept when there is a
+// snapshot. Without those that other replicas still need, one that takes longer
+// for a snapshot than the log for the entries to keep would never catch up.
+func keepAfter(snapshot, keep Index, needed []Index) Index {
+	after := snapshot - min(keep, snapshot)
+	for _, i := range needed {
+		after = min(after, i)
+	}
+	return max(after, snapshot-min(maxKept*keep, snapshot))
+}
+
+// neededAfter returns where the replicas that answer this leader go on.
+func (c *core) neededAfter() []Index {
+	var out []Index
+	if c.lead == nil {
+		return nil
+	}
+	for _, p := range c.lead.peers {
+		switch {
+		case !c.hears(p):
+		case p.sending != nil:
+			out = append(out, p.sending.Index)
+		case p.match > 0:
+			out = append(out, p.match)
+		}
+	}
+	return out
+}
+
+// restartTransfers lets replicas that do not answer begin again with the newest
+// snapshot when they return, so that older files are not kept for them.
+func (c *core) restartTransfers() {
+	if c.lead == nil {
+		return
+	}
+	for _, p := range c.lead.peers {
+		if p.sending != nil && !c.hears(p) {
+			p.sending = nil
+		}
+	}
+}
+
 // bootstrap writes the initial membership to an empty replica. It accepts a
 // replica that was started with the same members.
 func (c *core) bootstrap(members []Member) error {
--- a/pkg/replog/files.go
+++ b/pkg/replog/files.go
@@ -1,10 +1,12 @@
 package replog
 
 import (
+	"context"
 	"errors"
 	"io/fs"
 	"os"
 	"path/filepath"
+	"slices"
 	"syscall"
 )
 
@@ -14,7 +16,9 @@
 	MakeFolder func(path string) error
 	Names      func(folder string) ([]string, error)
 	// Read returns fs.ErrNotExist for a file that does not exist.
-	Read       func(path string) ([]byte, error)
+	Read func(path string) ([]byte, error)
+	// ReadAt returns exactly n bytes.
+	ReadAt     func(path string, offset int64, n int) ([]byte, error)
 	Create     func(path string) (file, error)
 	Append     func(path string) (file, error)
 	Truncate   func(path string, size int64) error
@@ -46,6 +50,7 @@
 		MakeFolder: func(p string) error { return os.MkdirAll(p, 0o700) },
 		Names:      osNames,
 		Read:       os.ReadFile,
+		ReadAt:     osReadAt,
 		Create:     func(p string) (file, error) { return open(p, os.O_WRONLY|os.O_CREATE|os.O_TRUNC) },
 		Append:     func(p string) (file, error) { return open(p, os.O_WRONLY|os.O_APPEND) },
 		Truncate:   os.Truncate,
@@ -65,6 +70,16 @@
 	return names, err
 }
 
+func osReadAt(path string, offset int64, n int) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	b := make([]byte, n)
+	_, err = f.ReadAt(b, offset)
+	return b, errors.Join(err, f.Close())
+}
+
 func osSyncFolder(path string) error {
 	d, err := os.Open(path)
 	if err != nil {
@@ -88,7 +103,7 @@
 // writeWhole replaces a file so that a crash leaves the old or the new content.
 func (f files) writeWhole(path string, content []byte) error {
 	temporary := path + temporarySuffix
-	if err := f.writeNew(temporary, content); err != nil {
+	if err := f.writeNew(context.Background(), temporary, content); err != nil {
 		return err
 	}
 	if err := f.Rename(temporary, path); err != nil {
@@ -97,14 +112,39 @@
 	return f.SyncFolder(filepath.Dir(path))
 }
 
-func (f files) writeNew(path string, content []byte) error {
+// syncBytes is how much of a large file is written before an fsync. A single one
+// at the end would let the fsyncs of the log wait behind the whole file.
+const syncBytes = 8 << 20
+
+// writeNew creates a durable file of the given parts. The end of ctx cuts it
+// short with the context's error.
+func (f files) writeNew(ctx context.Context, path string, parts ...[]byte) error {
 	w, err := f.Create(path)
 	if err != nil {
 		return err
 	}
-	_, err = w.Write(content)
+	for _, p := range parts {
+		for piece := range slices.Chunk(p, syncBytes) {
+			if err == nil {
+				err = writePiece(ctx, w, piece)
+			}
+		}
+	}
 	if err == nil {
 		err = w.Sync()
 	}
 	return errors.Join(err, w.Close())
 }
+
+func writePiece(ctx context.Context, w file, piece []byte) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if _, err := w.Write(piece); err != nil {
+		return err
+	}
+	if len(piece) < syncBytes {
+		return nil
+	}
+	return w.Sync()
+}
--- a/pkg/replog/store_test.go
+++ b/pkg/replog/store_test.go
@@ -25,7 +25,10 @@
 		n := Entry{Index: i + 1, Term: 7, Kind: EntryCommand, Data: fmt.Appendf(nil, "command %2d", i+1)}
 		qt.Assert(t, s.write(nil, nil, []Entry{n}), qt.IsNil)
 	}
-	qt.Assert(t, s.saveSnapshot(&Snapshot{Index: 2, Term: 7, Membership: storeMembers}), qt.IsNil)
+	qt.Assert(t, s.writeSnapshot(t.Context(), &Snapshot{Index: 2, Term: 7, Membership: storeMembers}), qt.IsNil)
+	qt.Assert(t, s.publishSnapshot(2), qt.IsNil)
+	// The file of a snapshot that the process did not get to switch to.
+	qt.Assert(t, s.writeSnapshot(t.Context(), &Snapshot{Index: 9, Term: 7, Membership: storeMembers}), qt.IsNil)
 	qt.Assert(t, len(s.sealed) > 1, qt.IsTrue)
 }
 
@@ -83,6 +86,7 @@
 		"sealed segment cut short":        {"*.log", 0, cutTo(-3), 0, `0000000000000001\.log: offset \d+: .*`},
 		"missing segment":                 {"*.log", 1, remove, 0, `0000000000000002\.log: offset 0: segment is missing`},
 		"flipped byte in snapshot":        {"*.snapshot", 0, flip(-1), 0, `0000000000000002\.snapshot: offset 0: .*`},
+		"partly written snapshot":         {"*.temporary", 0, cutTo(-3), 12, ""},
 		"flipped byte in identity":        {"identity", 0, flip(-1), 0, `identity: offset 0: .*`},
 		"missing identity":                {"identity", 0, remove, 0, `0000000000000001\.log: offset 0: log without identity file`},
 	}
@@ -102,6 +106,10 @@
 			qt.Assert(t, l.log.last(), qt.Equals, x.last)
 			qt.Assert(t, l.state, qt.Equals, hardState{Term: 7, Vote: "id"})
 			qt.Assert(t, l.identity, qt.Equals, Identity("id"))
+			qt.Assert(t, l.snapshot.Index, qt.Equals, Index(2))
+			left, err := filepath.Glob(filepath.Join(folder, "*"+temporarySuffix))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, left, qt.HasLen, 0)
 		})
 	}
 }
@@ -130,6 +138,47 @@
 	qt.Assert(t, errors.Is(err, ErrStorage), qt.IsTrue)
 }
 
+// Guards against a damaged snapshot that another replica can complete, and against
+// an intact one that is refused when chunks are repeated or skipped.
+func TestChunksOfSnapshot(t *testing.T) {
+	tests := map[string]struct {
+		offsets []uint64
+		change  func([]byte) []byte
+		bad     bool
+	}{
+		"in order":              {[]uint64{0, 4, 8}, cutTo(0), false},
+		"repeated":              {[]uint64{0, 4, 4, 0, 4, 8, 8}, cutTo(0), false},
+		"last one first":        {[]uint64{8, 0, 4, 8}, cutTo(0), false},
+		"part skipped":          {[]uint64{0, 8, 4, 8}, cutTo(0), false},
+		"damaged":               {[]uint64{0, 4, 8}, flip(-7), true},
+		"damaged, part skipped": {[]uint64{8}, flip(-12), true},
+		"cut short":             {[]uint64{0, 4, 8}, cutTo(-1), true},
+	}
+	for name, x := range tests {
+		t.Run(name, func(t *testing.T) {
+			folder := t.TempDir()
+			s, _, err := openStore(osFiles(), folder, "g", func() Identity { return "id" })
+			qt.Assert(t, err, qt.IsNil)
+			defer s.close()
+			n := &Snapshot{Index: 2, Term: 1, Membership: storeMembers, Data: []byte("knitted wool")}
+			qt.Assert(t, s.writeSnapshot(t.Context(), n), qt.IsNil)
+			qt.Assert(t, s.publishSnapshot(2), qt.IsNil)
+			loaded, err := s.loadSnapshot(2)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, loaded.stored, qt.Equals, n.stored)
+			edit(t, folder, "*.snapshot", 0, x.change)
+			r := &chunkReader{}
+			for _, o := range x.offsets {
+				var b []byte
+				if b, err = r.read(s, 2, n.stored, o, 4); err == nil && !x.bad {
+					qt.Assert(t, string(b), qt.Equals, string(n.Data[o:o+4]))
+				}
+			}
+			qt.Assert(t, err != nil, qt.Equals, x.bad)
+		})
+	}
+}
+
 // failing returns file operations of which those called what fail while broken.
 func failing(what string, broken func() bool) files {
 	f := osFiles()
--- a/pkg/replog/types.go
+++ b/pkg/replog/types.go
@@ -115,6 +115,26 @@
 	// Initial holds the members that Bootstrap was called with.
 	Initial []Member
 	Data    []byte
+	// stored describes the file, once there is one. The core keeps a snapshot
+	// without its data: chunks for a replica that is behind are read from the
+	// file.
+	stored storedData
+}
+
+// withoutData returns the snapshot as the core keeps it.
+func (s *Snapshot) withoutData() *Snapshot {
+	kept := *s
+	kept.Data = nil
+	return &kept
+}
+
+// storedData is the place of a snapshot's data in its file, and the checksums
+// that the file begins with and that cover what comes before the data.
+type storedData struct {
+	offset  int64
+	size    uint64
+	sum     uint32
+	headSum uint32
 }
 
 // Options configure a Replica. All fields but OnRole are required.
@@ -131,18 +151,23 @@
 	HeartbeatEvery clock.Millis
 	// ElectionTimeout is T; each wait for a leader is drawn from [T, 2T).
 	ElectionTimeout clock.Millis
-	// SnapshotEvery is the number of applied entries between snapshots. As many
-	// older entries are kept, so that a replica that restarts catches up from
-	// the log.
+	// SnapshotEvery is the least number of applied entries between snapshots; the
+	// next one is not taken before the last one is written. As many older entries
+	// are kept, so that a replica that restarts catches up from the log, and up to
+	// 8 times as many while a replica that answers is further behind.
 	SnapshotEvery int
 	// Send sends a message to m.To. It must not block and may lose the message.
 	Send func(m Message)
 	// Apply is called in order, once for each committed EntryCommand, from the
 	// goroutine that also calls Snapshot and Restore.
 	Apply func(e Entry) any
-	// Snapshot returns the machine's state, at most 1 GiB.
-	Snapshot func() ([]byte, error)
-	Restore  func([]byte) error
+	// Snapshot captures the machine's state and returns a function that encodes
+	// it, to at most 1 GiB. Snapshot is called in order with Apply, which waits
+	// for it; the returned function is called once, on another goroutine, and
+	// must not see what is applied in the meantime. A planned stop waits for it.
+	Snapshot func() (func() ([]byte, error), error)
+	// Restore replaces the machine's state by what Snapshot's function returned.
+	Restore func([]byte) error
 	// OnRole is told about each change of role or term. It must not block.
 	OnRole func(Role, Term)
 }
