node: hand waiting requests back when their partition starts to move

Cause: requests for a partition waited in the owner's queue for a permit, or for a grant, after the table showed the partition as moving. The release waited for them, and each was refused as moving at its turn all the same. A request that had waited for longer than 2 s was then refused by the ingress node, whatever its deadline, because the wait for an owner was counted from its first attempt. Ruled out: handing back from the goroutine that keeps the grants, because it waits up to 300 ms for the target; a look at the table for each waiting request, because one pass for all costs less. A request that waits for an earlier execution of the same key stays: "not run" would not be true of that execution. Change: requests that wait are known by member. With each change of the table, and when the member stops taking work, those that would be refused before the write are handed back with that reason. The retry budget is not used, as before. Conclusion: only requests at the target delay a release.

--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -37,7 +37,9 @@
 		if p != nil {
 			return truthful(p, mayHaveRun)
 		}
+		sent := n.clock.Now()
 		p = n.send(ctx, q, m)
+		until = min(extended(until, n.clock.Now()-sent, p.reason), q.deadline)
 		if !n.again(ctx, q, p, until) {
 			return truthful(p, mayHaveRun)
 		}
@@ -114,6 +116,19 @@
 	return false
 }
 
+// extended moves the end of the wait for an owner by the time that an attempt
+// took, when the owner's side refused it late: a request may wait longer than
+// ownerWait in the queue of a slow target before a planned move hands it back.
+// Together with maxAttempts and the deadline this bounds how often that happens.
+// An attempt that did not reach the owner counts, because its owner may be lost.
+func extended(until, took clock.Millis, why reason) clock.Millis {
+	switch why {
+	case reasonMoving, reasonStopping, reasonNotOwner:
+		return until + took
+	}
+	return until
+}
+
 // awaitCorrection waits for a change of the table, but not for long: the owner
 // may be the one whose table is behind.
 func (n *node) awaitCorrection(ctx context.Context, q *request, until clock.Millis) bool {
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -32,10 +32,7 @@
 // forward hands a request to the target, at most once.
 func (n *node) forward(ctx context.Context, m *member, q *request) *reply {
 	t := &turn{node: n, member: m, q: q, mark: wire.InFlight{Fingerprint: q.fingerprint(), Path: q.path, Route: q.route.Name}}
-	if m.target.ChecksGrants && !n.awaitGrant(ctx, m, q) {
-		return unavailable(reasonGrant)
-	}
-	if p := t.admit(ctx); p != nil {
+	if p := t.wait(ctx); p != nil {
 		return p
 	}
 	ctx = t.enterScopes(ctx)
@@ -47,6 +44,30 @@
 	return t.reply(response)
 }
 
+// wait waits for a grant and a permit. It returns a refusal when there is none,
+// or when the request would be refused before it is written: it is then handed
+// back at once, in place of holding up a planned move until its turn.
+func (t *turn) wait(ctx context.Context) *reply {
+	ctx, leave := t.member.waiters.enter(ctx, t.q)
+	defer leave()
+	// The table may have changed just before handBack could find the request.
+	if why := t.node.owns(t.member, t.q); why != "" {
+		return unavailable(why)
+	}
+	p := t.awaitPermit(ctx)
+	if why := handedBack(ctx); p != nil && why != "" {
+		return unavailable(why)
+	}
+	return p
+}
+
+func (t *turn) awaitPermit(ctx context.Context) *reply {
+	if t.member.target.ChecksGrants && !t.node.awaitGrant(ctx, t.member, t.q) {
+		return unavailable(reasonGrant)
+	}
+	return t.admit(ctx)
+}
+
 func (n *node) awaitGrant(ctx context.Context, m *member, q *request) bool {
 	timed, cancel := context.WithTimeout(ctx, grantWait.Duration())
 	defer cancel()
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -282,3 +282,8 @@
 		return true
 	})
 }
+
+func (f *fakeControl) owner(key string) wire.Partition {
+	p, _ := f.machine.Owner("catalogue", key)
+	return p
+}
--- a/internal/node/member.go
+++ b/internal/node/member.go
@@ -54,6 +54,7 @@
 	inFlight *inFlight
 	latency  targetLatency
 	grants   *grants
+	waiters  *waiters
 	probes   *probes
 
 	// ended is closed when nothing may be forwarded any more.
@@ -89,6 +90,7 @@
 		protocol:    exchange.NewPool(exchange.Options{Clock: c, MaxPerAddress: reservedConnections}),
 		inFlight:    newInFlight(),
 		grants:      newGrants(),
+		waiters:     newWaiters(),
 		probes:      newProbes(),
 		ended:       make(chan struct{}),
 		verdict:     make(chan struct{}),
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -10,6 +10,7 @@
 	registry       *prometheus.Registry
 	requests       *prometheus.CounterVec
 	retries        prometheus.Counter
+	handedBack     prometheus.Counter
 	aborted        prometheus.Counter
 	exchangeErrors *prometheus.CounterVec
 	heartbeats     *prometheus.CounterVec
@@ -22,6 +23,7 @@
 		registry:       prometheus.NewRegistry(),
 		requests:       counters("requests_total", "Requests of callers by outcome and reason.", "outcome", "reason"),
 		retries:        counter("retries_total", "Further attempts of requests."),
+		handedBack:     counter("requests_handed_back_total", "Requests that waited on the owner's side and were handed back to the ingress node."),
 		aborted:        counter("responses_aborted_total", "Responses that could not be completed."),
 		exchangeErrors: counters("exchange_errors_total", "Failed exchanges by the hop's far end.", "hop"),
 		heartbeats:     counters("heartbeats_total", "Heartbeats by result.", "result"),
@@ -29,7 +31,7 @@
 		unrecorded:     counter("operations_unrecorded_total", "Outcomes that could not be recorded."),
 	}
 	m.registry.MustRegister(
-		m.requests, m.retries, m.aborted, m.exchangeErrors, m.heartbeats, m.incarnations, m.unrecorded,
+		m.requests, m.retries, m.handedBack, m.aborted, m.exchangeErrors, m.heartbeats, m.incarnations, m.unrecorded,
 		gauge("ingress_requests", "Requests of callers in progress.", func() float64 { return float64(n.ingress.Load()) }),
 		gauge("waiting_requests", "Requests that wait for an owner.", func() float64 { return float64(n.waiting.Load()) }),
 		gauge("table_age_milliseconds", "Time since the routing table was confirmed.", func() float64 { return float64(n.routing.age()) }),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -128,6 +128,7 @@
 			return m.probe(ctx, func(e ending) { n.targets.end(m, e) })
 		}},
 		supervisor.Child{Name: "drain", Run: func(ctx context.Context) error { return n.followDrain(ctx, m) }},
+		supervisor.Child{Name: "hand back", Run: func(ctx context.Context) error { return n.followTable(ctx, m) }},
 		supervisor.Child{Name: "ownership", Run: func(ctx context.Context) error {
 			return m.keepOwnership(ctx, n.routing, n.hurry)
 		}},
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -19,11 +19,11 @@
 func (n *node) drain(ctx context.Context, m *member, why string) {
 	if m.draining.CompareAndSwap(false, true) {
 		n.log.Info().Str("Incarnation", string(m.incarnation)).Str("Reason", why).Msg("target drains")
+		n.handBack(m)
 		n.hurry()
 	}
 	n.awaitMoves(ctx, m)
-	m.refusing.Store(true)
-	m.grants.rouse()
+	n.refuse(m)
 	n.awaitIdle(ctx, m)
 	n.targets.end(m, ending{why: why})
 	// Without the control group the lease runs out by itself.
@@ -35,6 +35,14 @@
 	}
 }
 
+// refuse ends new work: waiting requests are handed back, and the partitions that
+// have not been moved yet are released.
+func (n *node) refuse(m *member) {
+	m.refusing.Store(true)
+	n.handBack(m)
+	m.grants.rouse()
+}
+
 // awaitMoves waits until the member owns nothing, or newWorkBound has passed.
 func (n *node) awaitMoves(ctx context.Context, m *member) {
 	end := n.clock.Now() + newWorkBound
@@ -75,8 +83,7 @@
 		switch {
 		case known.Draining && !m.refusing.Load():
 			n.awaitMoves(ctx, m)
-			m.refusing.Store(true)
-			m.grants.rouse()
+			n.refuse(m)
 		case !known.Draining && !m.draining.Load():
 			m.refusing.Store(false)
 		}
