node, exchange: count a cancelled request until its target has ended it

Cause: a request that was written to the target and then cancelled left the count of its partition at once, together with its response. The same held for a copy that lost against a second one. Ruled out: a successful probe as the sign of the end, since a target answers it while it works; the release call to a checking target, whose response does not say that running requests have ended, and which other targets do not get; a fixed bound of some seconds, after which a target that honours only deadlines would still work; holding the permit for as long, since then requests on silent connections would take all slots of the target until their deadlines. Change: an exchange that is given up closes only its sending direction, which a server takes for a cancellation, and reads on until the server closes. Until then, and at most until 500 ms after the request's deadline, each copy keeps the entry of its request. The end of a pool closes such connections. Connections between nodes are closed at once as before. Conclusion: a target that ignores cancellation delays a move of that key like a request that was not cancelled; a drain waits at most until the deadline and 500 ms.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -21,6 +21,8 @@
 // unlimited is a read budget that no response exhausts.
 const unlimited = int64(1) << 62
 
+var errHalfClose = merry.Sentinel("connection has no separate sending direction")
+
 var errHeaderTooLong = merry.Sentinel("response header is too long")
 
 // conn is one connection. Its reader lives as long as the connection, so that
@@ -33,6 +35,7 @@
 	idleSince clock.Millis
 
 	wrote    atomic.Bool
+	givenUp  atomic.Bool
 	silence  clock.Millis
 	waitOn   func() bool
 	remained int64 // bytes that may still be read
@@ -51,7 +54,30 @@
 	c.silence = silence
 	c.waitOn = waitOn
 	c.remained = maxHeaderBytes
-	return c.raw.SetDeadline(time.Time{})
+	if err := c.raw.SetDeadline(time.Time{}); err != nil {
+		return err
+	}
+	return c.usable()
+}
+
+// giveUp closes the sending direction and ends the reads and writes in progress.
+// It fails when the connection is closed already.
+func (c *conn) giveUp() error {
+	c.givenUp.Store(true)
+	half, ok := c.raw.(interface{ CloseWrite() error })
+	if !ok {
+		return errHalfClose
+	}
+	return errors.Join(half.CloseWrite(), c.raw.SetDeadline(time.Unix(1, 0)))
+}
+
+// usable returns an error after giveUp. It is called after each change of the
+// connection's deadline, which could have undone that of giveUp.
+func (c *conn) usable() error {
+	if c.givenUp.Load() {
+		return os.ErrDeadlineExceeded
+	}
+	return nil
 }
 
 // open reports whether an idle connection is still open and silent, by a read
@@ -91,9 +117,12 @@
 				return 0, err
 			}
 		}
+		if err := c.usable(); err != nil {
+			return 0, err
+		}
 		n, err := c.raw.Read(b)
 		c.remained -= int64(n)
-		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.givenUp.Load() {
 			return n, err
 		}
 		if c.waitOn == nil || !c.waitOn() {
--- a/internal/exchange/do.go
+++ b/internal/exchange/do.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
+	"os"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -13,12 +16,17 @@
 // Do sends the request once and returns when the response header has arrived.
 // The caller must close the body. Errors are of type *Error.
 func (p *Pool) Do(ctx context.Context, r Request) (*http.Response, error) {
+	if r.Ended == nil {
+		r.Ended = func() {}
+		r.EndBy = 0
+	}
 	c, err := p.take(ctx, r.Address, r.Fresh)
 	if err != nil {
+		r.Ended()
 		return nil, &Error{Progress: NotSent, Cause: err}
 	}
 	x := &exchange{pool: p, conn: c, request: r, written: make(chan error, 1)}
-	x.unwatch = context.AfterFunc(ctx, func() { _ = c.raw.Close() })
+	x.unwatch = context.AfterFunc(ctx, x.giveUp)
 	response, err := x.run()
 	if err != nil {
 		x.finish(false)
@@ -37,6 +45,7 @@
 	request Request
 	unwatch func() bool
 	written chan error // the end of writing
+	begun   bool       // writing has begun
 	body    *responseBody
 }
 
@@ -84,6 +93,7 @@
 // write sends the request. A body that may block is written beside the reading
 // of the response, because a server may respond before it has read the body.
 func (x *exchange) write() error {
+	x.begun = true
 	r, w := x.request.HTTP, x.conn.writer
 	if _, inMemory := r.Body.(*memoryBody); inMemory || r.Body == nil || r.Body == http.NoBody {
 		err := r.Write(w)
@@ -114,7 +124,7 @@
 	if err != nil {
 		// The server must not take an incomplete body for a complete one, and
 		// the reader must not wait for a response to it.
-		_ = x.conn.raw.Close()
+		x.giveUp()
 	}
 	x.written <- err
 }
@@ -169,6 +179,11 @@
 // everything expected was read, else closes it.
 func (x *exchange) finish(clean bool) {
 	inTime := x.unwatch()
+	if x.begun && !clean && x.request.EndBy > x.pool.options.Clock.Now() && x.pool.beginEnd(x.conn) {
+		go x.awaitEnd()
+		return
+	}
+	defer x.request.Ended()
 	if !clean || !inTime || x.conn.reader.Buffered() > 0 {
 		x.pool.drop(x.conn)
 		return
@@ -183,3 +198,30 @@
 	}
 	x.pool.drop(x.conn)
 }
+
+// giveUp ends reading and writing. The server takes the end of the sending
+// direction for a cancellation.
+func (x *exchange) giveUp() {
+	if x.request.EndBy <= x.pool.options.Clock.Now() || x.conn.giveUp() != nil {
+		_ = x.conn.raw.Close()
+	}
+}
+
+// awaitEnd waits until the server of a request that was given up closes the
+// connection. Until then the server may work on the request.
+func (x *exchange) awaitEnd() {
+	defer x.request.Ended()
+	defer x.pool.drop(x.conn)
+	defer x.pool.endEnd(x.conn)
+	if x.conn.giveUp() != nil {
+		return
+	}
+	// giveUp may still run for the end of the context, and set a deadline of its own.
+	for err := os.ErrDeadlineExceeded; errors.Is(err, os.ErrDeadlineExceeded); {
+		left := x.request.EndBy - x.pool.options.Clock.Now()
+		if left <= 0 || x.conn.raw.SetDeadline(time.Now().Add(left.Duration())) != nil {
+			return
+		}
+		_, err = io.Copy(io.Discard, x.conn.raw)
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -28,7 +28,9 @@
 //	defer response.Body.Close()
 //
 // The context bounds the whole exchange, including the body; its end closes the
-// connection.
+// connection. With Request.Ended it closes the sending direction only, which
+// cancels the request at the server all the same, and shows when the server has
+// ended it.
 package exchange
 
 import (
@@ -129,6 +131,14 @@
 	// wait on. It gets whether the response header has arrived and the number of
 	// body bytes received.
 	OnSilence func(started bool, received int64) bool
+	// Ended, if set, is called once for each call of Do: when the server does not
+	// work on the request any more as far as the connection shows, because the
+	// request was not written, the response is complete or the server closed the
+	// connection; at the latest at EndBy, or when Run ends.
+	Ended func()
+	// EndBy is the time on the pool's clock at which a request that was given up
+	// counts as ended.
+	EndBy clock.Millis
 	// OnInformation, if set, gets each informational (1xx) response.
 	OnInformation func(status int, h http.Header)
 }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -226,3 +226,67 @@
 	<-s.ended // cancellation closed the connections
 	<-s.ended
 }
+
+// Guards against a request that counts as ended while its server may work on it,
+// against one that never counts as ended, and against a server that does not learn
+// of a cancellation.
+func TestSaysWhenServerHasEnded(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer l.Close()
+	tests := map[string]struct {
+		answer string
+		refuse error
+		left   clock.Millis // from the start until EndBy
+		stays  bool         // the server works on after the cancellation
+	}{
+		"complete":            {answer: okResponse, left: 600_000},
+		"not written":         {refuse: io.EOF, left: 600_000},
+		"honours":             {left: 600_000},
+		"honours, in body":    {answer: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart", left: 600_000},
+		"works on":            {left: 600_000, stays: true},
+		"works on for longer": {left: 1, stays: true},
+		"no bound":            {stays: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			p := pool(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			ended, ends := make(chan struct{}, 2), make(chan error, 1)
+			r := Request{Address: l.Addr().String(), HTTP: post(t, l.Addr().String()), Ended: func() { ended <- struct{}{} }, EndBy: clock.System().Now() + tt.left}
+			r.BeforeWrite = func() error { return tt.refuse }
+			go func() {
+				response, err := p.Do(ctx, r)
+				if err == nil {
+					_, err = io.ReadAll(response.Body)
+				}
+				ends <- err
+			}()
+			s, err := l.Accept()
+			c.Assert(err, qt.IsNil)
+			defer s.Close()
+			if tt.refuse == nil {
+				got, err := http.ReadRequest(bufio.NewReader(s))
+				c.Assert(err, qt.IsNil)
+				_, _ = io.Copy(io.Discard, got.Body)
+				_, _ = io.WriteString(s, tt.answer)
+			}
+			if tt.answer != okResponse && tt.refuse == nil {
+				cancel()
+				_, err := s.Read(make([]byte, 1))
+				c.Assert(err, qt.IsNotNil) // the server sees the cancellation
+			}
+			<-ends
+			if tt.stays && tt.left > 1 {
+				c.Assert(ended, qt.HasLen, 0)
+			}
+			if !tt.stays || tt.left > 1 {
+				s.Close()
+			}
+			<-ended
+			c.Assert(ended, qt.HasLen, 0)
+		})
+	}
+}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -45,6 +45,7 @@
 	mu        sync.Mutex
 	addresses map[string]*addressPool
 	closed    bool
+	ending    map[*conn]bool // of requests that were given up
 }
 
 // addressPool holds the connections to one address. A slot is held for each
@@ -72,7 +73,7 @@
 	if o.Dial == nil {
 		o.Dial = dialTCP
 	}
-	return &Pool{options: o, addresses: make(map[string]*addressPool)}
+	return &Pool{options: o, addresses: make(map[string]*addressPool), ending: make(map[*conn]bool)}
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
@@ -81,13 +82,17 @@
 }
 
 // Run closes connections that were idle for too long, and all idle connections
-// when ctx ends. After that no connection is kept.
+// when ctx ends, with those of requests that were given up. After that no
+// connection is kept.
 func (p *Pool) Run(ctx context.Context) error {
 	for p.options.Clock.Sleep(ctx, reapEvery) == nil {
 		p.closeIdle(p.options.Clock.Now() - p.options.IdleLimit)
 	}
 	p.mu.Lock()
 	p.closed = true
+	for c := range p.ending {
+		_ = c.raw.Close()
+	}
 	p.mu.Unlock()
 	p.closeIdle(p.options.Clock.Now() + 1)
 	return nil
@@ -217,6 +222,23 @@
 	<-c.address.slots
 }
 
+// beginEnd notes a connection whose server may still work on a request. It returns
+// false when the pool is closed.
+func (p *Pool) beginEnd(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.closed {
+		p.ending[c] = true
+	}
+	return !p.closed
+}
+
+func (p *Pool) endEnd(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.ending, c)
+}
+
 // drop closes a connection that must not be used again.
 func (p *Pool) drop(c *conn) {
 	_ = c.raw.Close()
--- a/internal/node/in_flight.go
+++ b/internal/node/in_flight.go
@@ -12,7 +12,7 @@
 type inFlight struct {
 	mu       sync.Mutex
 	next     uint64
-	entered  map[uint64]entry
+	entered  map[uint64]*entry
 	released map[wire.PartitionID]wire.Epoch
 	atTarget map[uint64]wire.InFlight
 	served   map[wire.PartitionID]int
@@ -25,11 +25,14 @@
 type entry struct {
 	partition wire.PartitionID
 	key       uint64
+	// holds counts what keeps the entry: the request itself, and each copy of it
+	// that the target may work on.
+	holds int
 }
 
 func newInFlight() *inFlight {
 	return &inFlight{
-		entered:  make(map[uint64]entry),
+		entered:  make(map[uint64]*entry),
 		released: make(map[wire.PartitionID]wire.Epoch),
 		atTarget: make(map[uint64]wire.InFlight),
 		served:   make(map[wire.PartitionID]int),
@@ -46,14 +49,26 @@
 		return 0, false
 	}
 	f.next++
-	f.entered[f.next] = entry{partition: p, key: key}
+	f.entered[f.next] = &entry{partition: p, key: key, holds: 1}
 	return f.next, true
 }
 
-// leave ends what enter began.
+// hold keeps an entry for a copy of its request until a further leave.
+func (f *inFlight) hold(n uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entered[n].holds++
+}
+
+// leave ends what enter or hold began.
 func (f *inFlight) leave(n uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	v := f.entered[n]
+	v.holds--
+	if v.holds > 0 {
+		return
+	}
 	delete(f.entered, n)
 	close(f.changed)
 	f.changed = make(chan struct{})
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -23,6 +23,7 @@
 	if !ok {
 		return unavailable(reasonMoving)
 	}
+	q.entry = entry
 	p := n.ownEntered(ctx, m, q)
 	p.body = &endingBody{ReadCloser: p.body, end: func() { m.inFlight.leave(entry) }}
 	return p
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -52,6 +52,8 @@
 	// key is the hash of the key of a request to a keyed service.
 	key   uint64
 	keyed bool
+	// entry is the request's number among those in flight on the owner's side.
+	entry uint64
 }
 
 // body is a request body: what has been read of it, and the rest.
--- a/internal/node/second_copy.go
+++ b/internal/node/second_copy.go
@@ -18,6 +18,10 @@
 // again. Probes are 150 ms apart.
 const secondCopyPause clock.Millis = 100
 
+// cancelGrace is added to the deadline of a cancelled request. A target counts
+// the deadline from when it received the request, and closes a little later.
+const cancelGrace clock.Millis = 500
+
 // copied is one copy of a request at the target.
 type copied struct {
 	sent     clock.Millis
@@ -110,25 +114,39 @@
 }
 
 // send sends one copy. It ends with ctx or by the returned function.
+//
+// A copy counts as in flight for its partition until its connection shows that
+// the target has ended it, also when it was cancelled: another target must not
+// work on the key before that, and not every target checks grants or stops at
+// once. A target that honours cancellation closes the connection when it has
+// stopped. One that does not, or whose connection went silent, is waited for
+// until the request's deadline, which it was told, like for a request that was
+// not cancelled. A planned move waits that long only for a leaving owner, and is
+// called off otherwise.
 func (t *turn) send(ctx context.Context, fresh bool, check func() error) (<-chan copied, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	out := make(chan copied, 1)
+	entry := t.q.entry
+	t.member.inFlight.hold(entry)
+	ended := func() { t.member.inFlight.leave(entry) }
 	go func() {
 		c := copied{sent: t.node.clock.Now()}
-		c.response, c.err = t.copy(ctx, fresh, check)
+		c.response, c.err = t.copy(ctx, fresh, check, ended)
 		out <- c
 	}()
 	return out, cancel
 }
 
-func (t *turn) copy(ctx context.Context, fresh bool, check func() error) (*http.Response, error) {
+func (t *turn) copy(ctx context.Context, fresh bool, check func() error, ended func()) (*http.Response, error) {
 	address := string(t.member.target.Address)
 	r, err := t.q.outgoing(address, t.node.clock.Now())
 	if err != nil {
+		ended()
 		return nil, errRefusedLate{why: reasonBadRequest}
 	}
 	return t.member.pool.Do(ctx, exchange.Request{
 		Address: address, HTTP: r, RequestID: t.q.id, BeforeWrite: check, Fresh: fresh,
+		Ended: ended, EndBy: t.q.deadline + cancelGrace,
 	})
 }
 
