bench: lose half of the targets and get them back; goodput of each window

Cause: no run of the whole system showed whether it returns to full goodput by itself after an overload, with and without the retry budget. Change: event "half" of internal/bench/mesh kills the targets of three of six hosts for the middle third of the run. The text report lists the goodput of each window, by when the requests were due.

--- a/internal/bench/mesh/main.go
+++ b/internal/bench/mesh/main.go
@@ -1,6 +1,7 @@
 // Command mesh measures a whole system of real processes on loopback: it starts
 // a small Donation Mesh, sends load to the nodes of one service, lets one host
-// fail or become slow, and prints the report of the load tool.
+// fail or become slow, or half of the targets fail and return, and prints the
+// report of the load tool.
 //
 // # Usage
 //
@@ -36,6 +37,10 @@
 	slowFactor = 6
 	// affected is the index of the host that the event happens to.
 	affected = 2
+	// hosts of the measured service, and their number when half of the targets
+	// are lost.
+	hostCount     = 5
+	evenHostCount = 6
 )
 
 // run is one measurement.
@@ -51,11 +56,11 @@
 func main() {
 	r := run{load: bench.Options{Keys: 1000, Skew: 0.9, Seed: 1}}
 	flag.StringVar(&r.service, "service", "catalogue", "catalogue or pledges")
-	flag.StringVar(&r.event, "event", "", "loss, slow or empty")
+	flag.StringVar(&r.event, "event", "", "loss, slow, half or empty")
 	flag.StringVar(&r.bin, "bin", "bin", "folder of the programs")
 	flag.Float64Var(&r.load.Rate, "rate", 300, "requests per second")
 	flag.IntVar(&r.work, "work", 10, "service time of the targets in milliseconds")
-	duration := flag.Duration("duration", 15*time.Second, "length of the run; the event begins after a third, and a slow target recovers after another")
+	duration := flag.Duration("duration", 15*time.Second, "length of the run; the event begins after a third, and slow or lost targets of the events slow and half recover after another")
 	flag.StringVar(&r.load.PlotFile, "plot", "", "SVG file to write")
 	flag.Parse()
 	r.load.Duration = clock.FromDuration(*duration)
@@ -84,16 +89,19 @@
 		return merry.Wrap(errMesh, merry.WithCause(err), merry.AppendMessage(err.Error()))
 	}
 	hosts := r.hosts(c)
-	go r.happen(ctx, hosts[affected])
+	go r.happen(ctx, hosts)
 	return bench.Run(ctx, r.options(c, hosts), os.Stdout)
 }
 
-// system has five hosts for the measured service, and one for each other keyed
+// system has hostCount hosts for the measured service, and one for each other keyed
 // service of the configuration, which needs an owner to be ready.
 func (r run) system(folder string) cluster.Options {
 	s := cluster.Service{Targets: 1, Slots: 10, ChecksGrants: true, Arguments: []string{"--service-millis", fmt.Sprint(r.work)}}
 	services := map[wire.ServiceName]cluster.Service{"catalogue": s}
-	s.Targets = 5
+	s.Targets = hostCount
+	if r.event == "half" {
+		s.Targets = evenHostCount
+	}
 	services[wire.ServiceName(r.service)] = s
 	return cluster.Options{Gentiansail: r.bin + "/gentiansail", Standin: r.bin + "/standin", Folder: folder, Replicas: 3, Services: services}
 }
@@ -139,7 +147,8 @@
 	return o
 }
 
-func (r run) happen(ctx context.Context, h *cluster.Host) {
+func (r run) happen(ctx context.Context, hosts []*cluster.Host) {
+	h := hosts[affected]
 	c := clock.System()
 	if c.Sleep(ctx, r.load.Duration/3) != nil {
 		return
@@ -152,6 +161,17 @@
 		setWork(h, slowFactor*r.work)
 		_ = c.Sleep(ctx, r.load.Duration/3)
 		setWork(h, r.work)
+	case "half":
+		lost := hosts[:len(hosts)/2]
+		for _, h := range lost {
+			h.Target.Kill()
+		}
+		_ = c.Sleep(ctx, r.load.Duration/3)
+		for _, h := range lost {
+			if err := h.Target.Start(ctx); err != nil {
+				fmt.Fprintln(os.Stderr, err)
+			}
+		}
 	}
 }
 
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -205,6 +205,7 @@
 	}
 	row("requests", "%d at %.6g/s", r.Requests, r.RequestsPerSecond)
 	row("goodput", "%.1f/s", r.GoodputPerSecond)
+	row("goodput by window", "%s", goodputs(r.Windows))
 	row("latency ms", "%s", r.Latency)
 	row("first byte ms", "%s", r.FirstByte)
 	row("send delay ms", "%s", r.SendDelay)
@@ -236,6 +237,15 @@
 	return b.String()
 }
 
+// goodputs lists the goodput of each window in requests per second.
+func goodputs(windows []Window) string {
+	var b strings.Builder
+	for _, w := range windows {
+		_, _ = fmt.Fprintf(&b, "%.0f ", w.GoodputPerSecond)
+	}
+	return strings.TrimSpace(b.String())
+}
+
 // String formats the quantiles for the text report.
 func (q Quantiles) String() string {
 	return fmt.Sprintf("p50 %.2f  p99 %.2f  p99.9 %.2f  max %.2f", q.P50, q.P99, q.P999, q.Max)
