limit, control, node: divide each caller's rate by demand

Cause: each node enforced an equal share of a caller's rate, so a caller on one of N nodes got 1/N of it. limit.Shares existed but demand was not reported.

Ruled out: shares of every caller for every node (messages grow with callers x nodes); lowering a share at the leader as soon as it is sent (a lost answer then adds up to more than the rate); newcomers without any share for 8 s, which would be strict for any growth of the group but refuses callers after a full restart; a bucket of the least share only, which refuses new callers who are far below their limit until the first report is answered.

Change: the least share (half of 0.2, divided by the nodes) needs no report; the bucket holds an equal share of one second. Nodes report callers that have used half of it, and those with a share; the leader returns shares that end 6 s after the report was sent. internal/control/caller_shares.go counts a share until it has ended or a later one is confirmed by number. A leader without shares leads to equal shares after 6 s without an answer. The leader reads 32 callers of a report and keeps 65,536 holdings. Names of more than 256 bytes are not tracked, since a caller could fill the node's memory with them.

The tests of SetShare with equal shares are replaced: shares are now on top of the least one, end, and are bound to a report. TestLostShareCountsAsTheLeast has no object any more: a caller without a tracked share has the least one always.

Conclusion: sum of shares at most 1 as long as the number of nodes at most doubles while tables differ.

--- a/internal/bench/policies/model.go
+++ b/internal/bench/policies/model.go
@@ -62,6 +62,8 @@
 	leaving map[string]bool
 	arrived int
 	record  recorder
+	// demand is the use of callers that each node reported last.
+	demand map[demandKey][]float64
 }
 
 func simulate(t trace, p policy, seed uint64) result {
@@ -74,6 +76,7 @@
 	m := &model{
 		random: rand.New(rand.NewPCG(seed, 1)), trace: t, policy: p,
 		byID: make(map[string]*target), leaving: make(map[string]bool), keys: newKeyTable(keyCount, keySkew),
+		demand: make(map[demandKey][]float64),
 	}
 	m.record.duration = t.duration
 	for _, h := range t.hosts {
--- a/internal/control/delta_cache.go
+++ b/internal/control/delta_cache.go
@@ -93,7 +93,10 @@
 	Granted     bool
 	LeaseMillis wire.Millis
 	Refusal     string
-	Delta       json.RawMessage
+	// CallerShares is absent without a report of callers, so that an idle heartbeat
+	// costs nothing.
+	CallerShares *wire.CallerShares `json:",omitempty"`
+	Delta        json.RawMessage
 }
 
 type encodedWatch struct {
@@ -107,7 +110,8 @@
 	}
 	delta, err := s.deltas.get(r.KnownVersion)
 	return encodedHeartbeat{
-		Granted: response.Granted, LeaseMillis: response.LeaseMillis, Refusal: response.Refusal, Delta: delta,
+		Granted: response.Granted, LeaseMillis: response.LeaseMillis, Refusal: response.Refusal,
+		CallerShares: response.CallerShares, Delta: delta,
 	}, err
 }
 
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -45,9 +45,10 @@
 	s.takeReleases(ctx, o, r)
 	s.metrics.countHeartbeat(refusal)
 	return wire.HeartbeatResponse{
-		Granted:     refusal == "",
-		LeaseMillis: wire.Millis(lease.DefaultTerms.Duration),
-		Refusal:     refusal,
+		Granted:      refusal == "",
+		LeaseMillis:  wire.Millis(lease.DefaultTerms.Duration),
+		Refusal:      refusal,
+		CallerShares: o.callers.answer(r, received, o.granter.Now()),
 	}, nil
 }
 
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -147,6 +147,8 @@
 	mu    sync.Mutex
 	nodes map[wire.NodeID]*observation
 
+	callers *callerShares
+
 	// The rest belongs to the goroutine that performs the duties.
 	hot map[wire.PartitionID]*heat
 	// held is when this leader first saw a service whose assignment must wait.
@@ -187,6 +189,7 @@
 		since:   s.Clock.Now(),
 		ended:   make(chan struct{}),
 		nodes:   make(map[wire.NodeID]*observation),
+		callers: newCallerShares(s.Clock.Now()),
 		hot:     make(map[wire.PartitionID]*heat),
 		held:    make(map[wire.ServiceName]hold),
 		paused:  make(map[wire.PartitionID]clock.Millis),
@@ -238,6 +241,7 @@
 		o.sampled = now
 		o.sample(s.Machine.PartitionList(), now)
 		o.judgeSpeeds(s.Machine.MemberList(), now)
+		s.countNodes(o, now)
 	}
 	// Decisions that rest on load wait until every member can have reported.
 	byLoad := sampled && o.granter.WaitedOut()
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -132,6 +132,7 @@
 		return err
 	}
 	n.routing.refreshed(sent)
+	n.shares.apply(request.Callers, response.CallerShares, sent)
 	if m == nil {
 		return nil
 	}
@@ -161,6 +162,7 @@
 	if full {
 		r.HotKeys = n.hotKeys.top()
 	}
+	r.Callers = n.shares.report(full)
 	if m == nil {
 		return r
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,6 +62,7 @@
 	hotKeys    *hotKeys
 	pickers    *pickers
 	callers    *limit.CallerBudget
+	shares     *callerShares
 	budget     *retry.Budget
 	backoff    retry.Backoff
 	peers      *exchange.Pool
@@ -110,6 +111,7 @@
 		alive:      alive,
 		beatNow:    make(chan struct{}, 1),
 	}
+	n.shares = &callerShares{budget: n.callers, nodes: 1}
 	n.targets = &targets{clock: c, start: n.startMember, down: n.down}
 	n.metrics = newMetrics(n)
 	return n
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -12,7 +12,6 @@
 	"github.com/gentiansail/gentiansail/internal/process"
 	"github.com/gentiansail/gentiansail/internal/settings"
 	"github.com/gentiansail/gentiansail/internal/supervisor"
-	"github.com/gentiansail/gentiansail/internal/table"
 	"github.com/gentiansail/gentiansail/internal/wire"
 	"github.com/gentiansail/gentiansail/pkg/limit"
 )
@@ -138,8 +137,8 @@
 		Str("TargetListen", string(s.TargetListen)).Str("MetricsListen", string(s.MetricsListen)).Msg("node started")
 }
 
-// followLimits applies the caller limits of the configuration in force. Each
-// node that has a member enforces an equal share.
+// followLimits applies the caller limits of the configuration in force, and the
+// number of nodes among which the least shares are divided.
 func (n *node) followLimits(ctx context.Context) error {
 	for {
 		changed := n.routing.changed()
@@ -149,7 +148,7 @@
 			rates[classOf(v.Class)] = v.RequestsPerSecond
 		}
 		n.callers.SetRates(rates)
-		n.callers.SetNodes(nodesOf(s))
+		n.shares.setNodes(nodesOf(s, n.settings.Name))
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -157,14 +156,3 @@
 		}
 	}
 }
-
-// nodesOf counts the nodes that have a member.
-func nodesOf(s *table.Snapshot) int {
-	nodes := make(map[wire.NodeID]bool)
-	for _, v := range s.Configuration().Services {
-		for _, m := range s.Members(v.Name) {
-			nodes[m.Node] = true
-		}
-	}
-	return len(nodes)
-}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -176,6 +176,23 @@
 	Members []ReplicaMember `json:"Members"`
 }
 
+// CallerDemand is the use of one caller at one node.
+type CallerDemand struct {
+	// Number of the report whose answer is the last that the node applied for this
+	// caller. Absent if there is none.
+	Answered *int `json:"Answered,omitempty"`
+
+	// Caller corresponds to the JSON schema field "Caller".
+	Caller CallerID `json:"Caller"`
+
+	// Class corresponds to the JSON schema field "Class".
+	Class RouteClass `json:"Class"`
+
+	// Rate since the caller was last reported, with refused requests. Zero gives the
+	// share back: the node then uses none and ignores answers to earlier reports.
+	RequestsPerSecond float64 `json:"RequestsPerSecond"`
+}
+
 // CallerID is the identity that a caller states in the Gentiansail-Caller header.
 type CallerID string
 
@@ -188,6 +205,35 @@
 	RequestsPerSecond float64 `json:"RequestsPerSecond"`
 }
 
+// CallerReport lists the callers that need more than the least share at a node.
+type CallerReport struct {
+	// At most 32; the leader ignores the rest.
+	Demands []CallerDemand `json:"Demands"`
+
+	// Grows with each report of a node process.
+	Number int `json:"Number"`
+}
+
+// CallerShare is a node's share of one caller's rate.
+type CallerShare struct {
+	// Caller corresponds to the JSON schema field "Caller".
+	Caller CallerID `json:"Caller"`
+
+	// Class corresponds to the JSON schema field "Class".
+	Class RouteClass `json:"Class"`
+
+	// Part of the rate on top of the least share that each node has, from 0 to 1. It
+	// ends 6 s after the report was sent.
+	Share float64 `json:"Share"`
+}
+
+// CallerShares answers a CallerReport. The share of a reported caller that is not
+// listed stays as it is until it ends.
+type CallerShares struct {
+	// Shares corresponds to the JSON schema field "Shares".
+	Shares []CallerShare `json:"Shares"`
+}
+
 // ClearSuspectRequest reports that a suspect request ran alone and the target
 // survived.
 type ClearSuspectRequest struct {
@@ -425,6 +471,9 @@
 	// Address corresponds to the JSON schema field "Address".
 	Address Address `json:"Address"`
 
+	// Absent when no caller needs more than the least share.
+	Callers *CallerReport `json:"Callers,omitempty"`
+
 	// FailureDomain corresponds to the JSON schema field "FailureDomain".
 	FailureDomain FailureDomain `json:"FailureDomain"`
 
@@ -465,6 +514,10 @@
 
 // HeartbeatResponse grants or refuses a lease and carries the routing table.
 type HeartbeatResponse struct {
+	// Present only in the response to a report of callers. Leaders that divide no
+	// rates leave it out.
+	CallerShares *CallerShares `json:"CallerShares,omitempty"`
+
 	// Delta corresponds to the JSON schema field "Delta".
 	Delta Delta `json:"Delta"`
 
