wire, node: send demands and shares without field names

Cause: a report of 32 callers took 2,628 B and its answer about 1.8 KB (55 B for each caller, computed), 2.2 KB/s of a node's 5 KB/s on top of 3.0 KB/s for its heartbeats.

Ruled out: fewer callers in a report (the design names 32); hashes in place of names (two callers with one hash would share a limit).

Change: a demand is an array (wire.CallerDemandList), an answer has the shares in the order of the report. A caller whose report was not answered is reported again without a pause of 2 s.

--- a/internal/control/caller_shares.go
+++ b/internal/control/caller_shares.go
@@ -18,6 +18,8 @@
 	// maxHoldings bounds the memory to about 30 MB with names of usual length: 150
 	// callers at each of 430 nodes. Callers beyond it keep the least share.
 	maxHoldings = 1 << 16
+	// sameShare leaves the share of a node as it is.
+	sameShare = -1
 	// shareSteps are the smallest differences between shares. Rounding down keeps
 	// messages short and sums below the limit.
 	shareSteps = 1e5
@@ -98,38 +100,32 @@
 	if r.Callers == nil {
 		return nil
 	}
-	out := &wire.CallerShares{Shares: []wire.CallerShare{}}
+	out := &wire.CallerShares{Shares: []float64{}}
 	h := shareHolder{node: r.Node, process: r.Process}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, d := range r.Callers.Demands[:min(len(r.Callers.Demands), maxReportedCallers)] {
-		if share, ok := c.answerOne(h, r.Callers.Number, d, received, now); ok {
-			out.Shares = append(out.Shares, wire.CallerShare{Caller: d.Caller, Class: d.Class, Share: share})
-		}
+		out.Shares = append(out.Shares, c.answerOne(h, r.Callers.Number, d, received, now))
 	}
 	return out
 }
 
-// answerOne returns false where the node's share stays as it is.
-func (c *callerShares) answerOne(h shareHolder, number int, d wire.CallerDemand, received, now clock.Millis) (float64, bool) {
+// answerOne returns the share of one caller, or sameShare.
+func (c *callerShares) answerOne(h shareHolder, number int, d wire.CallerDemand, received, now clock.Millis) float64 {
 	k := callerClass{d.Caller, d.Class}
 	old, known := c.rows[k][h]
 	overtaken := known && number <= old.number
 	if len(d.Caller) > maxReportedName || overtaken || (!known && c.holdings >= maxHoldings) {
-		return 0, false
+		return sameShare
 	}
 	v := old.report(d, number, received)
-	give := v.demand > 0 && now >= c.from
-	share := 0.0
-	if give {
+	share := float64(sameShare)
+	if v.demand > 0 && now >= c.from {
 		share = divide(c.rows[k], h, v.demand, c.pool, now)
-		give = share > 0 || v.outstanding(now) > 0
-	}
-	if give {
 		v = v.give(share, number, received+shareTerms.Longest(), now)
 	}
 	c.keep(k, h, v, known)
-	return share, give
+	return share
 }
 
 func (c *callerShares) keep(k callerClass, h shareHolder, v holding, known bool) {
--- a/internal/node/caller_shares.go
+++ b/internal/node/caller_shares.go
@@ -98,8 +98,21 @@
 	if answer == nil {
 		return
 	}
-	for _, v := range answer.Shares {
-		c.budget.SetShare(string(v.Caller), classOf(v.Class), v.Share, r.Number, sent+limit.ShareLife)
+	for i, share := range answer.Shares[:min(len(answer.Shares), len(r.Demands))] {
+		if share >= 0 {
+			d := r.Demands[i]
+			c.budget.SetShare(string(d.Caller), classOf(d.Class), share, r.Number, sent+limit.ShareLife)
+		}
+	}
+}
+
+// lost lets the callers of a report that was not answered be reported again.
+func (c *callerShares) lost(r *wire.CallerReport) {
+	if r == nil {
+		return
+	}
+	for _, d := range r.Demands {
+		c.budget.ReportAgain(string(d.Caller), classOf(d.Class))
 	}
 }
 
@@ -109,7 +122,9 @@
 	share := 1/float64(max(c.nodes, 1)) - limit.LeastShare(c.nodes)
 	for _, d := range r.Demands {
 		if d.RequestsPerSecond > 0 {
-			out.Shares = append(out.Shares, wire.CallerShare{Caller: d.Caller, Class: d.Class, Share: share})
+			out.Shares = append(out.Shares, share)
+		} else {
+			out.Shares = append(out.Shares, 0)
 		}
 	}
 	return &out
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -125,6 +125,7 @@
 	sent := n.clock.Now()
 	response, err := call(ctx, request)
 	if err != nil {
+		n.shares.lost(request.Callers)
 		return err
 	}
 	if err := n.routing.apply(response.Delta, request.KnownVersion); err != nil {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -207,31 +207,19 @@
 
 // CallerReport lists the callers that need more than the least share at a node.
 type CallerReport struct {
-	// At most 32; the leader ignores the rest.
-	Demands []CallerDemand `json:"Demands"`
+	// At most 32; the leader ignores the rest. See CallerDemandList for the encoding.
+	Demands CallerDemandList `json:"Demands"`
 
 	// Grows with each report of a node process.
 	Number int `json:"Number"`
 }
 
-// CallerShare is a node's share of one caller's rate.
-type CallerShare struct {
-	// Caller corresponds to the JSON schema field "Caller".
-	Caller CallerID `json:"Caller"`
-
-	// Class corresponds to the JSON schema field "Class".
-	Class RouteClass `json:"Class"`
-
-	// Part of the rate on top of the least share that each node has, from 0 to 1. It
-	// ends 6 s after the report was sent.
-	Share float64 `json:"Share"`
-}
-
-// CallerShares answers a CallerReport. The share of a reported caller that is not
-// listed stays as it is until it ends.
+// CallerShares answers a CallerReport.
 type CallerShares struct {
-	// Shares corresponds to the JSON schema field "Shares".
-	Shares []CallerShare `json:"Shares"`
+	// Shares of the demands of the report, in their order: the part of the rate on
+	// top of the least share that each node has, from 0 to 1. It ends 6 s after the
+	// report was sent. A negative number leaves the share as it is.
+	Shares []float64 `json:"Shares"`
 }
 
 // ClearSuspectRequest reports that a suspect request ran alone and the target
--- a/pkg/limit/report.go
+++ b/pkg/limit/report.go
@@ -61,6 +61,17 @@
 	return r
 }
 
+// ReportAgain lets a caller that wants a share be part of the next report, after one
+// that may have been lost.
+func (b *CallerBudget) ReportAgain(caller string, c Class) {
+	s := b.shard(caller)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if v, ok := s.callers[callerClass{caller, c}]; ok {
+		v.isReported = false
+	}
+}
+
 // candidates returns the callers that a report may name.
 func (s *budgetShard) candidates(now clock.Millis, regular bool) []candidate {
 	s.mu.Lock()
