--- /dev/null
+++ b/internal/node/caller_limits_test.go
@@ -0,0 +1,167 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/gentiansail/gentiansail/internal/control"
+	"github.com/gentiansail/gentiansail/internal/header"
+	"github.com/gentiansail/gentiansail/internal/rpc"
+	"github.com/gentiansail/gentiansail/internal/settings"
+	"github.com/gentiansail/gentiansail/internal/wire"
+	"github.com/gentiansail/gentiansail/pkg/clock"
+	"github.com/gentiansail/gentiansail/pkg/limit"
+)
+
+const (
+	// limitedNodes share the rate of a caller, limitedRate requests per second.
+	limitedNodes = 5
+	limitedRate  = 60.0
+)
+
+// startRealControl returns the address of a control group of one replica with a
+// limit for each caller.
+func startRealControl(t *testing.T) wire.Address {
+	var listeners []net.Listener
+	for range 2 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		listeners = append(listeners, l)
+	}
+	address := wire.Address(listeners[0].Addr().String())
+	s := settings.Control{
+		Group: "g", Name: "control-a", DataFolder: t.TempDir(), Replicas: map[wire.ReplicaID]wire.Address{"control-a": address},
+		MetricsListen: wire.Address(listeners[1].Addr().String()),
+	}
+	background(t, func(ctx context.Context) error {
+		return control.Runner{}.RunOn(ctx, s, zerolog.Nop(), listeners[0], listeners[1])
+	})
+	client := rpc.NewClient(string(address))
+	defer client.Close()
+	id := until[wire.IdentityResponse](t, client, wire.MethodReplicaIdentity, wire.IdentityRequest{Group: "g"})
+	founder := wire.ReplicaMember{Name: id.Name, Identity: id.Identity, Address: address, Voter: true}
+	until[wire.Ack](t, client, wire.MethodReplicaBootstrap, wire.BootstrapRequest{Group: "g", Members: []wire.ReplicaMember{founder}})
+	until[wire.ApplyResponse](t, client, wire.MethodOperatorApply, wire.ApplyRequest{Group: "g", RequestID: "r", Configuration: wire.Configuration{
+		Regions: []wire.RegionConfig{}, Services: []wire.ServiceConfig{{Name: "courier"}},
+		Routes:       []wire.RouteConfig{{Name: "courier", Service: "courier", Methods: []string{"GET"}, Path: "/courier/", Repeatable: true, Class: wire.RouteClassNormal, DeadlineMillis: 10000}},
+		CallerLimits: []wire.CallerLimit{{Class: wire.RouteClassNormal, RequestsPerSecond: limitedRate}},
+	}})
+	return address
+}
+
+// until calls until there is an answer.
+func until[Response any](t *testing.T, c *rpc.Client, method string, request any) (out Response) {
+	var err error
+	eventually(func() bool {
+		out, err = rpc.Call[Response](t.Context(), c, method, request)
+		return err == nil || rpc.IsCode(err, rpc.CodeRefused)
+	})
+	qt.Assert(t, err, qt.IsNil)
+	return out
+}
+
+// callerLoad is one caller that sends to some nodes until it is stopped.
+type callerLoad struct {
+	t       *testing.T
+	caller  string
+	began   clock.Millis
+	stop    context.CancelFunc
+	senders sync.WaitGroup
+
+	mu       sync.Mutex
+	admitted []clock.Millis
+	wrong    []string
+}
+
+// sendEvery is the pause between two requests to one node: 100 requests a second
+// with no time for the responses.
+const sendEvery clock.Millis = 10
+
+func startLoad(t *testing.T, caller string, nodes []*node) *callerLoad {
+	ctx, stop := context.WithCancel(t.Context())
+	l := &callerLoad{t: t, caller: caller, began: clock.System().Now(), stop: stop}
+	for _, n := range nodes {
+		l.senders.Go(func() {
+			for clock.System().Sleep(ctx, sendEvery) == nil {
+				l.send(n)
+			}
+		})
+	}
+	return l
+}
+
+func (l *callerLoad) send(n *node) {
+	status, h, _, err := tryAsk(http.MethodGet, string(n.settings.CallerListen), "/courier/x", map[string]string{header.Caller: l.caller}, "")
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case err != nil:
+		l.wrong = append(l.wrong, err.Error())
+	case status == http.StatusOK:
+		l.admitted = append(l.admitted, clock.System().Now())
+	case status != http.StatusTooManyRequests || h.Get(header.Outcome) != string(wire.OutcomeNotRun):
+		l.wrong = append(l.wrong, h.Get(header.Reason))
+	}
+}
+
+// admit waits until a number of further requests were admitted, with the share that
+// is in force.
+func (l *callerLoad) admit(further float64) {
+	count := func() float64 {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return float64(len(l.admitted))
+	}
+	before := count()
+	eventually(func() bool { return count() >= before+further })
+}
+
+// end stops the load and checks it against the rate and the stated burst: two
+// seconds of the rate, and one request at each node.
+func (l *callerLoad) end() {
+	l.stop()
+	l.senders.Wait()
+	now := clock.System().Now()
+	bound := limitedRate*((now-l.began).Duration().Seconds()+2) + limitedNodes
+	recent := len(l.admitted) - slices.IndexFunc(append(l.admitted, now), func(at clock.Millis) bool { return at >= now-3000 })
+	l.t.Logf("%s: %d requests in %v ms, at most %.0f; %.0f/s in the last 3 s, limit %.0f/s", l.caller, len(l.admitted), now-l.began, bound, float64(recent)/3, limitedRate)
+	qt.Check(l.t, float64(len(l.admitted)) <= bound, qt.IsTrue)
+	qt.Check(l.t, l.wrong, qt.HasLen, 0)
+}
+
+// Guards against a caller on one node that gets only that node's part of its rate,
+// against one on all nodes that gets more than its rate, and against a share that
+// stays behind when the caller moves: a real control replica and five nodes.
+func TestCallerLimitsFollowDemand(t *testing.T) {
+	f := &fakeControl{address: startRealControl(t)}
+	var nodes []*node
+	for _, name := range []wire.NodeID{"a", "b", "c", "d", "e"} {
+		n, _ := startNode(t, f, name)
+		startTarget(t, n, "courier", false)
+		nodes = append(nodes, n)
+	}
+	eventually(func() bool {
+		return !slices.ContainsFunc(nodes, func(n *node) bool { return nodesOf(n.routing.snapshot(), "a") < limitedNodes })
+	})
+	share := func(n int) float64 { return nodes[n].callers.Share("one", limit.Normal) }
+	all := startLoad(t, "all", nodes)
+	one := startLoad(t, "one", nodes[:1])
+	eventually(func() bool { return share(0) > 0.8 })
+	t.Logf("share on one of %d nodes: %.2f", limitedNodes, share(0))
+	one.admit(3 * limitedRate)
+	one.end()
+	moved := startLoad(t, "one", nodes[1:2])
+	began := clock.System().Now()
+	eventually(func() bool { return share(1) > 0.8 })
+	t.Logf("share on the next node %d ms after the caller moved: %.2f, on the first %.2f", clock.System().Now()-began, share(1), share(0))
+	moved.admit(3 * limitedRate)
+	moved.end()
+	all.end()
+}
