limit: divide nine tenths of a caller's rate by demand instead of eight

Cause: a caller on one of five nodes got 82 % of its rate. The equal part is only needed as a least share and as a margin for nodes that join; new callers are served from the bucket, which holds an equal share of one second.

Ruled out: no margin, which breaks the sum when nodes join.

Change: equalPart 0.2 -> 0.1. The margin is still one least share for as many nodes again.

--- a/pkg/limit/caller.go
+++ b/pkg/limit/caller.go
@@ -26,8 +26,9 @@
 	// equalPart is the part of the rate that is not divided by demand, so that a
 	// caller who moves to another node is served there before the next report.
 	// Half of it is divided equally among the nodes. The other half stays free for
-	// nodes that the others do not count yet, or still count.
-	equalPart = 0.2
+	// nodes that the others do not count yet, or still count. A caller on one node
+	// cannot use this part, so it is small.
+	equalPart = 0.1
 	// urgentEvery is the shortest time between two reports of a caller besides the
 	// regular ones. It keeps a caller that is refused for long from being part of
 	// every heartbeat.
