--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -125,6 +125,7 @@
 	sent := n.clock.Now()
 	response, err := call(ctx, request)
 	if err != nil {
+		n.shares.lost(request.Callers)
 		return err
 	}
 	if err := n.routing.apply(response.Delta, request.KnownVersion); err != nil {
@@ -132,6 +133,7 @@
 		return err
 	}
 	n.routing.refreshed(sent)
+	n.shares.apply(request.Callers, response.CallerShares, sent)
 	if m == nil {
 		return nil
 	}
@@ -161,6 +163,7 @@
 	if full {
 		r.HotKeys = n.hotKeys.top()
 	}
+	r.Callers = n.shares.report(full)
 	if m == nil {
 		return r
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -176,6 +176,23 @@
 	Members []ReplicaMember `json:"Members"`
 }
 
+// CallerDemand is the use of one caller at one node.
+type CallerDemand struct {
+	// Number of the report whose answer is the last that the node applied for this
+	// caller. Absent if there is none.
+	Answered *int `json:"Answered,omitempty"`
+
+	// Caller corresponds to the JSON schema field "Caller".
+	Caller CallerID `json:"Caller"`
+
+	// Class corresponds to the JSON schema field "Class".
+	Class RouteClass `json:"Class"`
+
+	// Rate since the caller was last reported, with refused requests. Zero gives the
+	// share back: the node then uses none and ignores answers to earlier reports.
+	RequestsPerSecond float64 `json:"RequestsPerSecond"`
+}
+
 // CallerID is the identity that a caller states in the Gentiansail-Caller header.
 type CallerID string
 
@@ -194,6 +211,23 @@
 	CallerLimits []CallerLimit `json:"CallerLimits"`
 }
 
+// CallerReport lists the callers that need more than the least share at a node.
+type CallerReport struct {
+	// At most 32; the leader ignores the rest. See CallerDemandList for the encoding.
+	Demands CallerDemandList `json:"Demands"`
+
+	// Grows with each report of a node process.
+	Number int `json:"Number"`
+}
+
+// CallerShares answers a CallerReport.
+type CallerShares struct {
+	// Shares of the demands of the report, in their order: the part of the rate on
+	// top of the least share that each node has, from 0 to 1. It ends 6 s after the
+	// report was sent. A negative number leaves the share as it is.
+	Shares []float64 `json:"Shares"`
+}
+
 // ClearSuspectRequest reports that a suspect request ran alone and the target
 // survived.
 type ClearSuspectRequest struct {
@@ -468,6 +502,9 @@
 	// Address corresponds to the JSON schema field "Address".
 	Address Address `json:"Address"`
 
+	// Absent when no caller needs more than the least share.
+	Callers *CallerReport `json:"Callers,omitempty"`
+
 	// Highest form that the node understands; zero in requests of earlier versions.
 	DeltaFormat DeltaFormat `json:"DeltaFormat"`
 
@@ -511,6 +548,10 @@
 
 // HeartbeatResponse grants or refuses a lease and carries the routing table.
 type HeartbeatResponse struct {
+	// Present only in the response to a report of callers. Leaders that divide no
+	// rates leave it out.
+	CallerShares *CallerShares `json:"CallerShares,omitempty"`
+
 	// Delta corresponds to the JSON schema field "Delta".
 	Delta Delta `json:"Delta"`
 
