exchange: close the connection of a server that sends on after its request was given up

Cause: a request that was given up closes only its sending direction, and the rest of the response was read until the deadline. A server that notices a lost client only by a failed write would have worked on for up to ten minutes. Ruled out: closing at once, which hides when the server has ended. Change: at most 1 MiB is read after that; then the connection is closed.

--- a/internal/exchange/do.go
+++ b/internal/exchange/do.go
@@ -207,6 +207,11 @@
 	}
 }
 
+// maxEndBytes is how much of a response is read after its request was given up.
+// A server that sends more has not noticed the end of the sending direction;
+// closing the connection makes its next write fail.
+const maxEndBytes = 1 << 20
+
 // awaitEnd waits until the server of a request that was given up closes the
 // connection. Until then the server may work on the request.
 func (x *exchange) awaitEnd() {
@@ -217,11 +222,12 @@
 		return
 	}
 	// giveUp may still run for the end of the context, and set a deadline of its own.
+	rest := io.LimitReader(x.conn.raw, maxEndBytes)
 	for err := os.ErrDeadlineExceeded; errors.Is(err, os.ErrDeadlineExceeded); {
 		left := x.request.EndBy - x.pool.options.Clock.Now()
 		if left <= 0 || x.conn.raw.SetDeadline(time.Now().Add(left.Duration())) != nil {
 			return
 		}
-		_, err = io.Copy(io.Discard, x.conn.raw)
+		_, err = io.Copy(io.Discard, rest)
 	}
 }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -290,3 +290,35 @@
 		})
 	}
 }
+
+// Guards against a server that sends on for ever after its request was given up,
+// because it notices only writes that fail.
+func TestClosesConnectionOfServerThatSendsOn(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	p := pool(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended, ends := make(chan struct{}), make(chan error, 1)
+	r := Request{Address: l.Addr().String(), HTTP: post(t, l.Addr().String()), Ended: func() { close(ended) }, EndBy: clock.System().Now() + 600_000}
+	go func() {
+		response, err := p.Do(ctx, r)
+		if err == nil {
+			_, err = io.ReadAll(response.Body)
+		}
+		ends <- err
+	}()
+	s, err := l.Accept()
+	c.Assert(err, qt.IsNil)
+	defer s.Close()
+	_, err = http.ReadRequest(bufio.NewReader(s))
+	c.Assert(err, qt.IsNil)
+	cancel()
+	c.Assert(<-ends, qt.IsNotNil)
+	for err == nil {
+		_, err = s.Write(make([]byte, 64<<10))
+	}
+	<-ended
+}
