--- a/internal/node/once.go
+++ b/internal/node/once.go
@@ -96,6 +96,8 @@
 		return refuse(http.StatusGone, reasonExpired)
 	case wire.DecisionFuture:
 		return refuse(http.StatusBadRequest, reasonFuture)
+	case wire.DecisionFull:
+		return unavailable(reasonRecordsFull)
 	}
 	return unknown(http.StatusConflict, reasonUnknown)
 }
--- a/internal/node/reply.go
+++ b/internal/node/reply.go
@@ -42,6 +42,7 @@
 	reasonMismatch     reason = "key-reused"
 	reasonExpired      reason = "expired"
 	reasonFuture       reason = "future-key"
+	reasonRecordsFull  reason = "records-full"
 	reasonNoOperation  reason = "idempotency-key-required"
 	reasonControl      reason = "control-unavailable"
 	reasonTargetFailed reason = "target-failed"
--- a/internal/state/operations.go
+++ b/internal/state/operations.go
@@ -20,6 +20,10 @@
 	// MaxKeptBody is the longest response body that is kept, in base64: 32 KiB
 	// before encoding.
 	MaxKeptBody = (32<<10 + 2) / 3 * 4
+	// maxRecordBytes bounds the records of operations. A snapshot of more than 1 GiB
+	// would stop every replica; operations that are open at the limit still add
+	// their outcome, without a body.
+	maxRecordBytes = 768 << 20
 	// maxReleased bounds the attempts of one operation that ended as not run.
 	maxReleased = 32
 )
@@ -69,6 +73,9 @@
 	if !m.serves(r.Incarnation, r.Service) {
 		return Result{Err: merry.Wrap(ErrStale, merry.AppendMessagef("incarnation %s is gone", r.Incarnation))}
 	}
+	if m.Operations.bytes >= m.recordLimit {
+		return decision(wire.DecisionFull, nil)
+	}
 	m.open(o, r, k)
 	return decision(wire.DecisionRun, nil)
 }
@@ -129,7 +136,7 @@
 		return nil
 	}
 	r := f.Result
-	if !r.BodyKept || len(r.Body) > MaxKeptBody {
+	if !r.BodyKept || len(r.Body) > MaxKeptBody || m.Operations.bytes >= m.recordLimit {
 		r.Body, r.BodyKept = "", false
 	}
 	o.Result = &r
--- a/internal/state/records.go
+++ b/internal/state/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"slices"
 
 	"github.com/google/uuid"
@@ -60,6 +61,8 @@
 	blocks     []*block
 	// listShared is set while a capture shares the list itself.
 	listShared bool
+	// bytes is what the records take in a snapshot, at most.
+	bytes int
 }
 
 // capture returns the blocks as they are now; they do not change any more.
@@ -87,6 +90,9 @@
 	return b, i, found
 }
 
+// recordOverhead is the key and the length of a record in a snapshot, at most.
+const recordOverhead = len(recordKey{}) + binary.MaxVarintLen32
+
 // get returns the record of a key.
 func (r *records) get(k recordKey) (string, bool) {
 	b, i, found := r.find(k)
@@ -101,7 +107,9 @@
 	b, i, found := r.find(k)
 	switch {
 	case found:
-		r.own(b).records[i].data = data
+		x := &r.own(b).records[i]
+		r.bytes += len(data) - len(x.data)
+		x.data = data
 	case b < 0 || (b == len(r.blocks)-1 && i == blockRecords):
 		// Keys mostly arrive in the order of their times, which fills each block.
 		r.add(record{k, data})
@@ -111,6 +119,7 @@
 	default:
 		x := r.own(b)
 		x.records = slices.Insert(x.records, i, record{k, data})
+		r.bytes += recordOverhead + len(data)
 	}
 }
 
@@ -124,6 +133,7 @@
 	}
 	b := r.own(last)
 	b.records = append(b.records, x)
+	r.bytes += recordOverhead + len(x.data)
 }
 
 // split divides a full block. Most later keys belong after the last block, so
@@ -164,6 +174,7 @@
 		if x.records[len(x.records)-1].key.time() >= oldest {
 			break
 		}
+		r.drop(x.records)
 		whole++
 	}
 	if whole > 0 {
@@ -175,5 +186,13 @@
 	}
 	x := r.own(0)
 	n := slices.IndexFunc(x.records, func(v record) bool { return v.key.time() >= oldest })
+	r.drop(x.records[:n])
 	x.records = slices.Delete(x.records, 0, n)
 }
+
+// drop takes records that are removed out of the count of bytes.
+func (r *records) drop(removed []record) {
+	for _, x := range removed {
+		r.bytes -= recordOverhead + len(x.data)
+	}
+}
--- a/internal/state/records_test.go
+++ b/internal/state/records_test.go
@@ -1,10 +1,13 @@
 package state
 
 import (
+	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
 
+	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
 	"github.com/gentiansail/gentiansail/internal/wire"
@@ -45,6 +48,13 @@
 				shots = append(shots, shot{r.capture(), maps.Clone(model)})
 			}
 			requireRecords(t, r.blocks, model)
+			size := 0
+			for _, data := range model {
+				size += recordOverhead + len(data)
+			}
+			if r.bytes != size {
+				t.Fatalf("records count %d bytes, expected %d", r.bytes, size)
+			}
 		}
 		for _, s := range shots {
 			requireRecords(t, s.blocks, s.model)
@@ -74,6 +84,43 @@
 	}
 }
 
+// Guards against records that outgrow what a snapshot may hold, which would stop
+// every replica, and against a refusal that loses the outcome of an operation that
+// was begun before.
+func TestFullRecordsRefuseNewOperations(t *testing.T) {
+	m := New("tz")
+	index := wire.Version(0)
+	apply := func(c wire.Command) Result {
+		data, err := json.Marshal(c)
+		qt.Assert(t, err, qt.IsNil)
+		index++
+		return m.Apply(index, data)
+	}
+	const day = wire.UnixMillis(24 * 60 * 60 * 1000)
+	key := func(n int) wire.OperationKey {
+		return wire.OperationKey(fmt.Sprintf("00000000-0001-7000-8000-%012x", n))
+	}
+	begin := func(n int) wire.Decision {
+		r := apply(wire.Command{Begin: &wire.BeginRequest{Service: "pledges", Key: key(n), Fingerprint: "f", Execution: "e", Incarnation: "i"}})
+		qt.Assert(t, r.Err, qt.IsNil)
+		return r.Begin.Decision
+	}
+	apply(wire.Command{Apply: &wire.ApplyRequest{RequestID: "q", Configuration: wire.Configuration{Services: []wire.ServiceConfig{{Name: "pledges"}}}}})
+	apply(wire.Command{RegisterMember: &wire.RegisterMember{Member: wire.Member{Node: "n", Incarnation: "i", Service: "pledges", Slots: 1}}})
+	qt.Assert(t, begin(1), qt.Equals, wire.DecisionRun)
+	m.recordLimit = m.Operations.bytes
+	qt.Assert(t, begin(2), qt.Equals, wire.DecisionFull)
+	result := wire.OperationResult{Outcome: wire.OutcomeComplete, Status: 200, Body: "AAAA", BodyKept: true}
+	apply(wire.Command{Finish: &wire.FinishRequest{Service: "pledges", Key: key(1), Execution: "e", Result: result}})
+	r := apply(wire.Command{Begin: &wire.BeginRequest{Service: "pledges", Key: key(1), Fingerprint: "f", Execution: "late", Incarnation: "i"}})
+	qt.Assert(t, r.Begin.Decision, qt.Equals, wire.DecisionFinished)
+	qt.Assert(t, r.Begin.Result.BodyKept, qt.IsFalse)
+	// The records go when their retention ends.
+	m.Now += day + 2
+	m.pruneOperations()
+	qt.Assert(t, m.Operations.bytes, qt.Equals, 0)
+}
+
 // Guards against panics and large allocations on damaged records, against a restored
 // record that cannot be read later, and against two
 // packings of one operation, which would make equal snapshots differ.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -78,6 +78,8 @@
 	changed chan struct{}
 	// byNode lists the live incarnations of each node. It follows from Members.
 	byNode map[wire.NodeID][]wire.Incarnation
+	// recordLimit is maxRecordBytes, and smaller in tests.
+	recordLimit int
 }
 
 // contents is what a snapshot holds. Maps are never nil, so that equal states
@@ -108,7 +110,7 @@
 
 // New returns the state of a group before its first command.
 func New(g wire.GroupID) *Machine {
-	m := &Machine{changed: make(chan struct{}), byNode: make(map[wire.NodeID][]wire.Incarnation)}
+	m := &Machine{changed: make(chan struct{}), byNode: make(map[wire.NodeID][]wire.Incarnation), recordLimit: maxRecordBytes}
 	m.contents = emptyContents()
 	m.Group = g
 	return m
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -356,6 +356,7 @@
 
 const DecisionExpired Decision = "expired"
 const DecisionFinished Decision = "finished"
+const DecisionFull Decision = "full"
 const DecisionFuture Decision = "future"
 const DecisionLost Decision = "lost"
 const DecisionMismatch Decision = "mismatch"
