Fuzz the decoders of files and messages; refuse what later code cannot use

Cause: only the rpc frame, the replog message and frame, and the configuration had fuzz targets.

Ruled out: limiting the checks to the checksums of files. They do not protect from content that an earlier version wrote wrongly, and messages have none.

Faults that the seeds found, each with a test: - Restore accepted null in place of a map, and operations whose records cannot be read, out of order or twice; a later command stopped the replica. Refused. - A configuration with any number of partitions stopped a node in table.Apply (makeslice). Refused past config.MaxPartitions. - An announcement with port 0, a named port or none was accepted, although no request could be sent to it.

Before: "assignment to entry in nil map" (FuzzRestore seed 14), "makeslice: len out of range" (table FuzzApply seed 4).

Conclusion: the decoders refuse what they cannot use.

--- /dev/null
+++ b/internal/exchange/fuzz_test.go
@@ -0,0 +1,91 @@
+package exchange
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/gentiansail/gentiansail/internal/header"
+)
+
+// scripted is a connection whose other end answers with fixed bytes and closes.
+type scripted struct {
+	net.Conn
+	answer *bytes.Reader
+	wrote  int
+}
+
+func (c *scripted) Read(b []byte) (int, error)         { return c.answer.Read(b) }
+func (c *scripted) Write(b []byte) (int, error)        { c.wrote += len(b); return len(b), nil }
+func (c *scripted) Close() error                       { return nil }
+func (c *scripted) SetDeadline(t time.Time) error      { return nil }
+func (c *scripted) SetReadDeadline(t time.Time) error  { return nil }
+func (c *scripted) SetWriteDeadline(t time.Time) error { return nil }
+
+// Guards P3 and P4 against a response that no server should send: it must not
+// stop the node, pass for another request's, look complete when it is not, or
+// make a request that was written look like one that did not run.
+func FuzzResponse(f *testing.F) {
+	f.Add([]byte(okResponse))
+	f.Add([]byte("HTTP/1.1 102 Processing\r\n\r\n" + okResponse))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nGentiansail-Request-Id: r1\r\n\r\n2\r\nok\r\n0\r\nX: y\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nGentiansail-Request-Id: r2\r\nGentiansail-Request-Id: r1\r\nContent-Length: 0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nGentiansail-Request-Id: r1\r\n\r\nok"))
+	f.Add([]byte("HTTP/1.0 200 OK\r\nGentiansail-Request-Id: r1\r\n\r\nuntil the end"))
+	f.Add([]byte(okResponse + okResponse))
+	f.Add([]byte("HTTP/1.1 101 Switching Protocols\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 204 No Content\r\nGentiansail-Request-Id: r1\r\n\r\nrest"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c := &scripted{answer: bytes.NewReader(data)}
+		p := NewPool(Options{Dial: func(context.Context, string) (net.Conn, error) { return c, nil }})
+		response, err := p.Do(t.Context(), Request{Address: "a", HTTP: post(t, "127.0.0.1:1"), RequestID: "r1", EchoRequired: true})
+		qt.Assert(t, c.wrote > 0, qt.IsTrue)
+		if err != nil {
+			qt.Assert(t, ProgressOf(err), qt.Equals, Unknown)
+			qt.Assert(t, p.address("a").idle, qt.HasLen, 0)
+			return
+		}
+		qt.Assert(t, response.StatusCode >= 200, qt.IsTrue)
+		qt.Assert(t, response.Header.Get(header.RequestID), qt.Equals, "r1")
+		body, err := io.ReadAll(response.Body)
+		if err != nil {
+			qt.Assert(t, ProgressOf(err), qt.Equals, Cut)
+			qt.Assert(t, errors.Is(err, ErrCut), qt.IsTrue)
+			qt.Assert(t, p.address("a").idle, qt.HasLen, 0)
+			return
+		}
+		checkWhole(t, response, body)
+		for _, kept := range p.address("a").idle {
+			qt.Assert(t, kept.reader.Buffered(), qt.Equals, 0)
+			qt.Assert(t, c.answer.Len(), qt.Equals, 0)
+		}
+	})
+}
+
+// checkWhole checks that a body that ended cleanly has the stated length, or the
+// last chunk.
+func checkWhole(t *testing.T, response *http.Response, body []byte) {
+	qt.Assert(t, response.ContentLength >= 0 || len(response.TransferEncoding) > 0, qt.IsTrue)
+	if response.ContentLength >= 0 {
+		qt.Assert(t, int64(len(body)), qt.Equals, response.ContentLength)
+	}
+	stated := response.Header.Get("Content-Length")
+	if n, err := strconv.Atoi(stated); err == nil && response.StatusCode != http.StatusNoContent && response.StatusCode != http.StatusNotModified {
+		qt.Assert(t, len(body), qt.Equals, n)
+	}
+}
+
+func post2(t *testing.T) *http.Request {
+	r, err := http.NewRequest(http.MethodPost, "http://127.0.0.1:1/pledges/1", Body([]byte("batch")))
+	qt.Assert(t, err, qt.IsNil)
+	r.ContentLength = 5
+	return r
+}
--- a/internal/node/target_server.go
+++ b/internal/node/target_server.go
@@ -3,8 +3,8 @@
 import (
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
+	"net/netip"
 
 	"github.com/go-chi/chi/v5"
 
@@ -63,11 +63,11 @@
 	if err := json.NewDecoder(io.LimitReader(r, maxProtocolBytes)).Decode(&a); err != nil {
 		return a, "Announcement: " + err.Error()
 	}
-	host, _, err := net.SplitHostPort(string(a.Address))
+	address, err := netip.ParseAddrPort(string(a.Address))
 	switch {
 	case a.Service == "":
 		return a, "Service: missing"
-	case err != nil || net.ParseIP(host) == nil:
+	case err != nil || address.Port() == 0:
 		return a, "Address: not an IP address and port"
 	case a.Slots < 1 || a.Slots > maxAnnouncedSlots:
 		return a, "Slots: out of range"
--- /dev/null
+++ b/internal/state/fuzz_test.go
@@ -0,0 +1,139 @@
+package state_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	checks "github.com/gentiansail/gentiansail/internal/config"
+	"github.com/gentiansail/gentiansail/internal/state"
+	"github.com/gentiansail/gentiansail/internal/table"
+	"github.com/gentiansail/gentiansail/internal/wire"
+)
+
+// fuzzCommands touch each part of the state.
+func fuzzCommands() []wire.Command {
+	begin := &wire.BeginRequest{Service: "catalogue", Caller: "c", Key: key(day, 1), Fingerprint: "f", Execution: "x", Incarnation: "i1"}
+	return []wire.Command{
+		{LeaderStart: &wire.LeaderStart{Session: "s", Replica: "r"}, ProposedAt: day},
+		{Apply: applyConfig(0, "one", fuzzConfig())},
+		{RegisterMember: member("n1", "i1", "catalogue")},
+		{RegisterMember: member("n2", "i2", "catalogue")},
+		{Assign: &wire.Assign{Moves: []wire.Move{{Partition: "catalogue/0", To: "i1"}, {Partition: "catalogue/1", To: "i2"}}}},
+		{MoveStart: &wire.MoveStart{Moves: []wire.Move{{Partition: "catalogue/0", Epoch: 5, To: "i2"}}}},
+		{MoveRelease: &wire.MoveRelease{Incarnation: "i1", Grants: []wire.Grant{{Partition: "catalogue/0", Epoch: 5}}}},
+		{Override: &wire.Override{Service: "catalogue", KeyHash: "00000000000000ff", Present: true}},
+		{Begin: begin, ProposedAt: day},
+		{Finish: &wire.FinishRequest{Service: "catalogue", Key: key(day, 1), Execution: "x", Result: wire.OperationResult{Outcome: wire.OutcomeComplete, Status: 200}}},
+		{Drain: &wire.DrainRequest{Node: "n2", Drain: true}},
+		{MemberDown: &wire.MemberDown{Incarnation: "i1", Reason: "crash", Crashed: true, InFlight: []wire.InFlight{{Fingerprint: "f", Path: "/p"}}}},
+		{ClearSuspect: &wire.ClearSuspectRequest{Fingerprint: "f"}},
+		{Begin: begin, ProposedAt: 3 * day},
+	}
+}
+
+func fuzzConfig() wire.Configuration {
+	return wire.Configuration{Services: []wire.ServiceConfig{{Name: "catalogue", Keyed: true, Partitions: 2, MoveBudget: 4}}}
+}
+
+// Guards against a snapshot that stops the process now or at a later command,
+// against a refused one that changes the state, and against an accepted one that
+// is another state after the next restart.
+func FuzzRestore(f *testing.F) {
+	g := newGroup()
+	for _, c := range fuzzCommands() {
+		g.apply(c)
+		data, err := g.machine.Snapshot()
+		qt.Assert(f, err, qt.IsNil)
+		f.Add(data)
+	}
+	f.Add([]byte(`{"Group":"tz","Members":null,"Partitions":null}` + "\n"))
+	f.Add([]byte(`{"Group":"tz"}` + "\n" + string(key(day, 1)) + " 5\n"))
+	f.Add([]byte(`{"Group":"other"}` + "\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m := newGroup().machine
+		before, err := m.Snapshot()
+		qt.Assert(t, err, qt.IsNil)
+		if err := m.Restore(data); err != nil {
+			qt.Assert(t, errors.Is(err, state.ErrSnapshot), qt.IsTrue)
+			after, err := m.Snapshot()
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, string(after), qt.Equals, string(before))
+			return
+		}
+		first, err := m.Snapshot()
+		qt.Assert(t, err, qt.IsNil)
+		again := newGroup().machine
+		qt.Assert(t, again.Restore(first), qt.IsNil)
+		applyAll(t, m)
+		applyAll(t, again)
+		qt.Assert(t, snapshotOf(t, again), qt.Equals, snapshotOf(t, m))
+	})
+}
+
+// applyAll applies all commands and reads the state in every way.
+func applyAll(t *testing.T, m *state.Machine) {
+	for _, c := range fuzzCommands() {
+		data, err := json.Marshal(c)
+		qt.Assert(t, err, qt.IsNil)
+		m.Apply(m.Version()+1, data)
+	}
+	_ = table.New().Apply(m.Delta(0))
+	_ = m.Delta(m.Version() - 1)
+	m.MemberList()
+	m.PartitionList()
+	m.AuditAfter(0, 10)
+	m.Owner("catalogue", "k")
+}
+
+func snapshotOf(t *testing.T, m *state.Machine) string {
+	data, err := m.Snapshot()
+	qt.Assert(t, err, qt.IsNil)
+	return string(data)
+}
+
+// Guards against a log entry that stops all replicas at once, and against two
+// replicas that differ after the same entries because one began with a snapshot.
+func FuzzApply(f *testing.F) {
+	for _, c := range fuzzCommands() {
+		data, err := json.Marshal(c)
+		qt.Assert(f, err, qt.IsNil)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if !boundedPartitions(data) {
+			return
+		}
+		g := newGroup()
+		for _, c := range fuzzCommands()[:9] {
+			g.apply(c)
+		}
+		again := newGroup().machine
+		qt.Assert(t, again.Restore([]byte(snapshotOf(t, g.machine))), qt.IsNil)
+		version, before := g.machine.Version(), g.machine.LastChange()
+		for _, m := range []*state.Machine{g.machine, again} {
+			if r := m.Apply(version+1, data); errors.Is(r.Err, state.ErrCommand) || errors.Is(r.Err, state.ErrSession) {
+				qt.Assert(t, m.LastChange(), qt.Equals, before)
+			}
+		}
+		qt.Assert(t, snapshotOf(t, again), qt.Equals, snapshotOf(t, g.machine))
+	})
+}
+
+// boundedPartitions reports whether a command asks for no more partitions than
+// the check of a configuration lets pass.
+func boundedPartitions(data []byte) bool {
+	var c wire.Command
+	if json.NewDecoder(bytes.NewReader(data)).Decode(&c) != nil || c.Apply == nil {
+		return true
+	}
+	for _, s := range c.Apply.Configuration.Services {
+		if s.Partitions > checks.MaxPartitions {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -65,25 +65,32 @@
 	if err := json.Unmarshal(head, &c); err != nil {
 		return c, nil, merry.Wrap(ErrSnapshot, merry.WithCause(err), merry.AppendMessage(err.Error()))
 	}
+	// A null takes the place of the empty map, and a later command writes to it.
+	if c.Services == nil || c.Members == nil || c.Ended == nil || c.Draining == nil || c.Partitions == nil || c.Suspects == nil {
+		return c, nil, merry.Wrap(ErrSnapshot, merry.AppendMessage("null in place of a map"))
+	}
 	expiry, err := c.parseOperations(rest)
 	return c, expiry, err
 }
 
 // parseOperations reads the lines of operations. Their order is that of the
-// times in the keys, so the list is a heap already.
+// times in the keys, so the list is a heap already. Each record is decoded once,
+// because a later command that reads it has no way to refuse it.
 func (c *contents) parseOperations(rest []byte) (keyHeap, error) {
 	var expiry keyHeap
+	last := wire.OperationKey("")
 	for len(rest) > 0 {
 		line, after, ended := bytes.Cut(rest, []byte{'\n'})
 		key, record, separated := bytes.Cut(line, []byte{' '})
-		t, valid := KeyTime(wire.OperationKey(key))
-		if !ended || !separated || !valid || !json.Valid(record) {
+		k := wire.OperationKey(key)
+		t, valid := KeyTime(k)
+		var o operation
+		if !ended || !separated || !valid || k <= last || json.Unmarshal(record, &o) != nil {
 			return nil, merry.Wrap(ErrSnapshot, merry.AppendMessagef("invalid line of an operation after %d others", len(expiry)))
 		}
-		k := wire.OperationKey(key)
 		c.Operations[k] = bytes.Clone(record)
 		expiry = append(expiry, timedKey{at: t, key: k})
-		rest = after
+		rest, last = after, k
 	}
 	return expiry, nil
 }
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -30,6 +30,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/gentiansail/gentiansail/internal/config"
 	"github.com/gentiansail/gentiansail/internal/wire"
 )
 
@@ -85,6 +86,19 @@
 	case d.Full && d.Configuration == nil:
 		return merry.Wrap(ErrDelta, merry.AppendMessage("full table without configuration"))
 	}
+	return checkPartitions(d.Configuration)
+}
+
+// checkPartitions bounds the memory that a configuration reserves.
+func checkPartitions(c *wire.Configuration) error {
+	if c == nil {
+		return nil
+	}
+	for _, s := range c.Services {
+		if s.Partitions > config.MaxPartitions {
+			return merry.Wrap(ErrDelta, merry.AppendMessagef("service %q has %d partitions, at most %d are possible", s.Name, s.Partitions, config.MaxPartitions))
+		}
+	}
 	return nil
 }
 
--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -41,6 +41,7 @@
 		"full table of a lower revision": {wire.Delta{Full: true, ToVersion: 12, Revision: 1, Configuration: &wire.Configuration{}}, table.ErrOld},
 		"gap":                            {wire.Delta{FromVersion: 11, ToVersion: 12, Revision: 2}, table.ErrGap},
 		"revision without configuration": {wire.Delta{FromVersion: 10, ToVersion: 12, Revision: 3}, table.ErrDelta},
+		"too many partitions":            {wire.Delta{FromVersion: 10, ToVersion: 12, Revision: 3, Configuration: &wire.Configuration{Services: []wire.ServiceConfig{{Name: "c", Keyed: true, Partitions: 1 << 40}}}}, table.ErrDelta},
 		"overlap":                        {wire.Delta{FromVersion: 8, ToVersion: 12, Revision: 2}, nil},
 	}
 	for name, c := range cases {
--- a/internal/wire/partition_list_test.go
+++ b/internal/wire/partition_list_test.go
@@ -1,7 +1,9 @@
 package wire
 
 import (
+	"cmp"
 	"encoding/json"
+	"regexp"
 	"slices"
 	"sort"
 	"strconv"
@@ -63,3 +65,41 @@
 		})
 	}
 }
+
+// longNumber is a number that a range could reach only with more partitions than
+// a fuzz run has memory for; TestPartitionListRefusesDamage covers those.
+var longNumber = regexp.MustCompile("[0-9]{6}")
+
+// Guards against a damaged table that stops a node, and against partitions that
+// change when a table is passed on.
+func FuzzPartitionList(f *testing.F) {
+	f.Add([]byte(`[{"Service":"c","Owner":"a","Epoch":7,"MovingTo":"b","Numbers":"0-15,40","Others":["c/k00ff","c/07"]}]`))
+	f.Add([]byte(`[{"Service":"c","Numbers":"5,5"},{"Service":"d/e","Others":["c/5","d/e/5",""]},{"Service":"c","Numbers":"1"}]`))
+	f.Add([]byte(`[{"Numbers":"+1,-0,07"}]`))
+	f.Add([]byte(`null`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if longNumber.Match(data) {
+			return
+		}
+		kept := PartitionList{{Partition: "kept"}}
+		list := slices.Clone(kept)
+		if err := json.Unmarshal(data, &list); err != nil {
+			qt.Assert(t, slices.Equal(list, kept), qt.IsTrue)
+			return
+		}
+		encoded, err := json.Marshal(list)
+		qt.Assert(t, err, qt.IsNil)
+		var back PartitionList
+		qt.Assert(t, json.Unmarshal(encoded, &back), qt.IsNil)
+		sortList(back)
+		sortList(list)
+		qt.Assert(t, slices.Equal(back, list), qt.IsTrue, qt.Commentf("%v, %v", back, list))
+	})
+}
+
+func sortList(l PartitionList) {
+	slices.SortFunc(l, func(a, b Partition) int {
+		return cmp.Or(cmp.Compare(a.Partition, b.Partition), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Owner, b.Owner),
+			cmp.Compare(a.Epoch, b.Epoch), cmp.Compare(a.MovingTo, b.MovingTo))
+	})
+}
