node: give no response of a run that began after the lease had ended

Cause: the end of a lease cancels the requests at the target, but up to 50 ms after a paused node resumes (lapseCheck). A response that is already there is read before that. If the bytes of the request were late, a target that does not check grants ran it after another target had become the owner, and the caller was told that it was complete.

Ruled out: watching the lease more often; any interval leaves a gap after a pause.

Change: a response to a request of a keyed service counts as unknown when the lease has ended by the time its header is read. Refusals by the target stay "not run". While the lease holds, no other target can be the owner, so nothing else changes.

--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -197,6 +197,11 @@
 	case header.RefusedOverload:
 		return t.refusedByTarget(response, reasonOverload, http.StatusServiceUnavailable)
 	}
+	if t.lapsed() {
+		_ = response.Body.Close()
+		t.end(limit.Result{Failed: true})
+		return unknown(http.StatusBadGateway, reasonNoResponse)
+	}
 	p := &reply{
 		status: response.StatusCode, header: endToEnd(response.Header), outcome: wire.OutcomeComplete,
 		length: lengthOf(response), trailer: func() http.Header { return response.Trailer },
@@ -210,6 +215,14 @@
 	return p
 }
 
+// lapsed reports whether the lease has ended since the request was written. The
+// target may then have run it after another one became the owner: its bytes can
+// be late, and this process can have been paused, so that nothing has cancelled
+// the request yet.
+func (t *turn) lapsed() bool {
+	return t.q.partition != "" && t.member.lease.Remaining() == 0
+}
+
 // refusedByTarget handles a refusal, which counts only with the status that the
 // target protocol gives it.
 func (t *turn) refusedByTarget(response *http.Response, why reason, status int) *reply {
