--- a/internal/exchange/fuzz_test.go
+++ b/internal/exchange/fuzz_test.go
@@ -82,10 +82,3 @@
 		qt.Assert(t, len(body), qt.Equals, n)
 	}
 }
-
-func post2(t *testing.T) *http.Request {
-	r, err := http.NewRequest(http.MethodPost, "http://127.0.0.1:1/pledges/1", Body([]byte("batch")))
-	qt.Assert(t, err, qt.IsNil)
-	r.ContentLength = 5
-	return r
-}
