--- a/internal/jsonc/jsonc.go
+++ b/internal/jsonc/jsonc.go
@@ -50,6 +50,10 @@
 	Message string
 }
 
+// lineBreaks are escaped, because a list of problems has one on each line and
+// names and values from the file can hold them.
+var lineBreaks = strings.NewReplacer("\n", `\n`, "\r", `\r`)
+
 // Error implements error: file:line: field: message, without absent parts.
 func (p *Problem) Error() string {
 	var b strings.Builder
@@ -60,7 +64,7 @@
 		b.WriteString(p.Field + ": ")
 	}
 	b.WriteString(p.Message)
-	return b.String()
+	return lineBreaks.Replace(b.String())
 }
 
 // Problems is a list of errors in files.
@@ -138,7 +142,7 @@
 	return d.lines, d.problems
 }
 
-var syntaxPosition = regexp.MustCompile(`^hujson: line (\d+), column \d+: (.*)$`)
+var syntaxPosition = regexp.MustCompile(`(?s)^hujson: line (\d+), column \d+: (.*)$`)
 
 func syntaxProblem(file string, err error) *Problem {
 	m := syntaxPosition.FindStringSubmatch(err.Error())
--- a/internal/settings/fuzz_test.go
+++ b/internal/settings/fuzz_test.go
@@ -30,6 +30,8 @@
 	f.Add([]byte(goodNode))
 	f.Add([]byte(`{"Group": 3, "Replicas": {"a": null, "a": "x"}, "Control": [[]], "no": 1}`))
 	f.Add([]byte(`{`))
+	f.Add([]byte("{\n\"Group\": \"\n\"}"))
+	f.Add([]byte(`{"a\nb": 1}`))
 	file := filepath.Join(f.TempDir(), "settings.jsonc")
 	f.Fuzz(func(t *testing.T, data []byte) {
 		check(t, file, data, LoadControl)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -104,6 +104,12 @@
 			`5: advertise: unknown field`,
 			`8: Control[1]: 127.0.0.1:7101 is given twice`,
 		}},
+		"line break in a literal": {control, "{\n\"Group\": \"\n\"}", []string{`2: invalid literal: "\n"`}},
+		"line break in a name": {control, `{"a\nb": 1}`, []string{
+			`1: a\nb: unknown field`, `1: Group: is missing`, `1: Name: is missing`, `1: FailureDomain: is missing`,
+			`1: Listen: is missing`, `1: MetricsListen: is missing`, `1: DataFolder: is missing`,
+			`1: Replicas: must name at least one replica`,
+		}},
 		"syntax": {control, "{\n\"Group\"\n}", []string{`3: invalid character '}' after object name`}},
 	}
 	for name, test := range tests {
