--- a/internal/integration/cluster/links.go
+++ b/internal/integration/cluster/links.go
@@ -143,6 +143,18 @@
 // Add puts a toxic of toxiproxy on one direction, with its registered kind, as
 // in Add(Responses, "latency", &toxics.LatencyToxic{Latency: 100}).
 func (l *Link) Add(s Stream, kind string, toxic toxics.Toxic) error {
+	added, err := l.add(s, kind, toxic)
+	if err != nil {
+		return err
+	}
+	if t, ok := added.Toxic.(*silence); ok {
+		t.added.Store(true)
+	}
+	return nil
+}
+
+// add returns what is in effect, which holds a copy of the toxic.
+func (l *Link) add(s Stream, kind string, toxic toxics.Toxic) (*toxics.ToxicWrapper, error) {
 	data, err := json.Marshal(struct {
 		Name       string       `json:"name"`
 		Type       string       `json:"type"`
@@ -151,16 +163,13 @@
 		Attributes toxics.Toxic `json:"attributes"`
 	}{fmt.Sprintf("%s %d", kind, l.next.Add(1)), kind, s, 1, toxic})
 	if err != nil {
-		return merry.Wrap(ErrLink, merry.WithCause(err), merry.AppendMessage(err.Error()))
+		return nil, merry.Wrap(ErrLink, merry.WithCause(err), merry.AppendMessage(err.Error()))
 	}
 	added, err := l.proxy.Toxics.AddToxicJson(bytes.NewReader(data))
 	if err != nil {
-		return merry.Wrap(ErrLink, merry.WithCause(err), merry.AppendMessage(err.Error()))
-	}
-	if t, ok := added.Toxic.(*silence); ok {
-		t.added.Store(true)
+		return nil, merry.Wrap(ErrLink, merry.WithCause(err), merry.AppendMessage(err.Error()))
 	}
-	return nil
+	return added, nil
 }
 
 // Silence makes all bytes vanish on the connections that are open now, in both
--- a/internal/integration/faults_load_test.go
+++ b/internal/integration/faults_load_test.go
@@ -109,22 +109,31 @@
 }
 
 func startFaults(t *testing.T, services map[wire.ServiceName]cluster.Service) *faults {
+	t.Helper()
+	return startFaultsWith(t, cluster.Options{Services: services})
+}
+
+// startFaultsWith starts the system that the options describe.
+func startFaultsWith(t *testing.T, o cluster.Options) *faults {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), faultLimit)
 	t.Cleanup(cancel)
 	f := &faults{t: t, ctx: ctx, records: t.TempDir(), answered: make(map[string]faultRun)}
 	folder := t.TempDir()
-	c, err := cluster.Start(ctx, cluster.Options{
-		Gentiansail: gentiansail, Standin: standin, Folder: folder, Replicas: 3, Group: "tz",
-		Services: services, Records: f.records,
-	})
+	o.Gentiansail, o.Standin, o.Folder, o.Replicas, o.Group, o.Records = gentiansail, standin, folder, 3, "tz", f.records
+	c, err := cluster.Start(ctx, o)
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(c.Close)
 	f.Cluster = c
+	// A link would accept connections to a node that is not there, so callers
+	// could not tell that nothing was sent.
+	for _, h := range c.Hosts {
+		h.Caller = h.Node.Addr()
+	}
 	t.Cleanup(func() { f.warnings(folder) })
 	f.config = filepath.Join(folder, "config")
 	qt.Assert(t, os.MkdirAll(f.config, 0o700), qt.IsNil)
-	qt.Assert(t, os.WriteFile(filepath.Join(f.config, "all.jsonc"), []byte(configOf(services)), 0o600), qt.IsNil)
+	qt.Assert(t, os.WriteFile(filepath.Join(f.config, "all.jsonc"), []byte(configOf(o.Services)), 0o600), qt.IsNil)
 	qt.Assert(t, c.Bootstrap(ctx), qt.IsNil)
 	qt.Assert(t, c.Apply(ctx, f.config), qt.IsNil)
 	f.ready()
