--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -125,6 +125,7 @@
 	sent := n.clock.Now()
 	response, err := call(ctx, request)
 	if err != nil {
+		n.shares.lost(request.Callers)
 		return err
 	}
 	if err := n.routing.apply(response.Delta, request.KnownVersion); err != nil {
@@ -132,6 +133,7 @@
 		return err
 	}
 	n.routing.refreshed(sent)
+	n.shares.apply(request.Callers, response.CallerShares, sent)
 	if m == nil {
 		return nil
 	}
@@ -152,7 +154,7 @@
 	s := n.settings
 	r := wire.HeartbeatRequest{
 		Group: s.Group, Node: s.Name, Address: s.Advertise, FailureDomain: s.FailureDomain,
-		Process: n.process, KnownVersion: n.routing.known(), RevisionInForce: n.routing.snapshot().Revision(),
+		Process: n.process, DeltaFormat: wire.DeltaFormatChanges, KnownVersion: n.routing.known(), RevisionInForce: n.routing.snapshot().Revision(),
 		Stopping: n.stopping.Load(), Released: []wire.Grant{}, Loads: []wire.PartitionLoad{}, HotKeys: []wire.HotKey{},
 	}
 	now := n.clock.Now()
@@ -161,6 +163,7 @@
 	if full {
 		r.HotKeys = n.hotKeys.top()
 	}
+	r.Callers = n.shares.report(full)
 	if m == nil {
 		return r
 	}
@@ -179,7 +182,10 @@
 func (n *node) watch(ctx context.Context) error {
 	for ctx.Err() == nil {
 		known := n.routing.known()
-		request := wire.WatchRequest{Group: n.settings.Group, Node: n.settings.Name, KnownVersion: known, WaitMillis: wire.Millis(watchWait)}
+		request := wire.WatchRequest{
+			Group: n.settings.Group, Node: n.settings.Name, DeltaFormat: wire.DeltaFormatChanges,
+			KnownVersion: known, WaitMillis: wire.Millis(watchWait),
+		}
 		response, err := tryCall[wire.WatchResponse](ctx, n.control, wire.MethodNodeWatch, request, watchTimeout)
 		if err == nil && response.Delta.ToVersion > known {
 			err = n.routing.apply(response.Delta, known)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,6 +62,7 @@
 	hotKeys    *hotKeys
 	pickers    *pickers
 	callers    *limit.CallerBudget
+	shares     *callerShares
 	budget     *retry.Budget
 	backoff    retry.Backoff
 	peers      *exchange.Pool
@@ -110,6 +111,7 @@
 		alive:      alive,
 		beatNow:    make(chan struct{}, 1),
 	}
+	n.shares = &callerShares{budget: n.callers, nodes: 1}
 	n.targets = &targets{clock: c, start: n.startMember, down: n.down}
 	n.metrics = newMetrics(n)
 	return n
@@ -128,6 +130,7 @@
 			return m.probe(ctx, func(e ending) { n.targets.end(m, e) })
 		}},
 		supervisor.Child{Name: "drain", Run: func(ctx context.Context) error { return n.followDrain(ctx, m) }},
+		supervisor.Child{Name: "hand back", Run: func(ctx context.Context) error { return n.followTable(ctx, m) }},
 		supervisor.Child{Name: "ownership", Run: func(ctx context.Context) error {
 			return m.keepOwnership(ctx, n.routing, n.hurry)
 		}},
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -5,6 +5,7 @@
 	"io"
 	"log"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -12,7 +13,6 @@
 	"github.com/gentiansail/gentiansail/internal/process"
 	"github.com/gentiansail/gentiansail/internal/settings"
 	"github.com/gentiansail/gentiansail/internal/supervisor"
-	"github.com/gentiansail/gentiansail/internal/table"
 	"github.com/gentiansail/gentiansail/internal/wire"
 	"github.com/gentiansail/gentiansail/pkg/limit"
 )
@@ -20,6 +20,10 @@
 // quietLog drops net/http's lines about single connections; counters show them.
 var quietLog = log.New(io.Discard, "", 0)
 
+// idleTimeout closes connections that callers leave idle. It is far above the
+// time after which other nodes' pools close theirs.
+const idleTimeout = 75 * time.Second
+
 // listeners are the node's open ports.
 type listeners struct {
 	callers, peers, targets, metrics net.Listener
@@ -97,6 +101,13 @@
 	return err
 }
 
+// serve serves until ctx ends, then finishes requests in flight, each of which
+// has a deadline of at most maxDeadline.
+func serve(ctx context.Context, l net.Listener, h http.Handler) error {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: idleTimeout, ErrorLog: quietLog}
+	return process.ServeHTTP(ctx, l, s, maxDeadline.Duration())
+}
+
 func (n *node) coreTasks(l listeners) []supervisor.Child {
 	return []supervisor.Child{
 		{Name: "heartbeat", Run: n.heartbeat},
@@ -138,8 +149,8 @@
 		Str("TargetListen", string(s.TargetListen)).Str("MetricsListen", string(s.MetricsListen)).Msg("node started")
 }
 
-// followLimits applies the caller limits of the configuration in force. Each
-// node that has a member enforces an equal share.
+// followLimits applies the caller limits of the configuration in force, and the
+// number of nodes among which the least shares are divided.
 func (n *node) followLimits(ctx context.Context) error {
 	for {
 		changed := n.routing.changed()
@@ -149,7 +160,7 @@
 			rates[classOf(v.Class)] = v.RequestsPerSecond
 		}
 		n.callers.SetRates(rates)
-		n.callers.SetNodes(nodesOf(s))
+		n.shares.setNodes(nodesOf(s, n.settings.Name))
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -157,14 +168,3 @@
 		}
 	}
 }
-
-// nodesOf counts the nodes that have a member.
-func nodesOf(s *table.Snapshot) int {
-	nodes := make(map[wire.NodeID]bool)
-	for _, v := range s.Configuration().Services {
-		for _, m := range s.Members(v.Name) {
-			nodes[m.Node] = true
-		}
-	}
-	return len(nodes)
-}
--- a/internal/table/fuzz_test.go
+++ b/internal/table/fuzz_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/gentiansail/gentiansail/internal/revision"
 	"github.com/gentiansail/gentiansail/internal/table"
 	"github.com/gentiansail/gentiansail/internal/wire"
 	"github.com/gentiansail/gentiansail/pkg/partition"
@@ -28,6 +29,9 @@
 	add(full(), wire.Delta{FromVersion: 10, ToVersion: 12, Revision: 2, Suspects: []wire.Suspect{{Fingerprint: "f"}}, RemovedPartitions: []wire.PartitionID{"catalogue/0", "none"}})
 	add(full(), wire.Delta{FromVersion: 10, ToVersion: 12, Revision: 1, Configuration: &wire.Configuration{}})
 	add(full(), wire.Delta{FromVersion: 5, ToVersion: 9, Revision: 2})
+	for _, partitions := range []int{2, 1 << 40} {
+		add(full(), wire.Delta{FromVersion: 10, ToVersion: 12, Revision: 3, ConfigurationChange: changeOf(f, partitions)})
+	}
 	add(wire.Delta{FromVersion: 1}, full())
 	f.Add([]byte(`{"Full":true,"Configuration":{"Services":[{"Name":"c","Keyed":true,"Partitions":9223372036854775807}]}}`), []byte(`{}`))
 	f.Fuzz(func(t *testing.T, first, second []byte) {
@@ -50,6 +54,16 @@
 	})
 }
 
+// changeOf changes the number of partitions of the service in full.
+func changeOf(t testing.TB, partitions int) *wire.ConfigurationChange {
+	old := *full().Configuration
+	next := old
+	next.Services = []wire.ServiceConfig{{Name: "catalogue", Keyed: true, Partitions: partitions}}
+	names, ok := revision.Compare(old, next)
+	qt.Assert(t, ok, qt.IsTrue)
+	return revision.Change(names, 2, next)
+}
+
 func listed(d wire.Delta) int { return len(d.Partitions) + len(d.RemovedPartitions) }
 
 // look makes every kind of lookup. A partition is found under its own id only,
--- a/pkg/replog/engine.go
+++ b/pkg/replog/engine.go
@@ -7,12 +7,17 @@
 	core  *core
 	store *store
 	send  func(Message)
+	// readers read snapshots for replicas that are behind.
+	readers map[Identity]*chunkReader
 }
 
 // effects are a batch's outputs for the replica's clients and state machine.
 type effects struct {
 	// Work is in the order of the log.
-	Work      []work
+	Work []work
+	// Save is a snapshot from the leader that must be made durable beside the
+	// loop; saved takes it back.
+	Save      *saveJob
 	Confirmed []confirmation
 	Roles     []roleChange
 }
@@ -44,10 +49,14 @@
 
 func (e *engine) carryOut(b batch) error {
 	for _, m := range b.Early {
-		e.send(m)
+		if err := e.readAndSend(m); err != nil {
+			return err
+		}
 	}
 	if b.Install != nil {
-		if err := e.store.saveSnapshot(b.Install); err != nil {
+		// The file is complete and durable; a crash before the log is reset
+		// leaves a log that ends before the snapshot, which the store expects.
+		if err := e.store.publishSnapshot(b.Install.Index); err != nil {
 			return err
 		}
 	}
@@ -56,11 +65,31 @@
 	}
 	e.core.persisted()
 	for _, m := range b.Messages {
-		e.send(m)
+		if err := e.readAndSend(m); err != nil {
+			return err
+		}
 	}
 	return nil
 }
 
+// readAndSend sends a message, with the chunk of a snapshot that the core asks
+// for.
+func (e *engine) readAndSend(m Message) error {
+	if m.read > 0 {
+		r := e.readers[m.To.Identity]
+		if r == nil {
+			r = &chunkReader{}
+			e.readers[m.To.Identity] = r
+		}
+		var err error
+		if m.Chunk, err = r.read(e.store, m.Index, m.stored, m.Offset, m.read); err != nil {
+			return err
+		}
+	}
+	e.send(m)
+	return nil
+}
+
 func (f *effects) add(b batch) {
 	if b.Install != nil {
 		f.Work = append(f.Work, work{Restore: b.Install})
@@ -68,13 +97,36 @@
 	for _, n := range b.Committed {
 		f.Work = append(f.Work, work{Entry: n})
 	}
+	if b.Save != nil {
+		f.Save = b.Save
+	}
 	f.Confirmed = append(f.Confirmed, b.Confirmed...)
 	f.Roles = append(f.Roles, b.Roles...)
 }
 
-// compact takes over a snapshot of this replica's state that is durable, and
-// keeps the given number of entries before it.
-func (e *engine) compact(s *Snapshot, keep Index) error {
-	e.core.compact(s, s.Index-min(keep, s.Index))
-	return e.store.compact(e.core.snapshot.Index, e.core.log.base)
+// saved takes back a snapshot that is durable under its temporary name. It
+// switches to it, or gives it up if a newer one or the log has overtaken it. Of an
+// own snapshot, at least the given number of entries before it are kept. It
+// returns the
+// files of older snapshots, which may be removed now.
+func (e *engine) saved(j *saveJob, keep Index) (obsolete []string, err error) {
+	s := j.snapshot
+	if !j.own() {
+		if e.core.saved(s) {
+			return nil, nil // The next flush switches to it, together with the log.
+		}
+		return []string{temporarySnapshot(s.Index)}, nil
+	}
+	if e.core.snapshot != nil && s.Index <= e.core.snapshot.Index {
+		return []string{temporarySnapshot(s.Index)}, nil
+	}
+	// Entries and older snapshots may go only once this one has its name.
+	if err := e.store.publishSnapshot(s.Index); err != nil {
+		return nil, err
+	}
+	e.core.compact(s.withoutData(), keep)
+	if err := e.store.compact(e.core.log.base); err != nil {
+		return nil, err
+	}
+	return e.store.olderSnapshots(s.Index, e.core.sendingSnapshots())
 }
--- a/pkg/replog/replica.go
+++ b/pkg/replog/replica.go
@@ -87,7 +87,7 @@
 	}
 	self := Member{Name: o.Name, Identity: l.identity, Address: o.Address}
 	c := newCore(o.Group, self, l, o.HeartbeatEvery, o.ElectionTimeout, o.Random, o.Clock.Now())
-	n := newLoop(r, &engine{core: c, store: s, send: o.Send})
+	n := newLoop(r, &engine{core: c, store: s, send: o.Send, readers: map[Identity]*chunkReader{}})
 	if l.snapshot != nil {
 		if err := n.applier.restore(l.snapshot); err != nil {
 			s.close()
@@ -100,12 +100,13 @@
 	return r, nil
 }
 
-// start runs the loop, its ticker and the applier, and reports on Done when all
+// start runs the loop, its ticker, the applier and the saver, and reports on Done when all
 // of them have ended.
 func (r *Replica) start(stop context.Context, n *loop) {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
 	var helpers sync.WaitGroup
 	helpers.Go(func() { n.applier.run(ctx) })
+	helpers.Go(func() { n.saver.run(ctx) })
 	helpers.Go(func() { n.tickEvery(ctx) })
 	go func() {
 		err := n.run(stop)
--- a/pkg/replog/store_fuzz_test.go
+++ b/pkg/replog/store_fuzz_test.go
@@ -20,7 +20,8 @@
 	for i := Index(2); len(s.sealed) == 0 || s.highest < s.sealed[0].highest+2; i++ {
 		qt.Assert(f, s.write(nil, nil, []Entry{{i, 7, EntryCommand, []byte("more")}}), qt.IsNil)
 	}
-	qt.Assert(f, s.saveSnapshot(&Snapshot{Index: 2, Term: 7, Membership: storeMembers, Data: []byte("state")}), qt.IsNil)
+	qt.Assert(f, s.writeSnapshot(f.Context(), &Snapshot{Index: 2, Term: 7, Membership: storeMembers, Data: []byte("state")}), qt.IsNil)
+	qt.Assert(f, s.publishSnapshot(2), qt.IsNil)
 	for q := uint64(1); d.names[segmentName(q)] != nil; q++ {
 		segments = append(segments, d.names[segmentName(q)].content)
 	}
@@ -68,7 +69,8 @@
 	reset.u64(2)
 	reset.u64(7)
 	snapshot := encoder{}
-	snapshot.snapshot(&Snapshot{Index: 2, Term: 7, Membership: storeMembers, Data: []byte("state")})
+	snapshot.snapshotHead(&Snapshot{Index: 2, Term: 7, Membership: storeMembers, Data: []byte("state")})
+	snapshot.b = append(snapshot.b, "state"...)
 	identity := encoder{}
 	identity.u8(identityReady)
 	identity.text("g")
@@ -118,8 +120,8 @@
 	}
 	if n := l.snapshot; n != nil {
 		e := encoder{}
-		e.snapshot(n)
-		qt.Assert(t, bytes.Equal(seal(e.b), content[snapshotName(n.Index)]), qt.IsTrue)
+		e.snapshotHead(n)
+		qt.Assert(t, bytes.Equal(seal(append(e.b, n.Data...)), content[snapshotName(n.Index)]), qt.IsTrue)
 	}
 	s, again, err := openStore(d.files(), "", "g", newIdentity)
 	qt.Assert(t, err, qt.IsNil)
