--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -106,6 +106,10 @@
 	if err := json.Unmarshal(first, &h); err != nil {
 		return h.contents, merry.Wrap(ErrSnapshot, merry.WithCause(err), merry.AppendMessage(err.Error()))
 	}
+	// A null takes the place of the empty map, and a later command writes to it.
+	if h.Services == nil || h.Members == nil || h.Ended == nil || h.Draining == nil || h.Partitions == nil || h.Suspects == nil {
+		return h.contents, merry.Wrap(ErrSnapshot, merry.AppendMessage("null in place of a map"))
+	}
 	var c recordChecker
 	read := c.readRecord
 	switch h.Format {
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -32,6 +32,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/gentiansail/gentiansail/internal/config"
 	"github.com/gentiansail/gentiansail/internal/revision"
 	"github.com/gentiansail/gentiansail/internal/wire"
 )
@@ -76,6 +77,9 @@
 	if err != nil {
 		return err
 	}
+	if err := checkPartitions(c); err != nil {
+		return err
+	}
 	t.current.Store(next(old, d, c))
 	return nil
 }
@@ -98,6 +102,19 @@
 	return nil
 }
 
+// checkPartitions bounds the memory that a configuration reserves.
+func checkPartitions(c *wire.Configuration) error {
+	if c == nil {
+		return nil
+	}
+	for _, s := range c.Services {
+		if s.Partitions > config.MaxPartitions {
+			return merry.Wrap(ErrDelta, merry.AppendMessagef("service %q has %d partitions, at most %d are possible", s.Name, s.Partitions, config.MaxPartitions))
+		}
+	}
+	return nil
+}
+
 // configurationAfter returns the configuration that the delta leads to, nil when
 // it stays the same.
 func configurationAfter(old *Snapshot, d wire.Delta) (*wire.Configuration, error) {
--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -54,6 +54,8 @@
 		"change":                         {wire.Delta{FromVersion: 10, ToVersion: 12, Revision: 3, ConfigurationChange: change(2, 20000)}, nil},
 		"change of several revisions":    {wire.Delta{FromVersion: 8, ToVersion: 12, Revision: 3, ConfigurationChange: change(1, 20000)}, nil},
 		"revision without configuration": {wire.Delta{FromVersion: 10, ToVersion: 12, Revision: 3}, table.ErrDelta},
+		"too many partitions":            {wire.Delta{FromVersion: 10, ToVersion: 12, Revision: 3, Configuration: &wire.Configuration{Services: []wire.ServiceConfig{{Name: "c", Keyed: true, Partitions: 1 << 40}}}}, table.ErrDelta},
+		"change to too many partitions":  {wire.Delta{FromVersion: 10, ToVersion: 12, Revision: 3, ConfigurationChange: changeOf(t, 1<<40)}, table.ErrDelta},
 		"overlap":                        {wire.Delta{FromVersion: 8, ToVersion: 12, Revision: 2}, nil},
 	}
 	for name, c := range cases {
