exchange: take nothing that arrives after a request was given up

Cause: a request that is given up closes its sending direction only. A target that honours this cancellation may end its response cleanly where it stopped. A read that was in progress returned that end, because the reader looked for the cancellation only before the read and after an error: a truncated response was recorded as complete and replayed to resends. Ruled out: the pool of copy buffers (Read and Write are synchronous). Change: after each read the reader looks again; bytes that arrive after giveUp are dropped and the body ends as cut. Before: TestCleanEndAfterGivingUpIsCut gets a clean end.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -121,8 +121,13 @@
 			return 0, err
 		}
 		n, err := c.raw.Read(b)
+		// A server that honours the cancellation may end its response cleanly where
+		// it stopped. Nothing that arrives after giveUp belongs to the response.
+		if err := c.usable(); err != nil {
+			return 0, err
+		}
 		c.remained -= int64(n)
-		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.givenUp.Load() {
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
 		if c.waitOn == nil || !c.waitOn() {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -322,3 +323,79 @@
 	}
 	<-ended
 }
+
+// slowCloser shows when a read begins, and ends the first closing of the sending
+// direction only after a read has returned.
+type slowCloser struct {
+	*net.TCPConn
+	begun, returned chan struct{}
+	first           sync.Once
+}
+
+// Read implements net.Conn.
+func (c *slowCloser) Read(b []byte) (int, error) {
+	c.begun <- struct{}{}
+	n, err := c.TCPConn.Read(b)
+	c.returned <- struct{}{}
+	return n, err
+}
+
+// CloseWrite closes the sending direction.
+func (c *slowCloser) CloseWrite() error {
+	err := c.TCPConn.CloseWrite()
+	c.first.Do(func() { <-c.returned })
+	return err
+}
+
+// Guards against a truncated response that is taken for complete: a server that
+// honours a cancellation may end the response cleanly where it stopped.
+func TestCleanEndAfterGivingUpIsCut(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	begun, returned := make(chan struct{}, 100), make(chan struct{}, 100)
+	p := pool(t)
+	p.options.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		raw, err := dialTCP(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return &slowCloser{TCPConn: raw.(*net.TCPConn), begun: begun, returned: returned}, nil
+	}
+	served := make(chan error, 1)
+	go func() {
+		s, err := l.Accept()
+		if err != nil {
+			served <- err
+			return
+		}
+		defer s.Close()
+		_, err = http.ReadRequest(bufio.NewReader(s))
+		_, _ = io.WriteString(s, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n")
+		_, _ = io.Copy(io.Discard, s)
+		_, _ = io.WriteString(s, "0\r\n\r\n")
+		served <- err
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r := post(t, l.Addr().String())
+	r.Body, r.ContentLength = http.NoBody, 0
+	response, err := p.Do(ctx, Request{Address: l.Addr().String(), HTTP: r, Ended: func() {}, EndBy: clock.System().Now() + 600_000})
+	c.Assert(err, qt.IsNil)
+	_, err = io.ReadFull(response.Body, make([]byte, 4))
+	c.Assert(err, qt.IsNil)
+	for len(begun) > 0 {
+		<-begun
+		<-returned
+	}
+	end := make(chan error, 1)
+	go func() {
+		_, err := response.Body.Read(make([]byte, 1))
+		end <- err
+	}()
+	<-begun
+	cancel()
+	c.Assert(ProgressOf(<-end), qt.Equals, Cut)
+	c.Assert(<-served, qt.IsNil)
+}
