control: test heartbeats and watches as they are served

Cause: heartbeat and watch, with an unencoded table, were called by tests only; nodes are answered by serveHeartbeat and serveWatch. Change: the two are gone, and so is the parameter that let a watch skip its wait. The tests decode what is served; their assertions stay. Conclusion: one path for nodes and tests, behaviour unchanged.

--- a/internal/control/delta_cache.go
+++ b/internal/control/delta_cache.go
@@ -113,6 +113,8 @@
 	Delta json.RawMessage
 }
 
+// serveHeartbeat renews a lease and returns what changed in the routing table. The
+// table is read last, so that it is at least as new as the renewal.
 func (s *Service) serveHeartbeat(ctx context.Context, r wire.HeartbeatRequest) (encodedHeartbeat, error) {
 	response, err := s.answerHeartbeat(ctx, r)
 	if err != nil {
@@ -125,8 +127,9 @@
 	}, err
 }
 
+// serveWatch answers as soon as the routing table is later than the known version.
 func (s *Service) serveWatch(ctx context.Context, r wire.WatchRequest) (encodedWatch, error) {
-	if err := s.answerWatch(ctx, r, watchSettle); err != nil {
+	if err := s.answerWatch(ctx, r); err != nil {
 		return encodedWatch{}, err
 	}
 	delta, err := s.deltas.get(r.DeltaFormat, r.KnownVersion)
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -9,19 +9,8 @@
 	"github.com/gentiansail/gentiansail/pkg/lease"
 )
 
-// heartbeat renews a lease and returns what changed in the routing table. The
-// table is read last, so that it is at least as new as the renewal.
-func (s *Service) heartbeat(ctx context.Context, r wire.HeartbeatRequest) (wire.HeartbeatResponse, error) {
-	response, err := s.answerHeartbeat(ctx, r)
-	if err != nil {
-		return wire.HeartbeatResponse{}, err
-	}
-	response.Delta = s.Machine.DeltaIn(r.DeltaFormat, r.KnownVersion)
-	return response, nil
-}
-
-// answerHeartbeat is heartbeat without the routing table. The order matters: the
-// time of receipt is taken first, and leadership is confirmed after it.
+// answerHeartbeat is serveHeartbeat without the routing table. The order matters:
+// the time of receipt is taken first, and leadership is confirmed after it.
 func (s *Service) answerHeartbeat(ctx context.Context, r wire.HeartbeatRequest) (wire.HeartbeatResponse, error) {
 	o, err := s.enter(r.Group)
 	if err != nil {
--- a/internal/control/service_test.go
+++ b/internal/control/service_test.go
@@ -98,6 +98,27 @@
 	}
 }
 
+// heartbeat returns the response as a node decodes it.
+func (r *rig) heartbeat(ctx context.Context, h wire.HeartbeatRequest) (wire.HeartbeatResponse, error) {
+	out, err := r.serveHeartbeat(ctx, h)
+	if err != nil {
+		return wire.HeartbeatResponse{}, err
+	}
+	return decoded[wire.HeartbeatResponse](out), nil
+}
+
+// decoded returns a response as its receiver decodes it.
+func decoded[Response any](encoded any) (out Response) {
+	data, err := json.Marshal(encoded)
+	if err == nil {
+		err = json.Unmarshal(data, &out)
+	}
+	if err != nil {
+		panic(err)
+	}
+	return out
+}
+
 func (r *rig) beat(h wire.HeartbeatRequest) wire.HeartbeatResponse {
 	out, err := r.heartbeat(r.t.Context(), h)
 	qt.Assert(r.t, err, qt.IsNil)
@@ -515,13 +536,16 @@
 			result := make(chan error, 1)
 			var got wire.WatchResponse
 			go func() {
-				var err error
-				got, err = r.watch(context.Background(), wire.WatchRequest{Group: "tz", KnownVersion: known, WaitMillis: wire.Millis(maxWatch)})
+				out, err := r.serveWatch(context.Background(), wire.WatchRequest{Group: "tz", KnownVersion: known, WaitMillis: wire.Millis(maxWatch)})
+				if err == nil {
+					got = decoded[wire.WatchResponse](out)
+				}
 				result <- err
 			}()
 			var err error
 			for waiting := true; waiting; {
 				c.cause(r)
+				r.clock.Advance(watchSettle)
 				select {
 				case err = <-result:
 					waiting = false
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -17,19 +17,11 @@
 // which the budget leaves 300 ms for commit, grant and delivery.
 const watchSettle clock.Millis = 25
 
-// watch answers as soon as the routing table is later than the known version.
-// Before it answers it confirms leadership, so that a node never learns a table
-// from a replica that has been deposed.
-func (s *Service) watch(ctx context.Context, r wire.WatchRequest) (wire.WatchResponse, error) {
-	if err := s.answerWatch(ctx, r, 0); err != nil {
-		return wire.WatchResponse{}, err
-	}
-	return wire.WatchResponse{Delta: s.Machine.DeltaIn(r.DeltaFormat, r.KnownVersion)}, nil
-}
-
-// answerWatch is watch without the routing table. It waits for settle after a
-// change, so that changes that follow each other closely travel together.
-func (s *Service) answerWatch(ctx context.Context, r wire.WatchRequest, settle clock.Millis) error {
+// answerWatch is serveWatch without the routing table. It waits for watchSettle
+// after a change, so that changes that follow each other closely travel together.
+// Then it confirms leadership, so that a node never learns a table from a replica
+// that has been deposed.
+func (s *Service) answerWatch(ctx context.Context, r wire.WatchRequest) error {
 	o, err := s.enter(r.Group)
 	if err != nil {
 		return err
@@ -37,10 +29,8 @@
 	if err := s.awaitChange(ctx, o, r); err != nil {
 		return err
 	}
-	if settle > 0 {
-		if err := s.Clock.Sleep(ctx, settle); err != nil {
-			return err
-		}
+	if err := s.Clock.Sleep(ctx, watchSettle); err != nil {
+		return err
 	}
 	return s.confirm(ctx, o)
 }
