wire: state the bound of a caller report once

Cause: node and control each had a constant of 32 for the same bound of the same message. Change: wire.MaxReportedCallers serves both. Measured: the tests of reports and shares pass; values are unchanged. Conclusion: the two sides cannot drift apart.

--- a/internal/control/caller_shares.go
+++ b/internal/control/caller_shares.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// maxReportedCallers bounds what is read of one report.
-	maxReportedCallers = 32
 	// maxReportedName is the longest name of a caller that is read, in bytes.
 	maxReportedName = 256
 	// maxHoldings bounds the memory to about 30 MB with names of usual length: 150
@@ -104,7 +102,7 @@
 	h := shareHolder{node: r.Node, process: r.Process}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, d := range r.Callers.Demands[:min(len(r.Callers.Demands), maxReportedCallers)] {
+	for _, d := range r.Callers.Demands[:min(len(r.Callers.Demands), wire.MaxReportedCallers)] {
 		out.Shares = append(out.Shares, c.answerOne(h, r.Callers.Number, d, received, now))
 	}
 	return out
--- a/internal/control/caller_shares_test.go
+++ b/internal/control/caller_shares_test.go
@@ -77,7 +77,7 @@
 	for range pick(m, 0, 5, 60, 60) {
 		n.budget.Allow(modelCaller, limit.Browse)
 	}
-	r := n.budget.TakeReport(pick(m, true, false), maxReportedCallers)
+	r := n.budget.TakeReport(pick(m, true, false), wire.MaxReportedCallers)
 	request := wire.HeartbeatRequest{Node: wire.NodeID(n.name), Process: wire.ProcessID(n.process), Callers: &wire.CallerReport{Number: r.Number}}
 	for _, d := range r.Demands {
 		request.Callers.Demands = append(request.Callers.Demands, wire.CallerDemand{
@@ -195,9 +195,9 @@
 	}
 	r.Demands[0].Caller = wire.CallerID(make([]byte, maxReportedName+1))
 	out := c.answer(wire.HeartbeatRequest{Node: "a", Callers: &r}, 0, 0)
-	qt.Assert(t, out.Shares, qt.HasLen, maxReportedCallers)
+	qt.Assert(t, out.Shares, qt.HasLen, wire.MaxReportedCallers)
 	qt.Assert(t, out.Shares[0], qt.Equals, float64(sameShare))
-	qt.Assert(t, c.holdings, qt.Equals, maxReportedCallers-1)
+	qt.Assert(t, c.holdings, qt.Equals, wire.MaxReportedCallers-1)
 }
 
 // Guards against shares that do not reach the encoded response, and against bytes
@@ -231,7 +231,7 @@
 	var now clock.Millis
 	for i := 0; b.Loop(); i++ {
 		r := wire.HeartbeatRequest{Node: wire.NodeID(fmt.Sprint("node-", i%nodes)), Process: "p", Callers: &wire.CallerReport{Number: i + 1}}
-		for k := range maxReportedCallers {
+		for k := range wire.MaxReportedCallers {
 			r.Callers.Demands = append(r.Callers.Demands, wire.CallerDemand{Caller: wire.CallerID(fmt.Sprintf("caller-%05d", k)), Class: wire.RouteClassBrowse, RequestsPerSecond: 100})
 		}
 		c.answer(r, now, now)
--- a/internal/node/caller_shares.go
+++ b/internal/node/caller_shares.go
@@ -9,13 +9,10 @@
 	"github.com/gentiansail/gentiansail/pkg/limit"
 )
 
-const (
-	// maxReportedCallers bounds a regular report of callers, every 2 s.
-	maxReportedCallers = 32
-	// maxUrgentCallers bounds the report of callers in any other heartbeat. With
-	// many new callers a node then sends at most 40 of them a second.
-	maxUrgentCallers = 8
-)
+// maxUrgentCallers bounds the report of callers in heartbeats between the regular
+// reports, every 2 s. With many new callers a node then sends at most 40 of them a
+// second.
+const maxUrgentCallers = 8
 
 // callerShares reports the demand of callers and applies the shares of their
 // rates that the leader returns.
@@ -67,7 +64,7 @@
 func (c *callerShares) report(regular bool) *wire.CallerReport {
 	most := maxUrgentCallers
 	if regular {
-		most = maxReportedCallers
+		most = wire.MaxReportedCallers
 	}
 	r := c.budget.TakeReport(regular, most)
 	if len(r.Demands) == 0 {
--- a/internal/node/caller_shares_test.go
+++ b/internal/node/caller_shares_test.go
@@ -54,7 +54,7 @@
 	}
 	r := c.report(false)
 	qt.Assert(t, r.Demands, qt.HasLen, maxUrgentCallers)
-	qt.Assert(t, c.report(true).Demands, qt.HasLen, maxReportedCallers)
+	qt.Assert(t, c.report(true).Demands, qt.HasLen, wire.MaxReportedCallers)
 	// A caller whose report was lost need not wait for the next regular one.
 	for c.report(true) != nil {
 	}
--- a/internal/wire/caller_demand_list.go
+++ b/internal/wire/caller_demand_list.go
@@ -5,6 +5,10 @@
 	"fmt"
 )
 
+// MaxReportedCallers bounds a CallerReport: a node names no more callers, and a
+// leader reads no more.
+const MaxReportedCallers = 32
+
 // CallerDemandList is a list of demands that is encoded without the names of the
 // fields: each demand is the array of Caller, Class, RequestsPerSecond and, if
 // present, Answered. With 32 callers every two seconds the names would be more
