node: end waits of an ended member as moves do

Cause: two mechanisms cut the waits at the owner's side short: a scope for the end of the member around the wait for a permit, and the list of waiters, by which moves hand requests back, around the waits for a grant and a permit. Change: the end of a member uses the list. The scope, one context and one timer hook for each request, are gone. A request that waits for a grant when its member ends is now refused at once as not-owner, not after the wait for grants as grant; both are not run and both are tried again at the next owner. Conclusion: one mechanism for all waits that end early.

--- a/internal/node/down.go
+++ b/internal/node/down.go
@@ -35,8 +35,8 @@
 		m.life.end()
 	}
 	m.term.end()
-	// Requests that wait for a permit have another owner soon.
-	m.queue.end()
+	// Requests that wait for a grant or a permit have another owner soon.
+	m.waiters.handBack(func(*request) reason { return reasonNotOwner })
 	n.background.Go(func() {
 		defer m.stop()
 		defer close(m.verdict)
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -77,8 +77,6 @@
 // admit waits for a permit. A suspect runs alone; a quarantined request does
 // not run.
 func (t *turn) admit(ctx context.Context) *reply {
-	ctx, leave := t.member.queue.enter(ctx)
-	defer leave()
 	for {
 		if !t.member.alive() {
 			return unavailable(reasonNotOwner)
--- a/internal/node/member.go
+++ b/internal/node/member.go
@@ -69,9 +69,8 @@
 	refusing atomic.Bool
 	// stop ends the goroutines of this incarnation.
 	stop context.CancelFunc
-	// term ends with the lease, life with the target, and queue with the
-	// incarnation.
-	term, life, queue scope
+	// term ends with the lease, and life with the target.
+	term, life scope
 
 	mu sync.Mutex
 	// releases are moved-away grants that the control group may not know of yet.
