node: one set-up for tests with an owner and a second member

Cause: the same seven lines that start two nodes and targets stood in four tests, and those that start a move and wait for it in three. Change: startPair, startMove and knowsMove in the harness.

--- a/internal/node/cancelled_test.go
+++ b/internal/node/cancelled_test.go
@@ -11,7 +11,6 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/gentiansail/gentiansail/internal/header"
-	"github.com/gentiansail/gentiansail/internal/wire"
 )
 
 // startStubborn announces a target that checks no grants and works on each
@@ -69,12 +68,8 @@
 	second := startTarget(t, b, "catalogue", false)
 	eventually(func() bool { return len(b.routing.snapshot().Members("catalogue")) == 2 })
 	cancelled(t, a, func() { <-started })
-	p := f.owner("blanket")
-	f.commit(wire.Command{MoveStart: &wire.MoveStart{Moves: []wire.Move{{Partition: p.Partition, Epoch: p.Epoch, To: b.targets.now().incarnation}}}})
-	eventually(func() bool {
-		v, _ := a.routing.snapshot().PartitionByID(p.Partition)
-		return v.MovingTo != "" || v.Owner != p.Owner
-	})
+	p := f.startMove("blanket", b)
+	knowsMove(a, p)
 	count, _ := a.targets.now().inFlight.count()
 	c.Assert(count, qt.Equals, 1)
 	c.Assert(f.owner("blanket").Owner, qt.Equals, p.Owner)
--- a/internal/node/hand_back_test.go
+++ b/internal/node/hand_back_test.go
@@ -42,15 +42,9 @@
 // movable returns an owner of all partitions, whose ten slots are taken by a key,
 // and a second member.
 func movable(t *testing.T, key string) (f *fakeControl, owner, other *node, first, second *target) {
-	f = startControl(t)
-	owner, _ = startNode(t, f, "a")
-	first = startTarget(t, owner, "catalogue", true)
-	served(f, owner)
-	other, _ = startNode(t, f, "b")
-	second = startTarget(t, other, "catalogue", true)
-	eventually(func() bool { return len(other.routing.snapshot().Members("catalogue")) == 2 })
-	t.Cleanup(occupy(t, owner, first, key))
-	return f, owner, other, first, second
+	p := startPair(t)
+	t.Cleanup(occupy(t, p.owner, p.first, key))
+	return p.f, p.owner, p.other, p.first, p.second
 }
 
 func waitingAt(n *node) int { return n.targets.now().limiter.Waiting() }
@@ -76,8 +70,7 @@
 	go send(http.MethodGet, b)
 	go send(http.MethodPost, a)
 	eventually(func() bool { return waitingAt(a) == 2 })
-	p := f.owner(moved())
-	f.commit(wire.Command{MoveStart: &wire.MoveStart{Moves: []wire.Move{{Partition: p.Partition, Epoch: p.Epoch, To: b.targets.now().incarnation}}}})
+	f.startMove(moved(), b)
 	for range 2 {
 		c.Assert(<-bodies, qt.Contains, fmt.Sprintf(`"Key":%q`, moved()))
 	}
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -298,3 +298,39 @@
 	p, _ := f.machine.Owner("catalogue", key)
 	return p
 }
+
+// startMove starts the move of a key's partition to the node's member. It returns
+// the partition as it was before.
+func (f *fakeControl) startMove(key string, to *node) wire.Partition {
+	p := f.owner(key)
+	f.commit(wire.Command{MoveStart: &wire.MoveStart{Moves: []wire.Move{{Partition: p.Partition, Epoch: p.Epoch, To: to.targets.now().incarnation}}}})
+	return p
+}
+
+// knowsMove waits until the node's table has the move of a partition, or its end.
+func knowsMove(n *node, before wire.Partition) {
+	eventually(func() bool {
+		v, _ := n.routing.snapshot().PartitionByID(before.Partition)
+		return v.MovingTo != "" || v.Owner != before.Owner
+	})
+}
+
+// pair is the owner of all partitions and a second member.
+type pair struct {
+	f             *fakeControl
+	owner, other  *node
+	first, second *target
+	// stopOwner begins the stop of the owner's node.
+	stopOwner context.CancelFunc
+}
+
+func startPair(t *testing.T) pair {
+	p := pair{f: startControl(t)}
+	p.owner, p.stopOwner = startNode(t, p.f, "a")
+	p.first = startTarget(t, p.owner, "catalogue", true)
+	served(p.f, p.owner)
+	p.other, _ = startNode(t, p.f, "b")
+	p.second = startTarget(t, p.other, "catalogue", true)
+	eventually(func() bool { return len(p.other.routing.snapshot().Members("catalogue")) == 2 })
+	return p
+}
--- a/internal/node/promises_test.go
+++ b/internal/node/promises_test.go
@@ -82,14 +82,8 @@
 // planned move, and against requests lost by it.
 func TestMoveWaitsForRequestsInFlight(t *testing.T) {
 	c := qt.New(t)
-	f := startControl(t)
-	a, _ := startNode(t, f, "a")
-	first := startTarget(t, a, "catalogue", true)
-	served(f, a)
-	b, _ := startNode(t, f, "b")
-	second := startTarget(t, b, "catalogue", true)
-	eventually(func() bool { return len(b.routing.snapshot().Members("catalogue")) == 2 })
-
+	v := startPair(t)
+	a, b, first, second := v.owner, v.other, v.first, v.second
 	done := make(chan string, 2)
 	get := func(n *node, path string) {
 		_, _, body, err := tryAsk(http.MethodGet, string(n.settings.CallerListen), path, nil, "")
@@ -97,12 +91,7 @@
 	}
 	go get(b, "/catalogue/blanket?work=200")
 	eventually(func() bool { return len(first.Runs()) == 1 })
-	p, _ := f.machine.Owner("catalogue", "blanket")
-	f.commit(wire.Command{MoveStart: &wire.MoveStart{Moves: []wire.Move{{Partition: p.Partition, Epoch: p.Epoch, To: b.targets.now().incarnation}}}})
-	eventually(func() bool {
-		v, _ := a.routing.snapshot().PartitionByID(p.Partition)
-		return v.MovingTo != "" || v.Owner != p.Owner
-	})
+	knowsMove(a, v.f.startMove("blanket", b))
 	go get(a, "/catalogue/blanket")
 	for range 2 {
 		c.Assert(<-done, qt.Contains, `"Key":"blanket"`)
@@ -156,13 +145,9 @@
 // work for a node that has left.
 func TestStopFinishesRequestsInFlight(t *testing.T) {
 	c := qt.New(t)
-	f := startControl(t)
-	a, stopA := startNode(t, f, "a")
-	first := startTarget(t, a, "catalogue", true)
-	served(f, a)
-	b, _ := startNode(t, f, "b")
-	startTarget(t, b, "catalogue", true)
-	served(f, a, b)
+	v := startPair(t)
+	a, b, first := v.owner, v.other, v.first
+	served(v.f, a, b)
 	done := make(chan string, 2)
 	for _, n := range []*node{a, b} {
 		go func() {
@@ -171,7 +156,7 @@
 		}()
 	}
 	eventually(func() bool { return len(first.Runs()) == 2 })
-	stopA()
+	v.stopOwner()
 	for range 2 {
 		body := <-done
 		c.Assert(body, qt.Contains, "chunk 20 of 20")
@@ -187,14 +172,10 @@
 // partitions are not moved in time.
 func TestDrainBoundsNewWork(t *testing.T) {
 	c := qt.New(t)
-	f := startControl(t)
-	a, _ := startNode(t, f, "a")
-	first := startTarget(t, a, "catalogue", true)
-	served(f, a)
-	b, _ := startNode(t, f, "b")
-	startTarget(t, b, "catalogue", true)
-	served(f, a, b)
-	f.commit(wire.Command{Drain: &wire.DrainRequest{Node: "a", Drain: true}})
+	v := startPair(t)
+	a, first := v.owner, v.first
+	served(v.f, a, v.other)
+	v.f.commit(wire.Command{Drain: &wire.DrainRequest{Node: "a", Drain: true}})
 	eventually(func() bool { return a.targets.now().refusing.Load() })
 	before := len(first.Runs())
 	status, _, body := ask(t, http.MethodGet, string(a.settings.CallerListen), "/catalogue/blanket", nil, "")
