exchange: read what arrived while a silent connection was judged

Cause: after a silence the ingress node asks the owning node over a new connection how much of the response was written, and took the connection for lost when that was more than it had read. Nobody reads the first connection during the question, so a piece written in that time waited in the socket and was counted as lost. A target that answers in pieces at the rhythm of the silence limit got its response cut between healthy hosts.

Ruled out: the limit of 500 ms for the question.

Change: a connection that was judged lost is read once more, for up to 100 ms; bytes that are there refute the verdict. The silence limit of peers is 900 ms in place of 1000 ms, so that a lost connection is given up no later than before. The other liveness decisions (probe, heartbeat, silence before the header) ask over the connection that they judge or count failures in a row, and do not compare a count from elsewhere with what was read here.

TestPieceDuringVerdictIsRead forces the order of events without load; it fails without the change.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -130,10 +130,42 @@
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
-		if c.waitOn == nil || !c.waitOn() {
-			return 0, merry.Wrap(ErrSilent, merry.AppendMessagef("no byte for %d ms", c.silence))
+		if c.waitOn == nil {
+			return 0, c.silent()
 		}
+		if !c.waitOn() {
+			return c.lastRead(b)
+		}
+	}
+}
+
+// lastLook is how long a connection that was judged lost may still deliver. The
+// verdict travels over another connection and can overtake bytes that were
+// written before it, and bytes may arrive while it is being asked for.
+const lastLook clock.Millis = 100
+
+// lastRead returns what arrived after the last read that timed out, so that bytes
+// which wait in the socket are not counted as lost.
+func (c *conn) lastRead(b []byte) (int, error) {
+	if err := c.raw.SetReadDeadline(time.Now().Add(lastLook.Duration())); err != nil {
+		return 0, err
+	}
+	if err := c.usable(); err != nil {
+		return 0, err
 	}
+	n, err := c.raw.Read(b)
+	if err := c.usable(); err != nil {
+		return 0, err
+	}
+	c.remained -= int64(n)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		return 0, c.silent()
+	}
+	return n, err
+}
+
+func (c *conn) silent() error {
+	return merry.Wrap(ErrSilent, merry.AppendMessagef("no byte for %d ms", c.silence))
 }
 
 type connWriter struct{ c *conn }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -399,3 +399,52 @@
 	c.Assert(ProgressOf(<-end), qt.Equals, Cut)
 	c.Assert(<-served, qt.IsNil)
 }
+
+// Guards against a live response that is cut because a piece of it was written
+// while the connection was being judged: the piece waits in the socket, and the
+// judge knows only that more was written than has been read.
+func TestPieceDuringVerdictIsRead(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	judging, written := make(chan struct{}), make(chan struct{})
+	served := make(chan error, 1)
+	go func() {
+		s, err := l.Accept()
+		if err != nil {
+			served <- err
+			return
+		}
+		defer s.Close()
+		_, err = http.ReadRequest(bufio.NewReader(s))
+		_, _ = io.WriteString(s, "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\npart")
+		<-judging
+		_, _ = io.WriteString(s, "rest")
+		close(written)
+		_, _ = io.Copy(io.Discard, s)
+		served <- err
+	}()
+	p := pool(t)
+	r := post(t, l.Addr().String())
+	r.Body, r.ContentLength = http.NoBody, 0
+	asked := sync.OnceFunc(func() { close(judging) })
+	response, err := p.Do(t.Context(), Request{
+		Address: l.Addr().String(), HTTP: r, Silence: 50,
+		OnSilence: func(started bool, received int64) bool {
+			if !started || received < 4 {
+				return true
+			}
+			asked()
+			<-written
+			return false
+		},
+	})
+	c.Assert(err, qt.IsNil)
+	body, err := io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(body), qt.Equals, "partrest")
+	c.Assert(response.Body.Close(), qt.IsNil)
+	p.CloseIdle(l.Addr().String())
+	c.Assert(<-served, qt.IsNil)
+}
--- a/internal/node/peer_client.go
+++ b/internal/node/peer_client.go
@@ -18,7 +18,7 @@
 // is taken for dead. The owner's side sends one every processingEvery. With 1.5 s
 // a key behind silent connections was not served for up to 1.85 s of the 2 s that
 // a loss may take.
-const peerSilence clock.Millis = 1000
+const peerSilence clock.Millis = 900
 
 // ask sends a request to the owning node.
 func (n *node) ask(ctx context.Context, q *request, m wire.Member) *reply {
