--- a/cmd/gentiansail/command_line.go
+++ b/cmd/gentiansail/command_line.go
@@ -13,6 +13,7 @@
 	"github.com/gentiansail/gentiansail/internal/operator"
 	"github.com/gentiansail/gentiansail/internal/wire"
 	"github.com/gentiansail/gentiansail/pkg/clock"
+	"github.com/gentiansail/gentiansail/platform"
 )
 
 // Environment variables that stand in for flags.
@@ -116,6 +117,12 @@
 		return runNode(ctx, c.settings)
 	})
 	s.String(&c.settings, "", "settings", "settings file, JSON with comments")
+	c.add("core", "run a core replica of the mesh on the users' platform", func(ctx context.Context) error {
+		return platform.RunCore(ctx, os.Stdout)
+	})
+	c.add("sidecar", "run a sidecar of the mesh on the users' platform", func(ctx context.Context) error {
+		return platform.RunSidecar(ctx, os.Stdout)
+	})
 	c.addBench()
 	c.add("version", "print the version", func(context.Context) error {
 		_, err := fmt.Println(version())
--- /dev/null
+++ b/internal/coordination/core/ownership.go
@@ -0,0 +1,363 @@
+package core
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/gentiansail/gentiansail/internal/coordination/message"
+	"github.com/gentiansail/gentiansail/internal/coordination/registry"
+	"github.com/gentiansail/gentiansail/internal/ownership/keyrange"
+	"github.com/gentiansail/gentiansail/internal/rpc"
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+const (
+	// planEvery is how often the leader looks for what has expired.
+	planEvery clock.Millis = 100
+	// settleTime is how long the leader waits for more targets of a service whose
+	// keys nobody has held yet, so that the first does not get them all.
+	settleTime clock.Millis = 2500
+	// parkTime is how long the answer to a check-in may wait for keys that are about
+	// to be released to its target. Targets wait 1 s for an answer.
+	parkTime clock.Millis = 700
+	// handOverWindow is within which time the holder must check in for a move to
+	// begin, so that the next holder's check-in is still waiting when it releases.
+	handOverWindow clock.Millis = 550
+	// moveUnaligned is after which time a wanted move begins in any case.
+	moveUnaligned clock.Millis = 5000
+	// vacateUnaligned is the same for a target that leaves; it takes no new work 2 s
+	// after its acknowledgement.
+	vacateUnaligned clock.Millis = 700
+	// movePause is the least time between planned moves of a service: the measured
+	// load needs a while to show what the last one did.
+	movePause clock.Millis = 1500
+	// forgetAfter is the silence after which a target without keys is forgotten.
+	forgetAfter clock.Millis = 20_000
+)
+
+// checkIn answers what a target said of itself.
+func (c *Core) checkIn(ctx context.Context, in message.CheckIn) (message.CheckInReply, error) {
+	at := c.o.Clock.Now()
+	if err := c.requireLeader(); err != nil {
+		return message.CheckInReply{}, err
+	}
+	if err := c.register(ctx, in.Instance); err != nil {
+		return message.CheckInReply{}, err
+	}
+	_, keyed := c.machine.Keyed(in.Instance.Service)
+	if !keyed {
+		c.book.Hear(in, at)
+		return message.CheckInReply{Holds: []message.Held{}}, nil
+	}
+	if err := c.quorum.Confirm(ctx); err != nil {
+		return message.CheckInReply{}, err
+	}
+	if !c.book.Hear(in, at) {
+		return message.CheckInReply{Keyed: true, Holds: []message.Held{}}, nil
+	}
+	if err := c.decide(ctx, in); err != nil {
+		return message.CheckInReply{}, err
+	}
+	c.park(ctx, in.Instance, at+parkTime)
+	return c.reply(in.Instance, at), nil
+}
+
+// register commits what is new of a target.
+func (c *Core) register(ctx context.Context, n message.Instance) error {
+	old, ok := c.machine.Instance(n.Lifetime.ID)
+	n.Draining = n.Draining || ok && old.Lifetime == n.Lifetime && old.Draining
+	if ok && old == n {
+		return nil
+	}
+	out, err := c.propose(ctx, message.Command{Register: &n})
+	if err == nil && out.Status != registry.Done {
+		err = &rpc.Error{Code: rpc.CodeRefused, Message: out.Reason}
+	}
+	c.log.Info().Err(err).Str("Event", "target").Str("Service", string(n.Service)).Str("Target", string(n.Lifetime.ID)).Int("Born", int(n.Lifetime.Born)).
+		Str("Peer", string(n.Peer)).Int("Slots", n.Slots).Bool("Draining", n.Draining).Bool("Stopping", n.Stopping).Msg("target registered")
+	return err
+}
+
+// decide commits what a check-in allows: keys that it released go to their next
+// holder, and free keys or a planned move may go to its target.
+func (c *Core) decide(ctx context.Context, in message.CheckIn) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l, name := in.Instance.Lifetime, in.Instance.Service
+	rows := c.machine.Rows(name)
+	list, released := keyrange.Released(rows.List, l, in.Holds, in.Released)
+	loads, servers := c.book.Loads(name), c.servers(name)
+	taken, began := false, false
+	if eligible(servers, l) && c.settled(name, rows) {
+		list, taken = keyrange.Take(list, loads, servers, l)
+		list, began = c.begin(name, list, loads, servers, l)
+	}
+	if !released && !taken && !began {
+		return nil
+	}
+	c.log.Info().Str("Event", "keys").Str("Service", string(name)).Str("Target", string(l.ID)).Bool("Released", released).Bool("Taken", taken).Bool("MoveBegan", began).
+		Str("Rows", describe(list)).Msg("keys change hands")
+	return c.setRows(ctx, name, rows, list)
+}
+
+func (c *Core) setRows(ctx context.Context, name message.ServiceName, old registry.Rows, list []message.Row) error {
+	out, err := c.propose(ctx, message.Command{Rows: &message.RowsChange{Service: name, Expect: old.Version, Rows: list}})
+	if err == nil && out.Status != registry.Done {
+		err = &rpc.Error{Code: rpc.CodeUnavailable, Message: out.Reason}
+	}
+	return err
+}
+
+// describe prints rows for the log, the first few only.
+func describe(list []message.Row) string {
+	s := ""
+	for i, r := range list {
+		if i == 12 {
+			return s + fmt.Sprintf(" and %d more", len(list)-i)
+		}
+		s += fmt.Sprintf(" %d-%d:%s/%d", r.From, r.To, r.Holder.ID, r.Fence)
+		if r.Next.ID != "" {
+			s += ">" + string(r.Next.ID)
+		}
+	}
+	return s
+}
+
+// servers returns the targets of a keyed service with their capacity.
+func (c *Core) servers(name message.ServiceName) []keyrange.Server {
+	var all []message.Instance
+	for _, i := range c.machine.Instances() {
+		if i.Service == name {
+			all = append(all, i)
+		}
+	}
+	now, mean := c.o.Clock.Now(), c.book.MeanServiceMillis(all)
+	var out []keyrange.Server
+	for _, i := range all {
+		silent := c.book.Silent(i.Lifetime, now) > c.book.Hold()
+		out = append(out, keyrange.Server{
+			Lifetime: i.Lifetime, Capacity: c.book.Capacity(i, mean), Eligible: !i.Draining && !i.Stopping && !silent,
+		})
+	}
+	return out
+}
+
+func eligible(servers []keyrange.Server, l message.Lifetime) bool {
+	for _, s := range servers {
+		if s.Lifetime == l {
+			return s.Eligible
+		}
+	}
+	return false
+}
+
+// settled reports whether keys may be given out: at once if anybody holds some,
+// else after settleTime.
+func (c *Core) settled(name message.ServiceName, rows registry.Rows) bool {
+	for _, r := range rows.List {
+		if r.Holder.ID != "" {
+			return true
+		}
+	}
+	now := c.o.Clock.Now()
+	first, seen := c.firstSeen[name]
+	if !seen {
+		c.firstSeen[name] = now
+		return false
+	}
+	return now-first >= settleTime
+}
+
+// begin starts a planned move to a target, if the holder is about to check in.
+func (c *Core) begin(name message.ServiceName, list []message.Row, loads *keyrange.Loads, servers []keyrange.Server, to message.Lifetime) ([]message.Row, bool) {
+	now := c.o.Clock.Now()
+	began := false
+	for _, s := range servers {
+		if c.leavingSince(s, list, now) && c.soon(s.Lifetime, now) {
+			only := []keyrange.Server{}
+			for _, x := range servers {
+				x.Eligible = x.Eligible && x.Lifetime != s.Lifetime
+				only = append(only, x)
+			}
+			var marked bool
+			list, marked = keyrange.VacateTo(list, loads, only, s.Lifetime, to)
+			began = began || marked
+		}
+	}
+	if began || now-c.moved[name] < movePause || moving(list) {
+		return list, began
+	}
+	next, ok := keyrange.Rebalance(list, loads, servers)
+	if !ok {
+		delete(c.wanted, name)
+		return list, false
+	}
+	if _, waits := c.wanted[name]; !waits {
+		c.wanted[name] = now
+	}
+	from, target := ends(next)
+	late := now-c.wanted[name] > moveUnaligned
+	if target != to || !late && !c.soon(from, now) {
+		return list, false
+	}
+	delete(c.wanted, name)
+	c.moved[name] = now
+	return next, true
+}
+
+// leavingSince notes since when a server that is not eligible holds keys, and
+// reports whether it does.
+func (c *Core) leavingSince(s keyrange.Server, list []message.Row, now clock.Millis) bool {
+	i, ok := c.machine.Instance(s.Lifetime.ID)
+	if !ok || !i.Draining && !i.Stopping {
+		delete(c.leaving, s.Lifetime)
+		return false
+	}
+	for _, r := range list {
+		if r.Holder == s.Lifetime && r.Next.ID == "" {
+			if _, noted := c.leaving[s.Lifetime]; !noted {
+				c.leaving[s.Lifetime] = now
+			}
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) soon(l message.Lifetime, now clock.Millis) bool {
+	in, ok := c.book.NextCheckIn(l, now)
+	return ok && in < handOverWindow
+}
+
+func moving(list []message.Row) bool {
+	for _, r := range list {
+		if r.Next.ID != "" {
+			return true
+		}
+	}
+	return false
+}
+
+func ends(list []message.Row) (from, to message.Lifetime) {
+	for _, r := range list {
+		if r.Next.ID != "" {
+			return r.Holder, r.Next
+		}
+	}
+	return message.Lifetime{}, message.Lifetime{}
+}
+
+// park waits until no keys are on their way to a target, or until a time: their
+// callers would otherwise wait for its next check-in.
+func (c *Core) park(ctx context.Context, i message.Instance, until clock.Millis) {
+	for {
+		changed := c.machine.Changed()
+		if !expects(c.machine.Rows(i.Service).List, i.Lifetime) {
+			return
+		}
+		left := until - c.o.Clock.Now()
+		if left <= 0 {
+			return
+		}
+		timed, cancel := context.WithTimeout(ctx, left.Duration())
+		select {
+		case <-changed:
+		case <-timed.Done():
+		}
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+func expects(list []message.Row, l message.Lifetime) bool {
+	for _, r := range list {
+		if r.Next == l {
+			return true
+		}
+	}
+	return false
+}
+
+// reply grants what the target is to hold, and notes the lease first.
+func (c *Core) reply(i message.Instance, at clock.Millis) message.CheckInReply {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := message.CheckInReply{Keyed: true, Granted: true, Holds: []message.Held{}, HoldMillis: message.Millis(c.book.Hold())}
+	for _, r := range c.machine.Rows(i.Service).List {
+		if r.Holder == i.Lifetime && r.Next.ID == "" {
+			out.Holds = append(out.Holds, message.Held{From: r.From, To: r.To, Fence: r.Fence, Handover: r.Handover})
+		}
+	}
+	c.book.Grant(i.Lifetime, at)
+	return out
+}
+
+// plan looks for leases that have ended and for moves that cannot wait.
+func (c *Core) plan(ctx context.Context) error {
+	for c.o.Clock.Sleep(ctx, planEvery) == nil {
+		if !c.leads() {
+			c.mu.Lock()
+			c.reset()
+			c.mu.Unlock()
+			continue
+		}
+		for _, i := range c.machine.Instances() {
+			if err := c.expire(ctx, i); err != nil {
+				c.log.Warn().Err(err).Str("Event", "expiry-failed").Str("Target", string(i.Lifetime.ID)).Msg("lost target stays registered")
+			}
+		}
+		if err := c.vacateLate(ctx); err != nil {
+			c.log.Warn().Err(err).Str("Event", "vacate-failed").Msg("keys of a leaving target stay")
+		}
+	}
+	return nil
+}
+
+// expire removes a target whose lease has ended without a renewal. One that holds
+// no keys is kept for longer: the sidecars see better than the core whether it
+// answers.
+func (c *Core) expire(ctx context.Context, i message.Instance) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.o.Clock.Now()
+	silent := c.book.Silent(i.Lifetime, now)
+	holds := false
+	for _, r := range c.machine.Rows(i.Service).List {
+		holds = holds || r.Holder == i.Lifetime || r.Next == i.Lifetime
+	}
+	if silent < forgetAfter && !(holds && c.book.Expired(i.Lifetime, now)) {
+		return nil
+	}
+	c.log.Info().Str("Event", "target-expired").Str("Service", string(i.Service)).Str("Target", string(i.Lifetime.ID)).Int64("SilentMillis", int64(silent)).Bool("HeldKeys", holds).Msg("target has no lease any more")
+	l := i.Lifetime
+	_, err := c.propose(ctx, message.Command{Expire: &l})
+	return err
+}
+
+// vacateLate moves the keys of leaving targets that did not find a good moment.
+func (c *Core) vacateLate(ctx context.Context) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.o.Clock.Now()
+	for l, since := range c.leaving {
+		i, ok := c.machine.Instance(l.ID)
+		if !ok || i.Lifetime != l {
+			delete(c.leaving, l)
+			continue
+		}
+		if now-since < vacateUnaligned {
+			continue
+		}
+		rows := c.machine.Rows(i.Service)
+		list, marked := keyrange.Vacate(rows.List, c.book.Loads(i.Service), c.servers(i.Service), l)
+		if !marked {
+			continue
+		}
+		if err := c.setRows(ctx, i.Service, rows, list); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/coordination/registry/configuration.go
@@ -0,0 +1,145 @@
+package registry
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/gentiansail/gentiansail/internal/coordination/message"
+)
+
+// Configuration is the configuration in force, in the operator's order.
+type Configuration struct {
+	Revision Revision
+	Routes   []message.Route
+	Services []message.ServiceSpec
+	Limits   string
+}
+
+// Configuration returns the configuration in force.
+func (m *Machine) Configuration() Configuration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Configuration{
+		Revision: m.s.Revision, Routes: slices.Clone(m.s.Routes), Services: slices.Clone(m.s.Services), Limits: m.s.Limits,
+	}
+}
+
+// change accepts a change as a whole or not at all. One that was accepted before
+// is acknowledged again, whatever was accepted since: its sender did not get the
+// first acknowledgement.
+func (s *state) change(c message.Change) Outcome {
+	if slices.Contains(s.Digests, c.Digest) {
+		return Outcome{Status: Done}
+	}
+	if c.Base != s.Revision.Version {
+		return Outcome{Conflict, fmt.Sprintf("the change builds on version %d, and version %d is in force", c.Base, s.Revision.Version)}
+	}
+	if c.Version <= s.Revision.Version {
+		return Outcome{Invalid, fmt.Sprintf("version %d is not above version %d, which is in force", c.Version, s.Revision.Version)}
+	}
+	routes, services, limits := s.merge(c)
+	if reason := check(routes, services); reason != "" {
+		return Outcome{Invalid, reason}
+	}
+	s.Revision = Revision{Version: c.Version, Digest: c.Digest}
+	s.Digests = append(s.Digests, c.Digest)
+	if n := len(s.Digests); n > maxDigests {
+		s.Digests = slices.Clone(s.Digests[n-maxDigests:])
+	}
+	s.publishConfiguration(routes, services)
+	s.Routes, s.Services, s.Limits = routes, services, limits
+	s.publish(message.ItemRevision, s.Revision)
+	return Outcome{Status: Done}
+}
+
+func (s *state) merge(c message.Change) ([]message.Route, []message.ServiceSpec, string) {
+	if c.Replace {
+		return c.Routes, c.Services, c.Limits
+	}
+	routes := upsert(s.Routes, c.Routes, c.RemoveRoutes, func(r message.Route) string { return r.Name })
+	services := upsert(s.Services, c.Services, c.RemoveServices, func(v message.ServiceSpec) string { return string(v.Name) })
+	limits := s.Limits
+	if c.Limits != "" {
+		limits = c.Limits
+	}
+	return routes, services, limits
+}
+
+// upsert returns the list with the named elements removed and the given ones
+// replaced by name or added at the end.
+func upsert[T any](old, set []T, remove []string, name func(T) string) []T {
+	out := slices.DeleteFunc(slices.Clone(old), func(x T) bool { return slices.Contains(remove, name(x)) })
+	for _, x := range set {
+		if i := slices.IndexFunc(out, func(y T) bool { return name(y) == name(x) }); i >= 0 {
+			out[i] = x
+			continue
+		}
+		out = append(out, x)
+	}
+	return out
+}
+
+// check returns why a configuration is invalid, or nothing.
+func check(routes []message.Route, services []message.ServiceSpec) string {
+	known := map[message.ServiceName]bool{}
+	for _, v := range services {
+		if v.Name == "" || known[v.Name] {
+			return fmt.Sprintf("service %q has no name or one that is used twice", v.Name)
+		}
+		known[v.Name] = true
+	}
+	names := map[string]bool{}
+	for _, r := range routes {
+		if r.Name == "" || names[r.Name] {
+			return fmt.Sprintf("route %q has no name or one that is used twice", r.Name)
+		}
+		names[r.Name] = true
+		if reason := checkSplits(r, known); reason != "" {
+			return reason
+		}
+	}
+	return ""
+}
+
+func checkSplits(r message.Route, known map[message.ServiceName]bool) string {
+	sum := 0.0
+	for _, p := range r.Splits {
+		if !known[p.Service] {
+			return fmt.Sprintf("route %q names the unknown service %q", r.Name, p.Service)
+		}
+		if p.Weight < 0 {
+			return fmt.Sprintf("route %q has a weight below 0", r.Name)
+		}
+		sum += p.Weight
+	}
+	if sum <= 0 {
+		return fmt.Sprintf("the weights of route %q add up to 0", r.Name)
+	}
+	return ""
+}
+
+// publishConfiguration publishes what differs from the elements in force. Sidecars
+// need no text of the operator's.
+func (s *state) publishConfiguration(routes []message.Route, services []message.ServiceSpec) {
+	keep := map[string]bool{}
+	for _, r := range routes {
+		r.Source = ""
+		keep[message.ItemRoute+r.Name] = true
+		s.publish(message.ItemRoute+r.Name, r)
+	}
+	for _, v := range services {
+		v.Source = ""
+		keep[message.ItemService+string(v.Name)] = true
+		s.publish(message.ItemService+string(v.Name), v)
+	}
+	for _, r := range s.Routes {
+		if !keep[message.ItemRoute+r.Name] {
+			s.withdraw(message.ItemRoute + r.Name)
+		}
+	}
+	for _, v := range s.Services {
+		if !keep[message.ItemService+string(v.Name)] {
+			s.withdraw(message.ItemService + string(v.Name))
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/registry/rows.go
@@ -0,0 +1,82 @@
+package registry
+
+import (
+	"slices"
+
+	"github.com/gentiansail/gentiansail/internal/coordination/message"
+)
+
+// LastKey is the highest key of a keyed service.
+const LastKey message.Key = 65535
+
+// Rows returns the ranges of a keyed service. A service that has none yet has one
+// range that nobody holds.
+func (m *Machine) Rows(name message.ServiceName) Rows {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := m.s.Rows[name]
+	if len(r.List) == 0 {
+		return Rows{List: []message.Row{{From: 0, To: LastKey}}}
+	}
+	return Rows{Version: r.Version, List: slices.Clone(r.List)}
+}
+
+// replaceRows sets the rows of a service if nobody else changed them. Rows with
+// fence 0 are new grants: the index of the entry is above all earlier fences.
+func (s *state) replaceRows(c message.RowsChange) Outcome {
+	if s.Rows[c.Service].Version != c.Expect {
+		return Outcome{Conflict, "the rows have changed"}
+	}
+	if !complete(c.Rows) {
+		return Outcome{Invalid, "the rows do not cover each key once"}
+	}
+	list := slices.Clone(c.Rows)
+	for i := range list {
+		if list[i].Holder.ID != "" && list[i].Fence == 0 {
+			list[i].Fence = message.Fence(s.Index)
+		}
+		if h := list[i].Holder; h.ID != "" && s.Instances[h.ID].Lifetime != h {
+			return Outcome{Stale, "a holder is not registered"}
+		}
+	}
+	s.setRows(c.Service, list)
+	return Outcome{Status: Done}
+}
+
+func complete(rows []message.Row) bool {
+	next := message.Key(0)
+	for _, r := range rows {
+		if r.From != next || r.To < r.From {
+			return false
+		}
+		next = r.To + 1
+	}
+	return next == LastKey+1
+}
+
+func (s *state) setRows(name message.ServiceName, list []message.Row) {
+	list = join(list)
+	s.Rows[name] = Rows{Version: s.Index, List: list}
+	s.publish(message.ItemRows+string(name), list)
+}
+
+// join merges neighbours that differ only in their keys. Free neighbours merge
+// whatever their fences: a grant gets a fence above all.
+func join(list []message.Row) []message.Row {
+	var out []message.Row
+	for _, r := range list {
+		if r.Holder.ID == "" {
+			r.Fence, r.Next = 0, message.Lifetime{}
+		}
+		if n := len(out); n > 0 {
+			p := out[n-1]
+			p.From, p.To = r.From, r.To
+			if p == r {
+				out[n-1].To = r.To
+				continue
+			}
+		}
+		out = append(out, r)
+	}
+	return out
+}
--- a/internal/exchange/do.go
+++ b/internal/exchange/do.go
@@ -50,7 +50,11 @@
 }
 
 func (x *exchange) run() (*http.Response, error) {
-	if err := x.conn.prepare(x.request.Silence, x.waitOn()); err != nil {
+	silence := x.request.Silence
+	if x.request.BodySilence {
+		silence = 0
+	}
+	if err := x.conn.prepare(silence, x.waitOn()); err != nil {
 		x.written <- err
 		return nil, merry.Wrap(ErrWrite, merry.WithCause(err), merry.AppendMessage(err.Error()))
 	}
@@ -63,14 +67,12 @@
 	if err := x.write(); err != nil {
 		return nil, err
 	}
-	response, err := x.readHeader()
+	response, err := x.readOwn()
 	if err != nil {
 		return nil, err
 	}
-	if err := x.check(response); err != nil {
-		return nil, err
-	}
 	x.conn.remained = unlimited
+	x.conn.silence = x.request.Silence
 	x.body = &responseBody{source: response.Body}
 	x.body.finish = func(clean bool) { x.finish(clean && !response.Close) }
 	response.Body = x.body
@@ -150,13 +152,44 @@
 	}
 }
 
+// maxForeign bounds the extra responses that are read before the one that is due,
+// and maxForeignBytes the body of each.
+const (
+	maxForeign      = 3
+	maxForeignBytes = 1 << 20
+)
+
+// readOwn reads the response that belongs to the request.
+func (x *exchange) readOwn() (*http.Response, error) {
+	for skipped := 0; ; skipped++ {
+		response, err := x.readHeader()
+		if err != nil {
+			return nil, err
+		}
+		err = x.check(response)
+		foreign := errors.Is(err, ErrMismatch) && x.request.SkipForeign && !response.Close && skipped < maxForeign
+		if !foreign {
+			return response, err
+		}
+		x.conn.remained = maxForeignBytes
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return nil, merry.Wrap(ErrResponse, merry.WithCause(err), merry.AppendMessage(err.Error()))
+		}
+		x.conn.remained = maxHeaderBytes
+	}
+}
+
 func (x *exchange) check(response *http.Response) error {
-	id := response.Header.Get(header.RequestID)
-	missing := id == "" && !x.request.EchoRequired
+	field := x.request.IDField
+	if field == "" {
+		field = header.RequestID
+	}
+	id := response.Header.Get(field)
+	missing := id == "" && (!x.request.EchoRequired || x.request.EchoOptional != nil && x.request.EchoOptional(response))
 	if x.request.RequestID != "" && id != x.request.RequestID && !missing {
 		return merry.Wrap(ErrMismatch, merry.AppendMessagef("sent %q, got %q", x.request.RequestID, id))
 	}
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && x.request.HTTP.Method != http.MethodHead {
+	if !x.request.AllowUnframed && response.ContentLength < 0 && len(response.TransferEncoding) == 0 && x.request.HTTP.Method != http.MethodHead {
 		return merry.Wrap(ErrResponse, merry.AppendMessage("response has neither Content-Length nor chunks"))
 	}
 	return nil
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -116,8 +116,18 @@
 	// RequestID must equal the header field Gentiansail-Request-Id of the
 	// response, where that is present. Empty turns the check off.
 	RequestID string
+	// IDField is the name of that field where it is another one.
+	IDField string
 	// EchoRequired refuses a response without the field.
 	EchoRequired bool
+	// EchoOptional, if set, says of a response whether it may lack the field.
+	EchoOptional func(*http.Response) bool
+	// SkipForeign reads on after a response with another request id: a server may
+	// send an extra response late, before the one that is due.
+	SkipForeign bool
+	// AllowUnframed accepts a response whose end is that of its connection. A reset
+	// is an error; a clean close is taken for its end.
+	AllowUnframed bool
 	// Fresh uses a new connection, so that the server cannot have closed it
 	// while it was idle.
 	Fresh bool
@@ -127,6 +137,8 @@
 	BeforeWrite func() error
 	// Silence bounds the wait for each read; 0 leaves only the context.
 	Silence clock.Millis
+	// BodySilence lets Silence count only once the response header has arrived.
+	BodySilence bool
 	// OnSilence, if set, decides after Silence passed without a byte whether to
 	// wait on. It gets whether the response header has arrived and the number of
 	// body bytes received.
--- /dev/null
+++ b/internal/ownership/keyrange/keyrange.go
@@ -0,0 +1,303 @@
+// Package keyrange decides which target holds which range of a service's keys.
+//
+// Keys are numbers from 0 to 65535. The busy ones lie close together and change,
+// so an equal division of the keys is no equal division of the work. The package
+// works on measured requests for each bucket of 64 keys. It is pure: it gets rows,
+// loads and servers and returns rows.
+//
+// Two decisions are made here. Free keys go to a target that checks in, up to its
+// share (Take). A planned move takes a few buckets from the target that has the
+// most work for its capacity to the one with the least (Rebalance), only when the
+// difference is large, because each move costs the callers of these keys a pause.
+//
+// # Usage
+//
+//	rows, ok := keyrange.Take(rows, loads, servers, server)
+//	rows, ok := keyrange.Rebalance(rows, loads, servers)
+package keyrange
+
+import (
+	"github.com/gentiansail/gentiansail/internal/coordination/message"
+)
+
+const (
+	// Keys is the number of keys of a service.
+	Keys = 65536
+	// BucketKeys is the number of keys whose requests are counted together.
+	BucketKeys = 64
+	// Buckets is the number of buckets.
+	Buckets = Keys / BucketKeys
+)
+
+// priorPerBucket is the load that a bucket without requests counts for, in
+// requests a second. It divides keys evenly while nothing is known, and it is far
+// below the load of a bucket in use.
+const priorPerBucket = 0.02
+
+// Loads are requests a second by bucket.
+type Loads [Buckets]float64
+
+// of returns the load of a range. Keys of a bucket count alike.
+func (l *Loads) of(from, to message.Key) float64 {
+	sum := 0.0
+	for b := int(from) / BucketKeys; b <= int(to)/BucketKeys; b++ {
+		first, last := max(int(from), b*BucketKeys), min(int(to), (b+1)*BucketKeys-1)
+		sum += (l[b] + priorPerBucket) * float64(last-first+1) / BucketKeys
+	}
+	return sum
+}
+
+// Server is a target that can hold keys.
+type Server struct {
+	Lifetime message.Lifetime
+	// Capacity is the requests a second that it can serve, or any measure that
+	// compares servers.
+	Capacity float64
+	// Eligible is false for a target that is to hold no keys, as it is leaving.
+	Eligible bool
+}
+
+// shares returns the load that each server has, moves counted as done, and the one
+// it should have.
+func shares(rows []message.Row, l *Loads, servers []Server) (has, due map[message.Lifetime]float64) {
+	has, due = map[message.Lifetime]float64{}, map[message.Lifetime]float64{}
+	total, capacity := l.of(0, Keys-1), 0.0
+	for _, s := range servers {
+		if s.Eligible {
+			capacity += s.Capacity
+		}
+	}
+	for _, s := range servers {
+		if s.Eligible && capacity > 0 {
+			due[s.Lifetime] = total * s.Capacity / capacity
+		}
+	}
+	for _, r := range rows {
+		has[owner(r)] += l.of(r.From, r.To)
+	}
+	return has, due
+}
+
+// owner is who has a row after its move.
+func owner(r message.Row) message.Lifetime {
+	if r.Next.ID != "" {
+		return r.Next
+	}
+	return r.Holder
+}
+
+// takeSlack is by how much of its share a server may exceed it with the last free
+// range, so that ranges are not cut into splinters.
+const takeSlack = 0.02
+
+// Take gives free keys to a server until it has its share. It returns false when
+// there is nothing to give.
+func Take(rows []message.Row, l *Loads, servers []Server, to message.Lifetime) ([]message.Row, bool) {
+	has, due := shares(rows, l, servers)
+	want := due[to]*(1+takeSlack) - has[to]
+	var out []message.Row
+	taken := false
+	for _, r := range rows {
+		if r.Holder.ID != "" || want <= 0 {
+			out = append(out, r)
+			continue
+		}
+		last, load := prefix(r, l, want)
+		given := r
+		given.To, given.Holder, given.Fence = last, to, 0
+		out = append(out, given)
+		want -= load
+		taken = true
+		if last < r.To {
+			rest := r
+			rest.From = last + 1
+			out = append(out, rest)
+		}
+	}
+	return out, taken
+}
+
+// prefix returns the last key of the longest prefix of a range, in whole buckets,
+// that holds about the load.
+func prefix(r message.Row, l *Loads, want float64) (message.Key, float64) {
+	sum := 0.0
+	for at := r.From; ; {
+		end := min(r.To, (at/BucketKeys+1)*BucketKeys-1)
+		sum += l.of(at, end)
+		if end == r.To || sum >= want {
+			return end, sum
+		}
+		at = end + 1
+	}
+}
+
+// Thresholds of a planned move.
+const (
+	// moveAbove is the load for its capacity, against the mean, above which a
+	// server gives keys away.
+	moveAbove = 1.20
+	// moveLeast is the least part of the mean load that is worth a move.
+	moveLeast = 0.04
+)
+
+// Rebalance marks one range for a planned move, if the busiest server has much
+// more work for its capacity than the mean.
+func Rebalance(rows []message.Row, l *Loads, servers []Server) ([]message.Row, bool) {
+	has, due := shares(rows, l, servers)
+	var from, to message.Lifetime
+	most, least := moveAbove, 1.0
+	for _, s := range servers {
+		if due[s.Lifetime] <= 0 {
+			continue
+		}
+		ratio := has[s.Lifetime] / due[s.Lifetime]
+		if ratio > most {
+			from, most = s.Lifetime, ratio
+		}
+		if ratio < least {
+			to, least = s.Lifetime, ratio
+		}
+	}
+	if from.ID == "" || to.ID == "" {
+		return rows, false
+	}
+	want := min(has[from]-due[from], due[to]-has[to])
+	if want < moveLeast*due[from] {
+		return rows, false
+	}
+	return mark(rows, l, from, to, want)
+}
+
+// Vacate marks all keys of a server that is leaving for moves to the others, each
+// up to its share.
+func Vacate(rows []message.Row, l *Loads, servers []Server, from message.Lifetime) ([]message.Row, bool) {
+	marked := false
+	for _, s := range servers {
+		if s.Eligible && s.Lifetime != from {
+			var more bool
+			rows, more = VacateTo(rows, l, servers, from, s.Lifetime)
+			marked = marked || more
+		}
+	}
+	return rows, marked
+}
+
+// VacateTo marks keys of a server that is leaving for moves to another, up to the
+// other's share.
+func VacateTo(rows []message.Row, l *Loads, servers []Server, from, to message.Lifetime) ([]message.Row, bool) {
+	has, due := shares(rows, l, servers)
+	want := due[to]*(1+takeSlack) - has[to]
+	var out []message.Row
+	marked := false
+	for _, r := range rows {
+		if r.Holder != from || r.Next.ID != "" || want <= 0 {
+			out = append(out, r)
+			continue
+		}
+		last, load := prefix(r, l, want)
+		given, rest := r, r
+		given.To, given.Next = last, to
+		out = append(out, given)
+		if want -= load; last < r.To {
+			rest.From = last + 1
+			out = append(out, rest)
+		}
+		marked = true
+	}
+	return out, marked
+}
+
+// mark chooses the fewest buckets of a server in one run that hold between half of
+// the wanted load and all of it, so that few keys change hands.
+func mark(rows []message.Row, l *Loads, from, to message.Lifetime, want float64) ([]message.Row, bool) {
+	best, bestKeys := message.Row{}, Keys+1
+	for _, r := range rows {
+		if r.Holder != from || r.Next.ID != "" {
+			continue
+		}
+		first, sum := r.From, 0.0
+		for at := r.From; at <= r.To; {
+			end := min(r.To, (at/BucketKeys+1)*BucketKeys-1)
+			sum += l.of(at, end)
+			for sum > want*1.1 && first <= end {
+				firstEnd := min(end, (first/BucketKeys+1)*BucketKeys-1)
+				sum -= l.of(first, firstEnd)
+				first = firstEnd + 1
+			}
+			if n := int(end-first) + 1; sum >= want/2 && n > 0 && n < bestKeys {
+				best, bestKeys = r, n
+				best.From, best.To = first, end
+			}
+			at = end + 1
+		}
+	}
+	if bestKeys > Keys {
+		return rows, false
+	}
+	best.Next = to
+	return Replace(rows, best), true
+}
+
+// Replace puts a row in the place of a part of the row that it lies in.
+func Replace(rows []message.Row, part message.Row) []message.Row {
+	var out []message.Row
+	for _, r := range rows {
+		if part.From < r.From || part.To > r.To {
+			out = append(out, r)
+			continue
+		}
+		if r.From < part.From {
+			before := r
+			before.To = part.From - 1
+			out = append(out, before)
+		}
+		out = append(out, part)
+		if part.To < r.To {
+			after := r
+			after.From = part.To + 1
+			out = append(out, after)
+		}
+	}
+	return out
+}
+
+// Released turns rows that a holder has released into grants for their next
+// holder, with the token it left. A holder has released keys that it is to release
+// and neither holds nor works on any more. Rows without a next holder become free.
+func Released(rows []message.Row, holder message.Lifetime, holds, released []message.Held) ([]message.Row, bool) {
+	var out []message.Row
+	done := false
+	for _, r := range rows {
+		if r.Holder != holder || r.Next.ID == "" || overlaps(holds, r.From, r.To) {
+			out = append(out, r)
+			continue
+		}
+		done = true
+		out = append(out, handOver(r, released)...)
+	}
+	return out, done
+}
+
+// handOver cuts a row at the bounds of what was released, since each part has a
+// token of its own.
+func handOver(r message.Row, released []message.Held) []message.Row {
+	r.Holder, r.Next, r.Fence, r.Handover = r.Next, message.Lifetime{}, 0, ""
+	out := []message.Row{r}
+	for _, h := range released {
+		part := r
+		part.From, part.To, part.Handover = max(r.From, h.From), min(r.To, h.To), h.Handover
+		if part.From <= part.To {
+			out = Replace(out, part)
+		}
+	}
+	return out
+}
+
+func overlaps(holds []message.Held, from, to message.Key) bool {
+	for _, h := range holds {
+		if h.From <= to && h.To >= from {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/traffic/admission/admission.go
@@ -0,0 +1,279 @@
+// Package admission decides which requests a target runs now, which wait, and
+// which are refused at once.
+//
+// The sidecar beside a target sees all of its requests, so it knows how many run
+// and can keep the queue itself, where a request that waits can still be refused
+// truthfully or go first. A target's own queue can do neither.
+//
+// The load it answers is a burst or a slow target: more work arrives than the
+// slots can do. Requests that can still be answered within their latency objective
+// go before those that cannot, calls of requests that already run go before new
+// requests, and more urgent routes go first. A request that cannot end before its
+// deadline is refused when it arrives, or as soon as that becomes clear.
+//
+// # Usage
+//
+//	q := admission.New(clock.System())
+//	q.SetSlots(10)
+//	t := &admission.Ticket{Route: "pledge", Deadline: now + 900, Aim: now + 200}
+//	if verdict := q.Enter(t); verdict == admission.Wait {
+//		<-t.Decided()
+//	}
+//	...
+//	q.Leave(t, took)
+package admission
+
+import (
+	"sync"
+
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+// Verdict is what becomes of a ticket.
+type Verdict int
+
+const (
+	// Wait: the decision comes later, on Decided.
+	Wait Verdict = iota
+	// Run: the request has a slot.
+	Run
+	// Full: no slot will be free in time.
+	Full
+	// TooLate: the time that is left is shorter than the work.
+	TooLate
+)
+
+const (
+	// unknownMillis stands for the time of a route that was not measured.
+	unknownMillis = 50
+	// weight of a new measurement in the mean.
+	weight = 0.1
+	// shortest is the part of the mean below which hardly any request ends; a
+	// request with less time left than this is not begun.
+	shortest = 0.5
+	// queuePerSlot bounds the queue.
+	queuePerSlot = 6
+	// maxRoutes bounds the routes that are measured on their own.
+	maxRoutes = 512
+)
+
+// Ticket is one request.
+type Ticket struct {
+	Route    string
+	Rank     int
+	Inner    bool
+	Deadline clock.Millis
+	// Aim is the time until which an answer has its full worth.
+	Aim clock.Millis
+
+	order   int
+	verdict Verdict
+	decided chan struct{}
+}
+
+// Decided is closed when a waiting ticket has its verdict.
+func (t *Ticket) Decided() <-chan struct{} { return t.decided }
+
+// Verdict returns the verdict of a ticket that is decided.
+func (t *Ticket) Verdict() Verdict { return t.verdict }
+
+// Queue is the queue before one target. It is safe for concurrent use.
+type Queue struct {
+	clock clock.Clock
+
+	mu      sync.Mutex
+	slots   int
+	running int
+	order   int
+	waiting []*Ticket
+	means   map[string]float64
+	mean    float64
+}
+
+// New returns a queue without slots.
+func New(k clock.Clock) *Queue {
+	return &Queue{clock: k, means: map[string]float64{}}
+}
+
+// SetSlots sets how many requests the target runs at once.
+func (q *Queue) SetSlots(n int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.slots = n
+	q.fill()
+}
+
+// Enter decides about a request or lets it wait.
+func (q *Queue) Enter(t *Ticket) Verdict {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.clock.Now()
+	q.order++
+	t.order = q.order
+	if now+q.least(t) > t.Deadline {
+		return TooLate
+	}
+	if q.running < q.slots && len(q.waiting) == 0 {
+		q.running++
+		return Run
+	}
+	if len(q.waiting) >= queuePerSlot*max(q.slots, 1) || now+q.waitOf(t)+q.least(t) > t.Deadline {
+		return Full
+	}
+	t.decided = make(chan struct{})
+	q.waiting = append(q.waiting, t)
+	return Wait
+}
+
+// Abandon takes a waiting ticket out. It returns false if the ticket has a verdict
+// already; with Run the caller then owns a slot.
+func (q *Queue) Abandon(t *Ticket) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for i, w := range q.waiting {
+		if w == t {
+			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Leave gives a slot back. A time above 0 is a measurement of the work.
+func (q *Queue) Leave(t *Ticket, took clock.Millis) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.running--
+	if took > 0 {
+		q.measure(t.Route, float64(took))
+	}
+	q.fill()
+}
+
+// Empty refuses all that wait, as the target takes no more work.
+func (q *Queue) Empty() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, t := range q.waiting {
+		t.decide(Full)
+	}
+	q.waiting = nil
+}
+
+func (q *Queue) measure(route string, took float64) {
+	if q.mean == 0 {
+		q.mean = took
+	}
+	q.mean += weight * (took - q.mean)
+	old, ok := q.means[route]
+	if !ok {
+		if len(q.means) >= maxRoutes {
+			return
+		}
+		old = took
+	}
+	q.means[route] = old + weight*(took-old)
+}
+
+// Load returns how busy the target is, and its mean time for a request.
+func (q *Queue) Load() (running, waiting, slots int, mean clock.Millis) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.running, len(q.waiting), q.slots, clock.Millis(q.mean + 0.5)
+}
+
+// RetryAfter returns in what time the queue will have been worked off.
+func (q *Queue) RetryAfter() clock.Millis {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	work := 0.0
+	for _, t := range q.waiting {
+		work += q.expected(t)
+	}
+	return clock.Millis(work/float64(max(q.slots, 1)) + q.mean/2)
+}
+
+func (q *Queue) expected(t *Ticket) float64 {
+	if m, ok := q.means[t.Route]; ok {
+		return m
+	}
+	if q.mean > 0 {
+		return q.mean
+	}
+	return unknownMillis
+}
+
+// least is the time below which the request would hardly end.
+func (q *Queue) least(t *Ticket) clock.Millis {
+	if _, measured := q.means[t.Route]; !measured {
+		return 0
+	}
+	return clock.Millis(q.expected(t) * shortest)
+}
+
+// waitOf is the expected wait of a ticket behind those that go before it.
+func (q *Queue) waitOf(t *Ticket) clock.Millis {
+	work := q.expected(t) / 2 // a slot is free after half of a request on average
+	for _, w := range q.waiting {
+		if before(w, t) {
+			work += q.expected(w)
+		}
+	}
+	return clock.Millis(work / float64(max(q.slots, 1)))
+}
+
+// before orders tickets that are alike in whether they are still in time.
+func before(a, b *Ticket) bool {
+	if a.Inner != b.Inner {
+		return a.Inner
+	}
+	if a.Rank != b.Rank {
+		return a.Rank < b.Rank
+	}
+	return a.order < b.order
+}
+
+// fill hands free slots to the best tickets, and refuses those that have become
+// hopeless.
+func (q *Queue) fill() {
+	now := q.clock.Now()
+	kept := q.waiting[:0]
+	for _, t := range q.waiting {
+		if now+q.least(t) > t.Deadline {
+			t.decide(TooLate)
+			continue
+		}
+		kept = append(kept, t)
+	}
+	clear(q.waiting[len(kept):])
+	q.waiting = kept
+	for q.running < q.slots && len(q.waiting) > 0 {
+		best := 0
+		for i := range q.waiting {
+			if q.better(q.waiting[i], q.waiting[best], now) {
+				best = i
+			}
+		}
+		t := q.waiting[best]
+		q.waiting = append(q.waiting[:best], q.waiting[best+1:]...)
+		q.running++
+		t.decide(Run)
+	}
+}
+
+func (q *Queue) better(a, b *Ticket, now clock.Millis) bool {
+	inTimeA, inTimeB := q.inTime(a, now), q.inTime(b, now)
+	if inTimeA != inTimeB {
+		return inTimeA
+	}
+	return before(a, b)
+}
+
+func (q *Queue) inTime(t *Ticket, now clock.Millis) bool {
+	return float64(now)+0.8*q.expected(t) <= float64(t.Aim)
+}
+
+func (t *Ticket) decide(v Verdict) {
+	t.verdict = v
+	close(t.decided)
+}
--- /dev/null
+++ b/internal/traffic/ingress/ingress.go
@@ -0,0 +1,558 @@
+// Package ingress is the caller's side of a request: it finds the route and the
+// target, forwards the request to the sidecar beside the target, and gives the
+// caller its whole answer or says truthfully what became of the request.
+//
+// The path of a request, from top to bottom: Serve reads it, run makes the attempts,
+// attempt sends one of them, and relay passes the answer on. What may be repeated:
+//
+//   - A request that has not reached a target may go to another one at any time.
+//   - One that a target rejected, or a repeatable one without a valid answer, goes
+//     out again within the route's attempts and the budget of retries that all
+//     sidecars share.
+//   - Any other is never sent again.
+//
+// # Usage
+//
+//	in := ingress.New(ingress.Options{...})
+//	http.Server{Handler: in}
+package ingress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/gentiansail/gentiansail/internal/coordination/message"
+	"github.com/gentiansail/gentiansail/internal/exchange"
+	"github.com/gentiansail/gentiansail/internal/process"
+	"github.com/gentiansail/gentiansail/internal/traffic/gate"
+	"github.com/gentiansail/gentiansail/internal/traffic/hop"
+	"github.com/gentiansail/gentiansail/internal/traffic/placement"
+	"github.com/gentiansail/gentiansail/internal/traffic/view"
+	"github.com/gentiansail/gentiansail/pkg/clock"
+	"github.com/gentiansail/gentiansail/pkg/retry"
+)
+
+const (
+	// memoryBody is the longest body that is kept for another attempt. Longer ones
+	// are streamed and sent once.
+	memoryBody = 64 << 10
+	// ownerWait bounds how long a request waits for keys that are changing hands, a
+	// matter of about 100 ms.
+	ownerWait clock.Millis = 250
+	// ownerPoll is the pause before a holder is asked again that has not heard of its
+	// new keys yet.
+	ownerPoll clock.Millis = 25
+	// ownerRetry is when a caller may come back whose key nobody holds. A lost holder
+	// is replaced within seconds.
+	ownerRetry clock.Millis = 400
+	// defaultPatience is the time for a request that states none.
+	defaultPatience clock.Millis = 30_000
+	// maxPlaces bounds the targets that are asked for a free slot.
+	maxPlaces = 3
+	// extraShare is the part of the deployment's allowance of extra retries that is
+	// divided among the sidecars.
+	extraShare = 0.5
+	// ratioShare is the part of the allowed ratio that this sidecar uses of its own
+	// requests. Calls that a repeated request makes again count at another service.
+	ratioShare = 0.4
+)
+
+// Options configure an Ingress.
+type Options struct {
+	Names   hop.Names
+	Service message.ServiceName // of the host's own target
+	Host    message.HostName
+	Domain  message.FailureDomain
+	Clock   clock.Clock
+	Book    *view.Book
+	// Gate is that of the host's own target.
+	Gate *gate.Gate
+	// Own is the peer address of this host.
+	Own  message.Address
+	Pool *exchange.Pool
+	// RetryRatio and ExtraRetries are the deployment's bounds, over all sidecars.
+	RetryRatio   float64
+	ExtraRetries int
+	Log          zerolog.Logger
+	Budget       *process.LineBudget
+	Count        func(route, service string, reason hop.Reason, status int, took clock.Millis)
+}
+
+// Ingress serves the callers of one host.
+type Ingress struct {
+	o     Options
+	table *placement.Table
+
+	mu      sync.Mutex
+	budgets map[message.ServiceName]*retry.Budget
+}
+
+// New returns an Ingress.
+func New(o Options) *Ingress {
+	return &Ingress{o: o, table: placement.New(o.Clock, o.Domain, rand.Float64), budgets: map[message.ServiceName]*retry.Budget{}}
+}
+
+// request is one request of a caller.
+type request struct {
+	id       string
+	route    *message.Route
+	service  message.ServiceName
+	keyed    bool
+	key      int
+	begun    clock.Millis
+	deadline clock.Millis
+	aim      clock.Millis
+	header   http.Header
+	body     []byte
+	stream   io.Reader // the rest of a long body
+	length   int64
+	print    string
+	inner    bool
+	// sent counts the targets that the request may have reached.
+	sent  int
+	trail []string
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	begun := g.o.Clock.Now()
+	v := g.o.Book.Current()
+	if v == nil {
+		g.finish(w, r, &request{begun: begun}, gate.Refuse(hop.NoView, ownerRetry))
+		return
+	}
+	q, reason := g.read(w, r, v, begun)
+	if reason != "" {
+		g.finish(w, r, q, gate.Refuse(reason, 0))
+		return
+	}
+	if v.Quarantined(q.print) {
+		g.finish(w, r, q, gate.Refuse(hop.Quarantined, 0))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), (q.deadline - g.o.Clock.Now()).Duration())
+	defer cancel()
+	for {
+		a := g.run(ctx, r, q)
+		if again := g.relay(w, r, q, a); !again {
+			return
+		}
+		if !g.mayRepeat(ctx, q) {
+			g.finish(w, r, q, a)
+			return
+		}
+	}
+}
+
+// read takes in a request and finds its route.
+func (g *Ingress) read(w http.ResponseWriter, r *http.Request, v *view.View, begun clock.Millis) (*request, hop.Reason) {
+	q := &request{id: r.Header.Get(g.o.Names.RequestID), begun: begun, key: hop.NoKey, length: r.ContentLength}
+	host, _, _ := strings.Cut(r.Host, ":")
+	q.route = v.Match(host, r.URL.Path)
+	if q.route == nil {
+		return q, hop.NoRoute
+	}
+	q.service = split(q.route, rand.Float64())
+	if s, _ := v.Service(q.service); s.Keyed {
+		k, err := strconv.Atoi(r.Header.Get(g.o.Names.Key))
+		if err == nil && k >= 0 && k <= 65535 {
+			q.key = k
+		}
+		q.keyed = true
+	}
+	patience := defaultPatience
+	if n, err := strconv.Atoi(r.Header.Get(g.o.Names.LeftMillis)); err == nil && n >= 0 {
+		patience = clock.Millis(n)
+	}
+	if t := clock.Millis(q.route.TimeoutMillis); t > 0 {
+		patience = min(patience, t)
+	}
+	q.deadline = begun + patience
+	q.aim = begun + clock.Millis(q.route.TargetLatencyMillis)
+	if q.route.TargetLatencyMillis == 0 {
+		q.aim = q.deadline
+	}
+	remote, _, _ := strings.Cut(r.RemoteAddr, ":")
+	own, _, _ := strings.Cut(string(g.o.Own), ":")
+	q.inner = remote == own && r.Header.Get(g.o.Names.Key) == ""
+	q.header = endToEnd(r.Header)
+	q.header[textproto.CanonicalMIMEHeaderKey(g.o.Names.CallerService)] = []string{string(g.o.Service)}
+	delete(q.header, textproto.CanonicalMIMEHeaderKey(g.o.Names.Instance))
+	if reason := g.readBody(w, r, q); reason != "" {
+		return q, reason
+	}
+	q.print = fingerprint(r, q, g.o.Service)
+	return q, ""
+}
+
+// split chooses a service of a route by weight.
+func split(r *message.Route, at float64) message.ServiceName {
+	sum := 0.0
+	for _, p := range r.Splits {
+		sum += p.Weight
+	}
+	at *= sum
+	for _, p := range r.Splits {
+		if at -= p.Weight; at < 0 && p.Weight > 0 {
+			return p.Service
+		}
+	}
+	for _, p := range r.Splits {
+		if p.Weight > 0 {
+			return p.Service
+		}
+	}
+	return ""
+}
+
+// readBody reads a short body into memory and leaves a long one to be streamed.
+func (g *Ingress) readBody(w http.ResponseWriter, r *http.Request, q *request) hop.Reason {
+	if r.ContentLength == 0 {
+		return ""
+	}
+	b, err := io.ReadAll(io.LimitReader(r.Body, memoryBody))
+	if err != nil {
+		return hop.CallerLeft
+	}
+	q.body = b
+	if len(b) < memoryBody {
+		q.length = int64(len(b))
+		return ""
+	}
+	// A target may answer before it has read a long body; the rest is read on.
+	if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
+		return hop.BadRequest
+	}
+	q.stream = r.Body
+	return ""
+}
+
+// fingerprint identifies a request by its content, so that one that crashes
+// targets is known when it comes again.
+func fingerprint(r *http.Request, q *request, caller message.ServiceName) string {
+	h := xxhash.New()
+	for _, s := range []string{r.Method, "\x00", r.Host, "\x00", r.RequestURI, "\x00", string(caller), "\x00"} {
+		_, _ = h.WriteString(s)
+	}
+	_, _ = h.Write(q.body)
+	return strconv.FormatUint(h.Sum64(), 16)
+}
+
+// hopByHop fields concern one connection only.
+var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"}
+
+// endToEnd returns a copy of the fields without those of one connection.
+func endToEnd(h http.Header) http.Header {
+	out := make(http.Header, len(h)+4)
+	for k, v := range h {
+		out[k] = v
+	}
+	for _, line := range h["Connection"] {
+		for _, name := range strings.Split(line, ",") {
+			delete(out, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(out, name)
+	}
+	return out
+}
+
+// run makes attempts until there is an answer to pass on.
+func (g *Ingress) run(ctx context.Context, r *http.Request, q *request) *gate.Answer {
+	g.budget(q.service).Deposit()
+	tried := map[message.InstanceID]bool{}
+	waitUntil := min(q.begun+ownerWait, q.begun+(q.deadline-q.begun)/3)
+	for places := 0; ; {
+		v := g.o.Book.Current()
+		changed := g.o.Book.Changed()
+		i, reason := g.choose(v, q, tried)
+		if reason == hop.NoOwner && g.await(ctx, changed, waitUntil, ownerWait) {
+			continue
+		}
+		if reason != "" {
+			return gate.Refuse(reason, ownerRetry)
+		}
+		a := g.attempt(ctx, r, q, i)
+		q.trail = append(q.trail, string(i.Lifetime.ID)+":"+string(a.Reason))
+		switch {
+		case a.Reason == "":
+			return a
+		case a.Arrived:
+			if !(a.Reason.NotRun() || q.route.Repeatable) || !g.mayRepeat(ctx, q) {
+				return a
+			}
+			if !q.keyed {
+				tried[i.Lifetime.ID] = len(tried)+1 < len(v.Instances(q.service))
+			}
+		case q.keyed && (a.Reason == hop.NotOwner || a.Reason == hop.NoTarget):
+			if !g.await(ctx, changed, waitUntil, ownerPoll) {
+				a.RetryMillis = ownerRetry
+				return a
+			}
+		case q.keyed || q.stream != nil:
+			return a
+		default:
+			tried[i.Lifetime.ID] = true
+			if places++; places >= maxPlaces {
+				return a
+			}
+			if _, left := g.choose(v, q, tried); left != "" {
+				return a
+			}
+		}
+	}
+}
+
+// await waits for a newer view, at most for a while. It returns false when there is
+// no time left for waiting.
+func (g *Ingress) await(ctx context.Context, changed <-chan struct{}, until, most clock.Millis) bool {
+	left := min(until-g.o.Clock.Now(), most)
+	if left <= 0 || ctx.Err() != nil {
+		return false
+	}
+	timed, cancel := context.WithTimeout(ctx, left.Duration())
+	defer cancel()
+	select {
+	case <-changed:
+	case <-timed.Done():
+	}
+	return ctx.Err() == nil
+}
+
+// choose returns the target of the next attempt.
+func (g *Ingress) choose(v *view.View, q *request, tried map[message.InstanceID]bool) (message.Instance, hop.Reason) {
+	if q.keyed && q.key != hop.NoKey {
+		i, ok := v.Owner(q.service, message.Key(q.key))
+		if !ok {
+			return message.Instance{}, hop.NoOwner
+		}
+		return i, ""
+	}
+	i, ok := g.table.Choose(v.Instances(q.service), tried)
+	if !ok {
+		return message.Instance{}, hop.NoTarget
+	}
+	return i, ""
+}
+
+// mayRepeat reports whether a request that may have reached a target may go out
+// again.
+func (g *Ingress) mayRepeat(ctx context.Context, q *request) bool {
+	if ctx.Err() != nil || q.stream != nil || q.sent >= max(q.route.MaxAttempts, 1) {
+		return false
+	}
+	return g.budget(q.service).Withdraw()
+}
+
+func (g *Ingress) budget(name message.ServiceName) *retry.Budget {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.budgets[name]
+	if b == nil {
+		sidecars := max(1, g.o.Book.Current().Count())
+		b = retry.NewBudget(retry.Options{
+			Ratio:    max(g.o.RetryRatio*ratioShare, 0.001),
+			Capacity: max(1, int(float64(g.o.ExtraRetries)*extraShare)/sidecars),
+		})
+		g.budgets[name] = b
+	}
+	return b
+}
+
+// attempt sends a request to the sidecar beside a target, or to the host's own.
+func (g *Ingress) attempt(ctx context.Context, r *http.Request, q *request, i message.Instance) *gate.Answer {
+	now := g.o.Clock.Now()
+	j := &gate.Job{
+		Request: hop.Request{
+			Service: q.service, Route: q.route.Name, LeftMillis: q.deadline - now, AimMillis: q.aim - now,
+			Rank: q.route.Rank, Inner: q.inner, Repeatable: q.route.Repeatable, Key: q.key, Fingerprint: q.print,
+		},
+		ID: q.id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: q.header.Clone(), Length: q.length,
+	}
+	if q.stream != nil {
+		j.Body = io.NopCloser(io.MultiReader(strings.NewReader(string(q.body)), q.stream))
+	} else if len(q.body) > 0 {
+		j.Body = exchange.Body(q.body)
+	}
+	g.table.Sent(i.Lifetime.ID)
+	var a *gate.Answer
+	if i.Peer == g.o.Own {
+		a = g.o.Gate.Do(ctx, j)
+	} else {
+		a = g.forward(ctx, j, i.Peer)
+	}
+	if a.Arrived {
+		q.sent++
+	}
+	g.note(i.Lifetime.ID, a)
+	return a
+}
+
+// note tells the table how an attempt ended.
+func (g *Ingress) note(id message.InstanceID, a *gate.Answer) {
+	switch a.Reason {
+	case hop.Unreachable, hop.NoTarget, hop.Stopping:
+		g.table.Failed(id, true)
+	case hop.Lost:
+		g.table.Failed(id, a.Load == hop.Load{})
+	case hop.Expired, hop.CallerLeft:
+		g.table.Failed(id, false)
+	default:
+		g.table.Answered(id, a.Load)
+	}
+}
+
+// forward sends a job to another host.
+func (g *Ingress) forward(ctx context.Context, j *gate.Job, peer message.Address) *gate.Answer {
+	j.Header.Del(g.o.Names.LeftMillis)
+	j.Request.Set(j.Header)
+	r, err := gate.NewRequest(j, string(peer))
+	if err != nil {
+		return gate.Refuse(hop.BadRequest, 0)
+	}
+	a := &gate.Answer{}
+	response, err := g.o.Pool.Do(ctx, exchange.Request{
+		Address: string(peer), HTTP: r, RequestID: j.ID, IDField: g.o.Names.RequestID,
+		Silence: bodySilence, BodySilence: true,
+		OnSilence: func(started bool, _ int64) bool {
+			if started {
+				a.Paused()
+			}
+			return true
+		},
+	})
+	if err != nil {
+		return g.hopFailed(ctx, err)
+	}
+	reply, ok := hop.ParseReply(response.Header)
+	if !ok {
+		_ = response.Body.Close()
+		return &gate.Answer{Reply: hop.Reply{Reason: hop.Lost}, Arrived: true}
+	}
+	a.Reply, a.Status, a.Header, a.Length, a.Body = reply, response.StatusCode, response.Header, response.ContentLength, response.Body
+	a.Arrived = reply.Reason == "" || !reply.Reason.NotRun() || reply.Reason == hop.Rejected
+	if reply.Reason != "" {
+		_ = response.Body.Close()
+		a.Body = nil
+	}
+	return a
+}
+
+// bodySilence is the pause of a body after which what has arrived is passed on.
+const bodySilence clock.Millis = 60
+
+func (g *Ingress) hopFailed(ctx context.Context, err error) *gate.Answer {
+	switch {
+	case exchange.ProgressOf(err) == exchange.NotSent:
+		return gate.Refuse(hop.Unreachable, 0)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return &gate.Answer{Reply: hop.Reply{Reason: hop.Expired}, Arrived: true}
+	case ctx.Err() != nil:
+		return &gate.Answer{Reply: hop.Reply{Reason: hop.CallerLeft}, Arrived: true}
+	}
+	return &gate.Answer{Reply: hop.Reply{Reason: hop.Lost}, Arrived: true}
+}
+
+// relay passes an answer on. It returns true if the answer broke off before the
+// caller got any of it and the request is repeatable.
+func (g *Ingress) relay(w http.ResponseWriter, r *http.Request, q *request, a *gate.Answer) (again bool) {
+	defer a.Close()
+	if a.Reason != "" {
+		g.finish(w, r, q, a)
+		return false
+	}
+	committed, err := gate.Relay(w, a, nil)
+	if err == nil {
+		g.count(q, a, a.Status)
+		return false
+	}
+	a.Reason = hop.Lost
+	if r.Context().Err() != nil {
+		a.Reason = hop.CallerLeft
+	}
+	if committed {
+		g.log(q, a, 0)
+		// What the caller got must not look complete.
+		panic(http.ErrAbortHandler)
+	}
+	if a.Reason == hop.Lost && q.route.Repeatable {
+		return true
+	}
+	g.finish(w, r, q, a)
+	return false
+}
+
+var statusOf = map[hop.Reason]int{
+	hop.NoRoute: http.StatusNotFound, hop.BadRequest: http.StatusBadRequest,
+	hop.Lost: http.StatusBadGateway, hop.Expired: http.StatusGatewayTimeout,
+}
+
+// finish answers a request in the system's own name.
+func (g *Ingress) finish(w http.ResponseWriter, r *http.Request, q *request, a *gate.Answer) {
+	status, ok := statusOf[a.Reason]
+	if !ok {
+		status = http.StatusServiceUnavailable
+	}
+	g.log(q, a, status)
+	if a.Reason == hop.CallerLeft || r.Context().Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	h := w.Header()
+	h.Set(g.o.Names.RequestID, q.id)
+	if status == http.StatusServiceUnavailable && a.Reason != hop.Late {
+		h.Set("Retry-After", strconv.FormatFloat(float64(max(a.RetryMillis, 20))/1000, 'f', 3, 64))
+	}
+	h.Set("Content-Type", "text/plain")
+	text := "gentiansail: " + string(a.Reason) + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, text)
+}
+
+// log writes the line of a request that the target did not answer.
+func (g *Ingress) log(q *request, a *gate.Answer, status int) {
+	g.count(q, a, status)
+	skipped, ok := g.o.Budget.Allow("request " + string(a.Reason))
+	if !ok {
+		return
+	}
+	e := g.o.Log.Info().Str("Event", "request").Str("Request", q.id).Str("Reason", string(a.Reason)).Int("Status", status).
+		Int64("TookMillis", int64(g.o.Clock.Now()-q.begun)).Int("Sent", q.sent).Strs("Attempts", q.trail).Int("Key", q.key).Bool("Inner", q.inner)
+	if q.route != nil {
+		e = e.Str("Route", q.route.Name).Str("Service", string(q.service)).Int64("PatienceMillis", int64(q.deadline-q.begun)).Bool("Repeatable", q.route.Repeatable)
+	}
+	if v := g.o.Book.Current(); v != nil {
+		e = e.Int("View", int(v.Version)).Int("Configuration", v.Revision)
+	}
+	e.Int("Running", a.Load.Running).Int("Waiting", a.Load.Waiting).Int64("RetryMillis", int64(a.RetryMillis)).Int("Skipped", skipped).Msg("request ended without an answer of a target")
+}
+
+func (g *Ingress) count(q *request, a *gate.Answer, status int) {
+	if g.o.Count == nil {
+		return
+	}
+	route := ""
+	if q.route != nil {
+		route = q.route.Name
+	}
+	g.o.Count(route, string(q.service), a.Reason, status, g.o.Clock.Now()-q.begun)
+}
+
+// Forget drops what is known of targets that are not in the view any more.
+func (g *Ingress) Forget(v *view.View) {
+	g.table.Keep(func(id message.InstanceID) bool {
+		_, ok := v.Instance(id)
+		return ok
+	})
+}
--- /dev/null
+++ b/internal/traffic/placement/placement.go
@@ -0,0 +1,193 @@
+// Package placement chooses the target of a request to a service that is not
+// divided by key.
+//
+// Each sidecar decides on its own, from what the sidecars beside the targets say of
+// their load in each answer and from its own requests that are still out. Evidence
+// from requests goes before what a target says of itself: one that could not be
+// reached is left alone for a while and then tried by one request at a time.
+//
+// The load it answers: targets of one service differ in speed by a factor of three,
+// and a burst fills the fast ones first. A target of the own failure domain is
+// preferred while it has room, since traffic between domains is slower and dear.
+//
+// # Usage
+//
+//	t := placement.New(clock.System(), "dsm-a", rand.Float64)
+//	i, ok := t.Choose(instances, tried)
+//	t.Sent(i.Lifetime.ID)
+//	t.Answered(i.Lifetime.ID, load)
+package placement
+
+import (
+	"sync"
+
+	"github.com/gentiansail/gentiansail/internal/coordination/message"
+	"github.com/gentiansail/gentiansail/internal/traffic/hop"
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+const (
+	// unknownServiceMillis is the assumed time at a target that has not answered yet,
+	// until another of the service is known.
+	unknownServiceMillis = 50
+	// staleAfter is the age after which a report of load says little.
+	staleAfter clock.Millis = 1000
+	// foreignShare is the part of the mean service time that a target of another
+	// failure domain has to be faster by.
+	foreignShare = 0.3
+	// firstPause and longestPause bound how long a target that failed is left alone;
+	// the pause doubles with each failure.
+	firstPause   clock.Millis = 300
+	longestPause clock.Millis = 2000
+	// jitter spreads equal choices of many sidecars.
+	jitter = 0.1
+)
+
+// Table holds what one sidecar knows of the targets.
+type Table struct {
+	clock  clock.Clock
+	domain message.FailureDomain
+	random func() float64
+
+	mu      sync.Mutex
+	targets map[message.InstanceID]*target
+}
+
+type target struct {
+	load hop.Load
+	// at is when the load was reported; 0 if never.
+	at clock.Millis
+	// out are own requests without an answer; outThen is their number when the load
+	// was reported, of which the report knows.
+	out, outThen int
+	failures     int
+	until        clock.Millis
+}
+
+// New returns a table that knows nothing. Random returns numbers in [0, 1).
+func New(k clock.Clock, domain message.FailureDomain, random func() float64) *Table {
+	return &Table{clock: k, domain: domain, random: random, targets: map[message.InstanceID]*target{}}
+}
+
+func (t *Table) of(id message.InstanceID) *target {
+	x := t.targets[id]
+	if x == nil {
+		x = &target{}
+		t.targets[id] = x
+	}
+	return x
+}
+
+// Usable reports whether a target takes new work and is not left alone at present.
+func (t *Table) Usable(i message.Instance) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !i.Draining && !i.Stopping && t.clock.Now() >= t.of(i.Lifetime.ID).until
+}
+
+// Choose returns the target with the least expected time, leaving out those that
+// were tried.
+func (t *Table) Choose(all []message.Instance, tried map[message.InstanceID]bool) (message.Instance, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	mean := t.meanMillis(all)
+	var best message.Instance
+	least, found := 0.0, false
+	for _, i := range all {
+		x := t.of(i.Lifetime.ID)
+		if i.Draining || i.Stopping || tried[i.Lifetime.ID] || now < x.until {
+			continue
+		}
+		cost := t.cost(i, x, mean, now) * (1 + jitter*t.random())
+		if !found || cost < least {
+			best, least, found = i, cost, true
+		}
+	}
+	return best, found
+}
+
+func (t *Table) meanMillis(all []message.Instance) float64 {
+	sum, n := 0.0, 0.0
+	for _, i := range all {
+		if x := t.of(i.Lifetime.ID); x.load.ServiceMillis > 0 {
+			sum, n = sum+float64(x.load.ServiceMillis), n+1
+		}
+	}
+	if n == 0 {
+		return unknownServiceMillis
+	}
+	return sum / n
+}
+
+// cost is the expected time until the answer. A target that is nearly full is
+// dearer than its mean time: others fill it at the same moment.
+func (t *Table) cost(i message.Instance, x *target, mean float64, now clock.Millis) float64 {
+	took, busy := float64(x.load.ServiceMillis), float64(x.load.Running+x.load.Waiting)
+	if took == 0 {
+		took = mean
+	}
+	if now-x.at > staleAfter {
+		busy = 0
+	}
+	busy += float64(max(0, x.out-x.outThen))
+	if now-x.at > staleAfter {
+		busy = float64(x.out)
+	}
+	full := busy / float64(max(i.Slots, 1))
+	cost := took * (1 + full*full)
+	if full >= 1 {
+		cost = took * (1 + full)
+	}
+	if i.Domain != t.domain {
+		cost += mean * foreignShare
+	}
+	return cost
+}
+
+// Sent notes a request to a target.
+func (t *Table) Sent(id message.InstanceID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.of(id).out++
+}
+
+// Answered notes the end of a request and the load that came with it.
+func (t *Table) Answered(id message.InstanceID, l hop.Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x := t.of(id)
+	x.out--
+	x.load, x.at, x.outThen = l, t.clock.Now(), x.out
+	x.failures, x.until = 0, 0
+}
+
+// Failed notes the end of a request that brought no answer. A target that could not
+// be reached is left alone for a while.
+func (t *Table) Failed(id message.InstanceID, unreachable bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x := t.of(id)
+	x.out--
+	if !unreachable {
+		return
+	}
+	now := t.clock.Now()
+	if now < x.until {
+		return // others that were out failed for the same cause
+	}
+	pause := min(firstPause<<min(x.failures, 4), longestPause)
+	x.failures++
+	x.until = now + pause
+}
+
+// Keep forgets all targets but those given.
+func (t *Table) Keep(known func(message.InstanceID) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, x := range t.targets {
+		if x.out == 0 && !known(id) {
+			delete(t.targets, id)
+		}
+	}
+}
--- a/pkg/replog/admission.go
+++ b/pkg/replog/admission.go
@@ -58,3 +58,15 @@
 func (c *core) caughtUp(p *peer) bool {
 	return c.hears(p) && p.match >= c.lead.mark && p.match >= c.membershipIndex()
 }
+
+// removeSilent takes an identity out of the group on request. It has no effect if
+// the identity is no member, and waits for no earlier change: the caller asks again.
+func (c *core) removeSilent(m Member) error {
+	if c.lead == nil || c.lead.transfer.target != "" || !c.leadsWithCommit() || c.membershipIndex() > c.commit {
+		return merry.Wrap(ErrNotLeader)
+	}
+	if find(c.membership().all(), m.Identity) < 0 {
+		return nil
+	}
+	return c.remove(m)
+}
--- a/pkg/replog/replica.go
+++ b/pkg/replog/replica.go
@@ -203,6 +203,15 @@
 	})
 }
 
+// Remove takes an identity that does not answer out of the group. It is called on
+// the leader and returns when the change is in the log; the next change of members
+// waits until it is committed. Errors are ErrNotLeader, ErrStillAnswers and the
+// context's.
+func (r *Replica) Remove(ctx context.Context, m Member) error {
+	result := make(chan error, 1)
+	return r.ask(ctx, result, func(n *loop) { result <- n.engine.core.removeSilent(m) })
+}
+
 // TransferLeadership hands leadership to the voter that holds most of the log
 // and returns when this replica no longer leads. Errors are ErrNotLeader,
 // ErrTransfer and the context's.
