--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -18,6 +18,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
@@ -45,6 +46,8 @@
 	Settings settings.Host
 	Clock    clock.Clock
 	Log      zerolog.Logger
+	// Metrics takes the counters.
+	Metrics prometheus.Registerer
 }
 
 // Core is one replica.
@@ -54,6 +57,7 @@
 	quorum  *quorum.Quorum
 	machine *registry.Machine
 	book    *grant.Book
+	metrics *metrics
 	// ledTerm is the term for which the book was begun. The log shows a new term
 	// before it tells of it; in between, the book knows only earlier leases.
 	ledTerm atomic.Uint64
@@ -89,6 +93,7 @@
 		},
 		Clock: o.Clock, Log: o.Log, OnRole: c.onRole,
 	})
+	c.metrics = newMetrics(o.Metrics, c)
 	return c
 }
 
--- /dev/null
+++ b/internal/coordination/core/metrics.go
@@ -0,0 +1,47 @@
+package core
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
+
+// metrics counts the decisions of a replica.
+type metrics struct {
+	changes  *prometheus.CounterVec
+	checkIns *prometheus.CounterVec
+	keys     *prometheus.CounterVec
+}
+
+func newMetrics(r prometheus.Registerer, c *Core) *metrics {
+	f := promauto.With(r)
+	opts := func(name, help string) prometheus.Opts {
+		return prometheus.Opts{Namespace: "gentiansail", Subsystem: "core", Name: name, Help: help}
+	}
+	f.NewGaugeFunc(prometheus.GaugeOpts(opts("leads", "1 while this replica leads.")), func() float64 {
+		if c.leads() {
+			return 1
+		}
+		return 0
+	})
+	f.NewGaugeFunc(prometheus.GaugeOpts(opts("term", "Term of the log.")), func() float64 {
+		s, _ := c.quorum.Status()
+		return float64(s.Term)
+	})
+	f.NewGaugeFunc(prometheus.GaugeOpts(opts("applied_entries", "Index of the last entry applied.")), func() float64 {
+		s, _ := c.quorum.Status()
+		return float64(s.Applied)
+	})
+	return &metrics{
+		changes:  f.NewCounterVec(prometheus.CounterOpts(opts("changes_total", "Changes of the configuration by outcome.")), []string{"outcome"}),
+		checkIns: f.NewCounterVec(prometheus.CounterOpts(opts("check_ins_total", "Check-ins of targets by outcome.")), []string{"outcome"}),
+		keys:     f.NewCounterVec(prometheus.CounterOpts(opts("key_decisions_total", "Decisions about keys by kind.")), []string{"kind"}),
+	}
+}
+
+func (m *metrics) outcome(v *prometheus.CounterVec, err error) {
+	if err != nil {
+		v.WithLabelValues("error").Inc()
+		return
+	}
+	v.WithLabelValues("done").Inc()
+}
--- a/internal/coordination/core/operator.go
+++ b/internal/coordination/core/operator.go
@@ -30,6 +30,7 @@
 		return registry.Outcome{}, merry.Wrap(ErrTooFew)
 	}
 	out, err := c.propose(ctx, message.Command{Change: &change})
+	c.metrics.changes.WithLabelValues(outcomeName(out, err)).Inc()
 	c.log.Info().Err(err).Str("Event", "change").Int("Version", change.Version).Int("Base", change.Base).Str("Digest", change.Digest).
 		Int("Status", int(out.Status)).Str("Reason", out.Reason).Msg("operator's change")
 	return out, err
@@ -77,3 +78,15 @@
 	}
 	return netip.AddrPortFrom(leader.Addr(), own.Port()).String()
 }
+
+func outcomeName(out registry.Outcome, err error) string {
+	switch {
+	case err != nil:
+		return "unknown"
+	case out.Status == registry.Done:
+		return "accepted"
+	case out.Status == registry.Conflict:
+		return "conflict"
+	}
+	return "invalid"
+}
--- a/internal/coordination/core/ownership.go
+++ b/internal/coordination/core/ownership.go
@@ -34,6 +34,12 @@
 
 // checkIn answers what a target said of itself.
 func (c *Core) checkIn(ctx context.Context, in message.CheckIn) (message.CheckInReply, error) {
+	out, err := c.answerCheckIn(ctx, in)
+	c.metrics.outcome(c.metrics.checkIns, err)
+	return out, err
+}
+
+func (c *Core) answerCheckIn(ctx context.Context, in message.CheckIn) (message.CheckInReply, error) {
 	at := c.o.Clock.Now()
 	if err := c.requireLeader(); err != nil {
 		return message.CheckInReply{}, err
@@ -92,6 +98,11 @@
 	if !released && !taken && !began {
 		return nil
 	}
+	for kind, happened := range map[string]bool{"released": released, "taken": taken, "move": began} {
+		if happened {
+			c.metrics.keys.WithLabelValues(kind).Inc()
+		}
+	}
 	c.log.Info().Str("Event", "keys").Str("Service", string(name)).Str("Target", string(l.ID)).Bool("Released", released).Bool("Taken", taken).Bool("MoveBegan", began).
 		Str("Rows", describe(list)).Msg("keys change hands")
 	return c.setRows(ctx, name, rows, list)
@@ -307,6 +318,7 @@
 		return nil
 	}
 	c.log.Info().Str("Event", "target-expired").Str("Service", string(i.Service)).Str("Target", string(i.Lifetime.ID)).Int64("SilentMillis", int64(silent)).Bool("HeldKeys", holds).Msg("target has no lease any more")
+	c.metrics.keys.WithLabelValues("expired").Inc()
 	l := i.Lifetime
 	_, err := c.propose(ctx, message.Command{Expire: &l})
 	return err
--- a/internal/integration/mesh/harness_test.go
+++ b/internal/integration/mesh/harness_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"github.com/gentiansail/gentiansail/internal/coordination/core"
@@ -73,7 +74,7 @@
 	}
 	for i := range replicas {
 		ip := fmt.Sprintf("127.0.2.%d", i+1)
-		c := core.New(core.Options{Clock: clock.System(), Log: zerolog.Nop(), Settings: settings.Host{
+		c := core.New(core.Options{Clock: clock.System(), Log: zerolog.Nop(), Metrics: prometheus.NewRegistry(), Settings: settings.Host{
 			Name: fmt.Sprintf("core-%d", i), FailureDomain: "a", IP: ip, PeerPort: s.peerPort, Listen: settings.HostListeners{Control: s.seeds[i]},
 			Seeds: s.seeds[:min(3, replicas)], FirstStart: true, DataFolder: t.TempDir(), TolerateHosts: (replicas - 1) / 2,
 		}})
@@ -164,7 +165,7 @@
 		Target: settings.HostTarget{Address: at.Addr().String(), Service: string(service)},
 		Bounds: settings.HostBounds{RetryRatio: 0.2, ExtraRetries: 64},
 	}
-	h.sidecar = sidecar.New(sidecar.Options{Settings: o, Names: names, Clock: clock.System(), Log: zerolog.Nop()})
+	h.sidecar = sidecar.New(sidecar.Options{Settings: o, Names: names, Clock: clock.System(), Log: zerolog.Nop(), Metrics: prometheus.NewRegistry()})
 	ctx, cancel := context.WithCancel(s.ctx)
 	h.stop = cancel
 	l := sidecar.Listeners{Callers: callers, Readiness: listen(s.t, ip+":0"), Control: listen(s.t, ip+":0"), Peers: listen(s.t, fmt.Sprintf("%s:%d", ip, s.peerPort))}
--- a/internal/traffic/sidecar/sidecar.go
+++ b/internal/traffic/sidecar/sidecar.go
@@ -22,6 +22,7 @@
 	"syscall"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
@@ -77,7 +78,8 @@
 	Names    hop.Names
 	Clock    clock.Clock
 	Log      zerolog.Logger
-	Count    func(route, service string, reason hop.Reason, status int, took clock.Millis)
+	// Metrics takes the counters.
+	Metrics prometheus.Registerer
 }
 
 // Listeners are the open sockets of a sidecar.
@@ -119,7 +121,7 @@
 		Names: o.Names, Service: message.ServiceName(o.Settings.Target.Service), Host: message.HostName(o.Settings.Name),
 		Domain: message.FailureDomain(o.Settings.FailureDomain), Clock: o.Clock, Book: s.book, Gate: s.gate, Own: s.address(),
 		Pool: s.peers, RetryRatio: o.Settings.Bounds.RetryRatio, ExtraRetries: o.Settings.Bounds.ExtraRetries,
-		Log: o.Log, Budget: process.NewLineBudget(o.Clock, linesPerSecond), Count: o.Count,
+		Log: o.Log, Budget: process.NewLineBudget(o.Clock, linesPerSecond), Count: newMetrics(o.Metrics, s).count,
 	})
 	return s
 }
