ownership, admission: spread keys of one target to several at once

A target gave keys to one other at a time, since it checks in each 870 ms; and after the final power loss the first keys were granted 2.7 s after the leader was there, a wait meant for the first start.

Ruled out: processor time of sidecars (0.08 of a core at most) and stale leaders (the one that thawed tried to expire targets and was refused by its log, as designed).

Change: all targets that check in before the overloaded one does may take keys of it, which it then releases together. Keys that nobody holds wait for one heartbeat only. In the queue, requests of a rank go by the end of their objective, which puts short calls of other targets first; the mark for such calls is gone, as they cannot be told from callers' requests.

Left: the 4 s after the final power loss.

--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -113,7 +113,7 @@
 // onRole is called by the log's loop and must not wait: the book is locked for
 // moments only, and the plans are forgotten by the planner.
 func (c *Core) onRole(r replog.Role, t replog.Term) {
-	c.log.Info().Str("Event", "role").Str("Role", r.String()).Uint64("Term", uint64(t)).Msg("role changed")
+	c.log.Info().Str("Event", "role").Str("LogRole", r.String()).Uint64("Term", uint64(t)).Msg("role changed")
 	if r == replog.Leader {
 		c.book.Lead()
 		c.ledTerm.Store(uint64(t))
--- a/internal/coordination/core/ownership.go
+++ b/internal/coordination/core/ownership.go
@@ -14,15 +14,18 @@
 const (
 	// planEvery is how often the leader looks for what has expired.
 	planEvery clock.Millis = 100
-	// settleTime is how long the leader waits for more targets of a service whose
-	// keys nobody has held yet, so that the first does not get them all.
-	settleTime clock.Millis = 2500
+	// settleMargin beyond one interval of check-ins is how long the leader waits for
+	// more targets of a service whose keys nobody holds, so that the first does not
+	// get them all.
+	settleMargin clock.Millis = 150
+	// defaultHeartbeat is that interval where the settings state none.
+	defaultHeartbeat clock.Millis = 1000
 	// parkTime is how long the answer to a check-in may wait for keys that are about
 	// to be released to its target. Targets wait 1 s for an answer.
 	parkTime clock.Millis = 800
 	// handOverWindow is within which time the holder must check in for a move to
 	// begin, so that the next holder's check-in is still waiting when it releases.
-	handOverWindow clock.Millis = 650
+	handOverWindow clock.Millis = 750
 	// moveUnaligned is after which time a wanted move begins in any case.
 	moveUnaligned clock.Millis = 1500
 	// vacateUnaligned is the same for a target that leaves; it takes no new work 2 s
@@ -160,7 +163,7 @@
 }
 
 // settled reports whether keys may be given out: at once if anybody holds some,
-// else after settleTime.
+// else after all targets have had time to check in.
 func (c *Core) settled(name message.ServiceName, rows registry.Rows) bool {
 	for _, r := range rows.List {
 		if r.Holder.ID != "" {
@@ -173,7 +176,14 @@
 		c.firstSeen[name] = now
 		return false
 	}
-	return now-first >= settleTime
+	return now-first >= c.heartbeat()+settleMargin
+}
+
+func (c *Core) heartbeat() clock.Millis {
+	if h := c.o.Settings.HeartbeatMillis; h > 0 {
+		return h
+	}
+	return defaultHeartbeat
 }
 
 // begin starts a planned move to a target, if the holder is about to check in.
--- a/internal/ownership/keyrange/keyrange.go
+++ b/internal/ownership/keyrange/keyrange.go
@@ -142,13 +142,13 @@
 )
 
 // Overloaded returns the server with the most load for its capacity, if that is far
-// above its share and no keys of it are on their way already.
+// above its share. Keys that are on their way count for their next holder.
 func Overloaded(rows []message.Row, l *Loads, servers []Server) (message.Lifetime, bool) {
 	has, due := shares(rows, l, servers)
 	var from message.Lifetime
 	most := moveAbove
 	for _, s := range servers {
-		if due[s.Lifetime] <= 0 || leavesRow(rows, s.Lifetime) {
+		if due[s.Lifetime] <= 0 {
 			continue
 		}
 		if ratio := has[s.Lifetime] / due[s.Lifetime]; ratio > most {
@@ -158,15 +158,6 @@
 	return from, from.ID != ""
 }
 
-func leavesRow(rows []message.Row, l message.Lifetime) bool {
-	for _, r := range rows {
-		if r.Holder == l && r.Next.ID != "" {
-			return true
-		}
-	}
-	return false
-}
-
 // RebalanceTo marks one range of an overloaded server for a planned move to another
 // that has room.
 func RebalanceTo(rows []message.Row, l *Loads, servers []Server, from, to message.Lifetime) ([]message.Row, bool) {
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -7,9 +7,10 @@
 //
 // The load it answers is a burst or a slow target: more work arrives than the
 // slots can do. Requests that can still be answered within their latency objective
-// go before those that cannot, calls of requests that already run go before new
-// requests, and more urgent routes go first. A request that cannot end before its
-// deadline is refused when it arrives, or as soon as that becomes clear.
+// go before those that cannot, more urgent routes go first, and within a rank the
+// request whose objective ends first: short calls that another target waits for have
+// the tightest ones. A request that cannot end before its deadline is refused when it
+// arrives, or as soon as that becomes clear.
 //
 // # Usage
 //
@@ -65,7 +66,6 @@
 type Ticket struct {
 	Route    string
 	Rank     int
-	Inner    bool
 	Deadline clock.Millis
 	// Aim is the time until which an answer has its full worth.
 	Aim clock.Millis
@@ -228,12 +228,12 @@
 
 // before orders tickets that are alike in whether they are still in time.
 func before(a, b *Ticket) bool {
-	if a.Inner != b.Inner {
-		return a.Inner
-	}
 	if a.Rank != b.Rank {
 		return a.Rank < b.Rank
 	}
+	if a.Aim != b.Aim {
+		return a.Aim < b.Aim
+	}
 	return a.order < b.order
 }
 
--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -209,7 +209,7 @@
 		return Refuse(reason, 0)
 	}
 	g.count(j)
-	t := &admission.Ticket{Route: j.Route, Rank: j.Rank, Inner: j.Inner, Deadline: start + j.LeftMillis, Aim: start + j.AimMillis}
+	t := &admission.Ticket{Route: j.Route, Rank: j.Rank, Deadline: start + j.LeftMillis, Aim: start + j.AimMillis}
 	if a := g.admit(ctx, t); a != nil {
 		return a
 	}
--- a/internal/traffic/hop/hop.go
+++ b/internal/traffic/hop/hop.go
@@ -44,9 +44,7 @@
 	LeftMillis clock.Millis
 	AimMillis  clock.Millis
 	// Rank is that of the route; 0 is the most urgent.
-	Rank int
-	// Inner marks a call made by a target while it runs a request.
-	Inner      bool
+	Rank       int
 	Repeatable bool
 	// Key is NoKey or the key of the request.
 	Key int
@@ -56,14 +54,11 @@
 
 // Set writes the fields.
 func (q Request) Set(h http.Header) {
-	flags := 0
-	if q.Inner {
-		flags |= 1
-	}
+	repeatable := 0
 	if q.Repeatable {
-		flags |= 2
+		repeatable = 1
 	}
-	h[requestField] = []string{fmt.Sprintf("%s %s %d %d %d %d %d %s", q.Service, q.Route, q.LeftMillis, q.AimMillis, q.Rank, flags, q.Key, q.Fingerprint)}
+	h[requestField] = []string{fmt.Sprintf("%s %s %d %d %d %d %d %s", q.Service, q.Route, q.LeftMillis, q.AimMillis, q.Rank, repeatable, q.Key, q.Fingerprint)}
 }
 
 // Parse reads the fields of Set and removes them.
@@ -83,7 +78,7 @@
 	}
 	return Request{
 		Service: message.ServiceName(parts[0]), Route: parts[1], LeftMillis: clock.Millis(n[0]), AimMillis: clock.Millis(n[1]),
-		Rank: n[2], Inner: n[3]&1 != 0, Repeatable: n[3]&2 != 0, Key: n[4], Fingerprint: parts[7],
+		Rank: n[2], Repeatable: n[3] != 0, Key: n[4], Fingerprint: parts[7],
 	}, nil
 }
 
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -117,7 +117,6 @@
 	stream   io.Reader // the rest of a long body
 	length   int64
 	print    string
-	inner    bool
 	// sent counts the targets that the request may have reached.
 	sent  int
 	trail []string
@@ -182,9 +181,6 @@
 	if q.route.TargetLatencyMillis == 0 {
 		q.aim = q.deadline
 	}
-	remote, _, _ := strings.Cut(r.RemoteAddr, ":")
-	own, _, _ := strings.Cut(string(g.o.Own), ":")
-	q.inner = remote == own && r.Header.Get(g.o.Names.Key) == ""
 	q.header = endToEnd(r.Header)
 	q.header[textproto.CanonicalMIMEHeaderKey(g.o.Names.CallerService)] = []string{string(g.o.Service)}
 	delete(q.header, textproto.CanonicalMIMEHeaderKey(g.o.Names.Instance))
@@ -376,7 +372,7 @@
 	j := &gate.Job{
 		Request: hop.Request{
 			Service: q.service, Route: q.route.Name, LeftMillis: q.deadline - now, AimMillis: q.aim - now,
-			Rank: q.route.Rank, Inner: q.inner, Repeatable: q.route.Repeatable, Key: q.key, Fingerprint: q.print,
+			Rank: q.route.Rank, Repeatable: q.route.Repeatable, Key: q.key, Fingerprint: q.print,
 		},
 		ID: q.id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: q.header.Clone(), Length: q.length,
 	}
@@ -528,7 +524,7 @@
 		return
 	}
 	e := g.o.Log.Info().Str("Event", "request").Str("Request", q.id).Str("Reason", string(a.Reason)).Int("Status", status).
-		Int64("TookMillis", int64(g.o.Clock.Now()-q.begun)).Int("Sent", q.sent).Strs("Attempts", q.trail).Int("Key", q.key).Bool("Inner", q.inner)
+		Int64("TookMillis", int64(g.o.Clock.Now()-q.begun)).Int("Sent", q.sent).Strs("Attempts", q.trail).Int("Key", q.key)
 	if q.route != nil {
 		e = e.Str("Route", q.route.Name).Str("Service", string(q.service)).Int64("PatienceMillis", int64(q.deadline-q.begun)).Bool("Repeatable", q.route.Repeatable)
 	}
