core: the answer to an overloaded target waits for one that has room

A move began well only if the holder checked in within 750 ms after the next one, which holds for half of the pairs; for the others callers of a busy range waited up to a cycle for the new holder. Ruled out: the planner (the moves it chose were right) and the targets' speed.

Change: the check-in of an overloaded target is answered up to 0.8 s later if another one that has room is about to check in. Each pair then meets from one side or the other.

--- a/internal/coordination/core/ownership.go
+++ b/internal/coordination/core/ownership.go
@@ -65,6 +65,7 @@
 	if err := c.decide(ctx, in); err != nil {
 		return message.CheckInReply{}, err
 	}
+	c.parkHolder(ctx, in.Instance, at+parkTime)
 	c.park(ctx, in.Instance, at+parkTime)
 	return c.reply(in.Instance, at), nil
 }
@@ -211,7 +212,7 @@
 	if _, waits := c.wanted[name]; !waits {
 		c.wanted[name] = now
 	}
-	if late := now-c.wanted[name] > moveUnaligned; !late && !c.soon(from, now) {
+	if late := now-c.wanted[name] > moveUnaligned; !late && !c.parked[from] && !c.soon(from, now) {
 		return list, began
 	}
 	next, marked := keyrange.RebalanceTo(list, loads, servers, from, to)
@@ -240,6 +241,53 @@
 	return false
 }
 
+// parkHolder holds back the answer to an overloaded target while another one that has
+// room is about to check in: the answer lets the former release keys, and then the
+// latter is waiting for them.
+func (c *Core) parkHolder(ctx context.Context, i message.Instance, until clock.Millis) {
+	if !c.shouldWait(i) {
+		return
+	}
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.parked, i.Lifetime)
+	}()
+	c.waitWhile(ctx, until, func() bool { return !releases(c.machine.Rows(i.Service).List, i.Lifetime) })
+}
+
+// shouldWait notes a target as parked if it is the overloaded one and another that
+// has room checks in soon.
+func (c *Core) shouldWait(i message.Instance) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rows, loads, servers := c.machine.Rows(i.Service).List, c.book.Loads(i.Service), c.servers(i.Service)
+	from, ok := keyrange.Overloaded(rows, loads, servers)
+	if !ok || from != i.Lifetime || releases(rows, i.Lifetime) {
+		return false
+	}
+	now := c.o.Clock.Now()
+	for _, s := range servers {
+		if in, known := c.book.NextCheckIn(s.Lifetime, now); !known || in < 0 || in > handOverWindow {
+			continue
+		}
+		if _, room := keyrange.RebalanceTo(rows, loads, servers, from, s.Lifetime); room {
+			c.parked[i.Lifetime] = true
+			return true
+		}
+	}
+	return false
+}
+
+func releases(list []message.Row, l message.Lifetime) bool {
+	for _, r := range list {
+		if r.Holder == l && r.Next.ID != "" {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Core) soon(l message.Lifetime, now clock.Millis) bool {
 	in, ok := c.book.NextCheckIn(l, now)
 	return ok && in < handOverWindow
@@ -248,13 +296,15 @@
 // park waits until no keys are on their way to a target, or until a time: their
 // callers would otherwise wait for its next check-in.
 func (c *Core) park(ctx context.Context, i message.Instance, until clock.Millis) {
+	c.waitWhile(ctx, until, func() bool { return expects(c.machine.Rows(i.Service).List, i.Lifetime) })
+}
+
+// waitWhile waits until a condition on the state ends, or until a time.
+func (c *Core) waitWhile(ctx context.Context, until clock.Millis, holds func() bool) {
 	for {
 		changed := c.machine.Changed()
-		if !expects(c.machine.Rows(i.Service).List, i.Lifetime) {
-			return
-		}
 		left := until - c.o.Clock.Now()
-		if left <= 0 {
+		if !holds() || left <= 0 || ctx.Err() != nil {
 			return
 		}
 		timed, cancel := context.WithTimeout(ctx, left.Duration())
@@ -263,9 +313,6 @@
 		case <-timed.Done():
 		}
 		cancel()
-		if ctx.Err() != nil {
-			return
-		}
 	}
 }
 
--- a/internal/integration/mesh/harness_test.go
+++ b/internal/integration/mesh/harness_test.go
@@ -263,6 +263,18 @@
 	return n
 }
 
+// holdsSome reports whether the target holds any key of a range.
+func (x *target) holdsSome(from, to message.Key) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, h := range x.holds {
+		if h.From <= to && h.To >= from {
+			return true
+		}
+	}
+	return false
+}
+
 // drain reports that the target leaves, and returns once that is acknowledged.
 func (x *target) drain() {
 	x.mu.Lock()
--- a/internal/integration/mesh/mesh_test.go
+++ b/internal/integration/mesh/mesh_test.go
@@ -188,3 +188,29 @@
 	qt.Assert(t, a.status, qt.Equals, http.StatusServiceUnavailable)
 	qt.Assert(t, len(far.target.allRuns()), qt.Equals, before)
 }
+
+// Guards against busy keys that stay with one target: the ones that are busy lie close
+// together, and both targets must come to hold some of them while all are served.
+func TestBusyKeysAreShared(t *testing.T) {
+	s := start(t, 3)
+	a, b := s.addHost(1, "catalogue"), s.addHost(2, "catalogue")
+	s.eventually("all keys are held", func() bool { return a.target.heldKeys() > 0 && a.target.heldKeys()+b.target.heldKeys() == 65536 })
+	const first, last = 1000, 2000
+	number := 0
+	s.eventually("both hold busy keys", func() bool {
+		for k := first; k <= last; k += 50 {
+			number++
+			id := fmt.Sprintf("busy-%d", number)
+			if r := a.ask(http.MethodGet, "/browse/"+id, id, k, ""); r.err != nil {
+				t.Fatalf("key %d: %v", k, r.err)
+			}
+		}
+		held := 0
+		for _, x := range []*target{a.target, b.target} {
+			if x.holdsSome(first, last) {
+				held++
+			}
+		}
+		return held == 2
+	})
+}
