--- a/internal/coordination/core/metrics.go
+++ b/internal/coordination/core/metrics.go
@@ -23,6 +23,9 @@
 		}
 		return 0
 	})
+	f.NewGaugeFunc(prometheus.GaugeOpts(opts("can_lose_replicas", "Replicas that the group could lose at once; -1 on one that does not lead.")), func() float64 {
+		return float64(c.CanLose())
+	})
 	f.NewGaugeFunc(prometheus.GaugeOpts(opts("term", "Term of the log.")), func() float64 {
 		s, _ := c.quorum.Status()
 		return float64(s.Term)
--- a/internal/coordination/core/operator.go
+++ b/internal/coordination/core/operator.go
@@ -37,9 +37,15 @@
 }
 
 func (c *Core) tooFew() bool {
+	return c.CanLose() < c.o.Settings.TolerateHosts && c.o.Clock.Now()-c.book.Since() < patience
+}
+
+// CanLose returns how many replicas the group could lose at once and keep a majority
+// that holds all; -1 on a replica that does not lead.
+func (c *Core) CanLose() int {
 	s, ok := c.quorum.Status()
 	if !ok || s.Role != replog.Leader {
-		return true
+		return -1
 	}
 	caughtUp := 0
 	for _, m := range s.Voters {
@@ -47,7 +53,7 @@
 			caughtUp++
 		}
 	}
-	return caughtUp < c.voters() && c.o.Clock.Now()-c.book.Since() < patience
+	return caughtUp - (len(s.Voters)/2 + 1)
 }
 
 // Read returns the newest configuration; an error means that this replica cannot
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -448,3 +448,94 @@
 	p.CloseIdle(l.Addr().String())
 	c.Assert(<-served, qt.IsNil)
 }
+
+// answerWith serves each request of one connection with the given bytes.
+func answerWith(t *testing.T, bytes ...string) (address string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer s.Close()
+		r := bufio.NewReader(s)
+		for _, b := range bytes {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(s, b)
+		}
+	}()
+	t.Cleanup(func() {
+		_ = l.Close()
+		<-done
+	})
+	return l.Addr().String()
+}
+
+// Guards against an extra response that is taken for the one that is due, and against
+// the loss of the one that is due behind it.
+func TestExtraResponseIsSkipped(t *testing.T) {
+	const extra = "HTTP/1.1 200 OK\r\nThe-Id: earlier\r\nContent-Length: 5\r\n\r\nextra"
+	const own = "HTTP/1.1 200 OK\r\nThe-Id: mine\r\nContent-Length: 3\r\n\r\nown"
+	tests := map[string]struct {
+		skip bool
+		want string
+	}{
+		"skipped":     {skip: true, want: "own"},
+		"not skipped": {},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			address := answerWith(t, extra+own)
+			p := pool(t)
+			r := post(t, address)
+			r.Body, r.ContentLength = http.NoBody, 0
+			response, err := p.Do(t.Context(), Request{Address: address, HTTP: r, RequestID: "mine", IDField: "The-Id", EchoRequired: true, SkipForeign: tt.skip})
+			if tt.want == "" {
+				qt.Assert(t, err, qt.ErrorIs, ErrMismatch)
+				return
+			}
+			qt.Assert(t, err, qt.IsNil)
+			body, err := io.ReadAll(response.Body)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, string(body), qt.Equals, tt.want)
+			p.CloseIdle(address)
+		})
+	}
+}
+
+// Guards against responses without a length that are refused although the server's
+// protocol allows them, and against their connections being used again.
+func TestUnframedResponse(t *testing.T) {
+	address := answerWith(t, "HTTP/1.1 200 OK\r\nThe-Id: mine\r\n\r\nall of it")
+	p := pool(t)
+	r := post(t, address)
+	r.Body, r.ContentLength = http.NoBody, 0
+	response, err := p.Do(t.Context(), Request{Address: address, HTTP: r, RequestID: "mine", IDField: "The-Id", EchoRequired: true, AllowUnframed: true})
+	qt.Assert(t, err, qt.IsNil)
+	body, err := io.ReadAll(response.Body)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(body), qt.Equals, "all of it")
+	qt.Assert(t, p.address(address).idle, qt.HasLen, 0)
+}
+
+// Guards against an answer of a server that declines, which need not repeat the id,
+// being taken for one that belongs to nobody.
+func TestResponseThatMayLackTheID(t *testing.T) {
+	address := answerWith(t, "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	p := pool(t)
+	r := post(t, address)
+	r.Body, r.ContentLength = http.NoBody, 0
+	response, err := p.Do(t.Context(), Request{
+		Address: address, HTTP: r, RequestID: "mine", IDField: "The-Id", EchoRequired: true,
+		EchoOptional: func(r *http.Response) bool { return r.Header.Get("Not-Run") != "" },
+	})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, response.Body.Close(), qt.IsNil)
+	p.CloseIdle(address)
+}
--- a/internal/integration/mesh/harness_test.go
+++ b/internal/integration/mesh/harness_test.go
@@ -41,8 +41,10 @@
 	peerPort int
 	seeds    []string
 	cores    []*core.Core
-	all      sync.WaitGroup
-	ctx      context.Context
+	// stops end the core replicas and wait for their ends.
+	stops []func()
+	all   sync.WaitGroup
+	ctx   context.Context
 }
 
 // freePort returns a port that the kernel says is free.
@@ -73,14 +75,9 @@
 		s.seeds = append(s.seeds, fmt.Sprintf("127.0.2.%d:%d", i+1, control))
 	}
 	for i := range replicas {
-		ip := fmt.Sprintf("127.0.2.%d", i+1)
-		c := core.New(core.Options{Clock: clock.System(), Log: zerolog.Nop(), Metrics: prometheus.NewRegistry(), Settings: settings.Host{
-			Name: fmt.Sprintf("core-%d", i), FailureDomain: "a", IP: ip, PeerPort: s.peerPort, Listen: settings.HostListeners{Control: s.seeds[i]},
-			Seeds: s.seeds[:min(3, replicas)], FirstStart: true, DataFolder: t.TempDir(), TolerateHosts: (replicas - 1) / 2,
-		}})
-		s.cores = append(s.cores, c)
-		l := listen(t, fmt.Sprintf("%s:%d", ip, s.peerPort))
-		s.all.Go(func() { _ = c.Run(ctx, l) })
+		s.cores = append(s.cores, nil)
+		s.stops = append(s.stops, nil)
+		s.startCore(i, t.TempDir(), true)
 	}
 	s.change(message.Change{
 		Version: 1, Replace: true, Digest: "first",
@@ -94,6 +91,27 @@
 	return s
 }
 
+// startCore starts a core replica, in the place of one that was stopped.
+func (s *system) startCore(i int, folder string, firstStart bool) {
+	ip := fmt.Sprintf("127.0.2.%d", i+1)
+	c := core.New(core.Options{Clock: clock.System(), Log: zerolog.Nop(), Metrics: prometheus.NewRegistry(), Settings: settings.Host{
+		Name: fmt.Sprintf("core-%d", i), FailureDomain: "a", IP: ip, PeerPort: s.peerPort, Listen: settings.HostListeners{Control: s.seeds[i]},
+		Seeds: s.seeds[:min(3, len(s.seeds))], FirstStart: firstStart, DataFolder: folder, TolerateHosts: (len(s.seeds) - 1) / 2,
+	}})
+	s.cores[i] = c
+	l := listen(s.t, fmt.Sprintf("%s:%d", ip, s.peerPort))
+	ctx, cancel := context.WithCancel(s.ctx)
+	ended := make(chan struct{})
+	s.stops[i] = func() {
+		cancel()
+		<-ended
+	}
+	s.all.Go(func() {
+		defer close(ended)
+		_ = c.Run(ctx, l)
+	})
+}
+
 // change sends an operator's change until a leader answers it.
 func (s *system) change(c message.Change) registry.Outcome {
 	var out registry.Outcome
--- a/internal/integration/mesh/mesh_test.go
+++ b/internal/integration/mesh/mesh_test.go
@@ -214,3 +214,41 @@
 		return held == 2
 	})
 }
+
+// Guards against an acknowledged configuration that is lost with as many disks as the
+// system claims to bear, and against emptied replicas that stay outside.
+func TestConfigurationOutlivesLostDisks(t *testing.T) {
+	s := start(t, 5)
+	c := message.Change{Version: 4, Base: 1, Digest: "second", RemoveRoutes: []string{"check"}, Routes: []message.Route{}, Services: []message.ServiceSpec{}}
+	qt.Assert(t, s.change(c).Status, qt.Equals, registry.Done)
+	for i := range 2 {
+		s.stops[i]()
+	}
+	for i := range 2 {
+		s.startCore(i, t.TempDir(), false)
+	}
+	s.eventually("the configuration is read", func() bool {
+		for _, x := range s.cores {
+			if v, err := x.Read(s.ctx); err == nil {
+				qt.Assert(t, v.Revision.Version, qt.Equals, 4)
+				return true
+			}
+		}
+		return false
+	})
+	// A majority of the first five would be lost now, had the emptied ones not been
+	// admitted in the place of their earlier selves.
+	s.eventually("the emptied replicas vote", func() bool {
+		for _, x := range s.cores {
+			if x.CanLose() >= 2 {
+				return true
+			}
+		}
+		return false
+	})
+	for i := 2; i < 4; i++ {
+		s.stops[i]()
+	}
+	next := message.Change{Version: 9, Base: 4, Digest: "third", Routes: []message.Route{}, Services: []message.ServiceSpec{}}
+	qt.Assert(t, s.change(next).Status, qt.Equals, registry.Done)
+}
--- /dev/null
+++ b/internal/settings/host_test.go
@@ -0,0 +1,61 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const sidecarSettings = `{
+  // filled in by the platform
+  "Name": "sidecar-a-1", "FailureDomain": "a", "IP": "10.0.0.1", "PeerPort": 7600,
+  "Listen": {"Callers": "10.0.0.1:80", "Readiness": "10.0.0.1:81", "Control": "10.0.0.1:82"},
+  "Seeds": ["10.0.0.9:82"], "FirstStart": true, "DataFolder": "",
+  "Target": {"Address": "10.0.0.1:83", "Service": "catalogue"},
+  "TolerateHosts": 2, "MemoryMegabytes": 284, "HeartbeatMillis": 870,
+  "Bounds": {"MaxHoldMillis": 10000, "DrainMillis": 2000, "StopSeconds": 6, "RetryRatio": 0.2, "RetryWindowSeconds": 10, "ExtraRetries": 64}
+}`
+
+func hostFile(t *testing.T, text string) string {
+	file := filepath.Join(t.TempDir(), "host.jsonc")
+	qt.Assert(t, os.WriteFile(file, []byte(text), 0o600), qt.IsNil)
+	return file
+}
+
+// Guards against wrong settings that take effect in part or without a clear error.
+func TestLoadHost(t *testing.T) {
+	tests := map[string]struct {
+		old, new string
+		core     bool
+		want     string
+	}{
+		"sidecar":             {},
+		"unknown field":       {old: `"Name"`, new: `"Nmae"`, want: "Nmae"},
+		"no seeds":            {old: `["10.0.0.9:82"]`, new: `[]`, want: "Seeds: is empty"},
+		"seed without port":   {old: `10.0.0.9:82`, new: `10.0.0.9`, want: "Seeds"},
+		"no target":           {old: `10.0.0.1:83`, new: ``, want: "Target.Address: is missing"},
+		"no service":          {old: `"catalogue"`, new: `""`, want: "Target.Service: is missing"},
+		"bad port":            {old: `7600`, new: `76000`, want: "PeerPort: is not a port"},
+		"core without folder": {core: true, want: "DataFolder: is missing"},
+		"core":                {core: true, old: `"DataFolder": ""`, new: `"DataFolder": "/data"`},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			load := LoadSidecar
+			if tt.core {
+				load = LoadCore
+			}
+			s, err := load(hostFile(t, strings.Replace(sidecarSettings, tt.old, tt.new, 1)))
+			if tt.want != "" {
+				qt.Assert(t, err, qt.ErrorIs, ErrInvalid)
+				qt.Assert(t, err.Error(), qt.Contains, tt.want)
+				return
+			}
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, s.Bounds.ExtraRetries, qt.Equals, 64)
+		})
+	}
+}
