placement: targets that lose answers or fail get less work

Ruled out: broken connections between hosts (the sidecars beside the targets answered).

Change: rejections, lost answers, time-outs and errors raise a target's rate of failures, which makes it dearer; old failures are forgiven with a half-life of 2 s, so that it is tried again.

--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -433,11 +433,19 @@
 	case hop.Unreachable, hop.NoTarget, hop.Stopping:
 		g.table.Failed(id, true)
 	case hop.Lost:
-		g.table.Failed(id, a.Load == hop.Load{})
-	case hop.Expired, hop.CallerLeft:
+		if a.Load == (hop.Load{}) {
+			g.table.Failed(id, true)
+			return
+		}
+		g.table.Answered(id, a.Load, true)
+	case hop.Expired:
 		g.table.Failed(id, false)
+	case hop.CallerLeft:
+		g.table.Left(id)
+	case hop.Rejected:
+		g.table.Answered(id, a.Load, true)
 	default:
-		g.table.Answered(id, a.Load)
+		g.table.Answered(id, a.Load, a.Status >= http.StatusInternalServerError)
 	}
 }
 
--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -19,6 +19,7 @@
 package placement
 
 import (
+	"math"
 	"sync"
 
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
@@ -39,6 +40,13 @@
 	// the pause doubles with each failure.
 	firstPause   clock.Millis = 300
 	longestPause clock.Millis = 2000
+	// failureWeight is the weight of one request in the rate of failures, and
+	// failureHalfLife how fast old failures are forgiven where no request tells more.
+	failureWeight                = 0.1
+	failureHalfLife clock.Millis = 2000
+	// failureCost is by how much a target that fails each request is dearer. At a rate
+	// of a third it counts as three times as slow, so that others with room go first.
+	failureCost = 6
 	// jitter spreads equal choices of many sidecars.
 	jitter = 0.1
 )
@@ -62,6 +70,19 @@
 	out, outThen int
 	failures     int
 	until        clock.Millis
+	// failing is the rate of requests that ended badly, as of failingAt.
+	failing   float64
+	failingAt clock.Millis
+}
+
+// rate returns the rate of failures now.
+func (x *target) rate(now clock.Millis) float64 {
+	return x.failing * math.Exp2(-float64(now-x.failingAt)/float64(failureHalfLife))
+}
+
+func (x *target) ended(now clock.Millis, failed float64) {
+	r := x.rate(now)
+	x.failing, x.failingAt = r+failureWeight*(failed-r), now
 }
 
 // New returns a table that knows nothing. Random returns numbers in [0, 1).
@@ -139,6 +160,7 @@
 	if full >= 1 {
 		cost = took * (1 + full)
 	}
+	cost *= 1 + failureCost*x.rate(now)
 	if i.Domain != t.domain {
 		cost += mean * foreignShare
 	}
@@ -152,14 +174,27 @@
 	t.of(id).out++
 }
 
-// Answered notes the end of a request and the load that came with it.
-func (t *Table) Answered(id message.InstanceID, l hop.Load) {
+// Answered notes the end of a request and the load that came with it. A target that
+// answers may still fail: it rejects, loses its answers or reports errors.
+func (t *Table) Answered(id message.InstanceID, l hop.Load, failed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	x := t.of(id)
+	x, now := t.of(id), t.clock.Now()
 	x.out--
-	x.load, x.at, x.outThen = l, t.clock.Now(), x.out
+	x.load, x.at, x.outThen = l, now, x.out
 	x.failures, x.until = 0, 0
+	if failed {
+		x.ended(now, 1)
+	} else {
+		x.ended(now, 0)
+	}
+}
+
+// Left notes the end of a request whose caller left, which says nothing.
+func (t *Table) Left(id message.InstanceID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.of(id).out--
 }
 
 // Failed notes the end of a request that brought no answer. A target that could not
@@ -167,12 +202,12 @@
 func (t *Table) Failed(id message.InstanceID, unreachable bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	x := t.of(id)
+	x, now := t.of(id), t.clock.Now()
 	x.out--
+	x.ended(now, 1)
 	if !unreachable {
 		return
 	}
-	now := t.clock.Now()
 	if now < x.until {
 		return // others that were out failed for the same cause
 	}
--- a/internal/traffic/placement/placement_test.go
+++ b/internal/traffic/placement/placement_test.go
@@ -43,7 +43,7 @@
 			}
 			for id, l := range map[message.InstanceID]hop.Load{"near": tt.near, "far": tt.far} {
 				p.Sent(id)
-				p.Answered(id, l)
+				p.Answered(id, l, false)
 			}
 			got, ok := p.Choose([]message.Instance{near, far}, nil)
 			qt.Assert(t, ok, qt.IsTrue)
@@ -85,3 +85,26 @@
 	}
 	qt.Assert(t, chosen, qt.DeepEquals, map[string]int{"x": 10, "y": 10})
 }
+
+// Guards against a target that answers its health questions and loses its answers,
+// and that gets as much work as the others, and against one that is never tried again.
+func TestFailingTargetGetsLess(t *testing.T) {
+	m := clock.NewManual(1000)
+	p := New(m.Clock(), "a", func() float64 { return 0 })
+	all := []message.Instance{at("bad", "a"), at("good", "b")}
+	toBad := 0
+	for i := range 1000 {
+		x, _ := p.Choose(all, nil)
+		bad := x.Lifetime.ID == "bad"
+		if bad {
+			toBad++
+		}
+		p.Sent(x.Lifetime.ID)
+		p.Answered(x.Lifetime.ID, load(4, 60), bad && i%2 == 0)
+		m.Advance(10)
+	}
+	qt.Assert(t, toBad > 3 && toBad < 300, qt.IsTrue, qt.Commentf("%d of 1000", toBad))
+	m.Advance(20_000)
+	x, _ := p.Choose(all, nil)
+	qt.Assert(t, string(x.Lifetime.ID), qt.Equals, "bad", qt.Commentf("forgiven in the own domain"))
+}
