admission: order by objective and rank together

Change: a request's place is the end of its objective, which counts once more for each rank below the highest.

The order test gained a case; TestOrderOfTheQueue fails for it without the change.

--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -7,9 +7,8 @@
 //
 // The load it answers is a burst or a slow target: more work arrives than the
 // slots can do. Requests that can still be answered within their latency objective
-// go before those that cannot, more urgent routes go first, and within a rank the
-// request whose objective ends first: short calls that another target waits for have
-// the tightest ones. A request that cannot end before its deadline is refused when it
+// go before those that cannot, and among them tight objectives and urgent routes go
+// first. A request that cannot end before its deadline is refused when it
 // arrives, or as soon as that becomes clear.
 //
 // # Usage
@@ -74,7 +73,9 @@
 	// Aim is the time until which an answer has its full worth.
 	Aim clock.Millis
 
-	order   int
+	order int
+	// virtual is the time by which the queue orders tickets.
+	virtual clock.Millis
 	verdict Verdict
 	decided chan struct{}
 }
@@ -118,6 +119,7 @@
 	now := q.clock.Now()
 	q.order++
 	t.order = q.order
+	t.virtual = now + (t.Aim-now)*clock.Millis(1+t.Rank)
 	if now+q.least(t) > t.Deadline {
 		return TooLate
 	}
@@ -237,13 +239,14 @@
 	return clock.Millis(work / float64(max(q.slots, 1)))
 }
 
-// before orders tickets that are alike in whether they are still in time.
+// before orders tickets that are alike in whether they are still in time: by the end
+// of the objective, which counts once more for each rank below the highest. Of two
+// with the same objective the more urgent goes first; a short call with a tight one
+// goes before longer work of a higher rank, as the request that waits for it fails
+// as a whole without it; and no rank waits for ever.
 func before(a, b *Ticket) bool {
-	if a.Rank != b.Rank {
-		return a.Rank < b.Rank
-	}
-	if a.Aim != b.Aim {
-		return a.Aim < b.Aim
+	if a.virtual != b.virtual {
+		return a.virtual < b.virtual
 	}
 	return a.order < b.order
 }
--- a/internal/traffic/admission/admission_test.go
+++ b/internal/traffic/admission/admission_test.go
@@ -51,15 +51,23 @@
 // time, or work with a wide objective before short calls that a target waits for.
 func TestOrderOfTheQueue(t *testing.T) {
 	tests := map[string]struct{ first, second Ticket }{
-		"tight objective first":    {Ticket{Rank: 1, Aim: 1300}, Ticket{Rank: 1, Aim: 1500}},
-		"urgent before other":      {Ticket{Rank: 0}, Ticket{Rank: 2}},
-		"in time before late":      {Ticket{Rank: 2}, Ticket{Rank: 0, Aim: 1001}},
-		"first come, first served": {Ticket{Rank: 1}, Ticket{Rank: 1}},
+		"short call before long work": {Ticket{Rank: 1, Aim: 1060}, Ticket{Rank: 0, Aim: 1150}},
+		"tight objective first":       {Ticket{Rank: 1, Aim: 1300}, Ticket{Rank: 1, Aim: 1500}},
+		"urgent before other":         {Ticket{Rank: 0}, Ticket{Rank: 2}},
+		"in time before late":         {Ticket{Rank: 2}, Ticket{Rank: 0, Aim: 1001}},
+		"first come, first served":    {Ticket{Rank: 1}, Ticket{Rank: 1}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			k := clock.NewManual(1000).Clock()
 			q := measured(k, 1)
+			if name == "short call before long work" {
+				for range 50 { // the work takes 10 ms, so that both are in time
+					x := &Ticket{Route: "r", Deadline: 100_000}
+					q.Enter(x)
+					q.Leave(x, 10)
+				}
+			}
 			running := &Ticket{Route: "r", Deadline: 100_000}
 			qt.Assert(t, q.Enter(running), qt.Equals, Run)
 			fill := func(x *Ticket) *Ticket {
