core, ingress, exchange: split long files, one read for two

ownership.go held check-ins, parking and planning; ingress.go held the reading of requests and the writing of answers: each has a file now. A read after silence was written twice in exchange.

--- /dev/null
+++ b/internal/coordination/core/parking.go
@@ -0,0 +1,93 @@
+package core
+
+import (
+	"context"
+
+	"github.com/gentiansail/gentiansail/internal/coordination/message"
+	"github.com/gentiansail/gentiansail/internal/ownership/keyrange"
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+// parkHolder holds back the answer to an overloaded target while another one that has
+// room is about to check in: the answer lets the former release keys, and then the
+// latter is waiting for them.
+func (c *Core) parkHolder(ctx context.Context, i message.Instance, until clock.Millis) {
+	if !c.shouldWait(i) {
+		return
+	}
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.parked, i.Lifetime)
+	}()
+	c.waitWhile(ctx, until, func() bool { return !releases(c.machine.Rows(i.Service).List, i.Lifetime) })
+}
+
+// shouldWait notes a target as parked if it is the overloaded one and another that
+// has room checks in soon.
+func (c *Core) shouldWait(i message.Instance) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rows, loads, servers := c.machine.Rows(i.Service).List, c.book.Loads(i.Service), c.servers(i.Service)
+	from, ok := keyrange.Overloaded(rows, loads, servers)
+	if !ok || from != i.Lifetime || releases(rows, i.Lifetime) {
+		return false
+	}
+	now := c.o.Clock.Now()
+	for _, s := range servers {
+		if in, known := c.book.NextCheckIn(s.Lifetime, now); !known || in < 0 || in > handOverWindow {
+			continue
+		}
+		if _, room := keyrange.RebalanceTo(rows, loads, servers, from, s.Lifetime); room {
+			c.parked[i.Lifetime] = true
+			return true
+		}
+	}
+	return false
+}
+
+func releases(list []message.Row, l message.Lifetime) bool {
+	for _, r := range list {
+		if r.Holder == l && r.Next.ID != "" {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) soon(l message.Lifetime, now clock.Millis) bool {
+	in, ok := c.book.NextCheckIn(l, now)
+	return ok && in < handOverWindow
+}
+
+// park waits until no keys are on their way to a target, or until a time: their
+// callers would otherwise wait for its next check-in.
+func (c *Core) park(ctx context.Context, i message.Instance, until clock.Millis) {
+	c.waitWhile(ctx, until, func() bool { return expects(c.machine.Rows(i.Service).List, i.Lifetime) })
+}
+
+// waitWhile waits until a condition on the state ends, or until a time.
+func (c *Core) waitWhile(ctx context.Context, until clock.Millis, holds func() bool) {
+	for {
+		changed := c.machine.Changed()
+		left := until - c.o.Clock.Now()
+		if !holds() || left <= 0 || ctx.Err() != nil {
+			return
+		}
+		timed, cancel := context.WithTimeout(ctx, left.Duration())
+		select {
+		case <-changed:
+		case <-timed.Done():
+		}
+		cancel()
+	}
+}
+
+func expects(list []message.Row, l message.Lifetime) bool {
+	for _, r := range list {
+		if r.Next == l {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -112,22 +112,8 @@
 		return 0, errHeaderTooLong
 	}
 	for {
-		if c.silence > 0 {
-			if err := c.raw.SetReadDeadline(time.Now().Add(c.silence.Duration())); err != nil {
-				return 0, err
-			}
-		}
-		if err := c.usable(); err != nil {
-			return 0, err
-		}
-		n, err := c.raw.Read(b)
-		// A server that honours the cancellation may end its response cleanly where
-		// it stopped. Nothing that arrives after giveUp belongs to the response.
-		if err := c.usable(); err != nil {
-			return 0, err
-		}
-		c.remained -= int64(n)
-		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err := c.readWithin(b, c.silence)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.usable() != nil {
 			return n, err
 		}
 		if c.waitOn == nil {
@@ -139,26 +125,36 @@
 	}
 }
 
-// lastLook is how long a connection that was judged lost may still deliver. The
-// verdict travels over another connection and can overtake bytes that were
-// written before it, and bytes may arrive while it is being asked for.
-const lastLook clock.Millis = 100
-
-// lastRead returns what arrived after the last read that timed out, so that bytes
-// which wait in the socket are not counted as lost.
-func (c *conn) lastRead(b []byte) (int, error) {
-	if err := c.raw.SetReadDeadline(time.Now().Add(lastLook.Duration())); err != nil {
-		return 0, err
+// readWithin reads once, within a time if that is above 0.
+func (c *conn) readWithin(b []byte, limit clock.Millis) (int, error) {
+	if limit > 0 {
+		if err := c.raw.SetReadDeadline(time.Now().Add(limit.Duration())); err != nil {
+			return 0, err
+		}
 	}
 	if err := c.usable(); err != nil {
 		return 0, err
 	}
 	n, err := c.raw.Read(b)
+	// A server that honours the cancellation may end its response cleanly where
+	// it stopped. Nothing that arrives after giveUp belongs to the response.
 	if err := c.usable(); err != nil {
 		return 0, err
 	}
 	c.remained -= int64(n)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+	return n, err
+}
+
+// lastLook is how long a connection that was judged lost may still deliver. The
+// verdict travels over another connection and can overtake bytes that were
+// written before it, and bytes may arrive while it is being asked for.
+const lastLook clock.Millis = 100
+
+// lastRead returns what arrived after the last read that timed out, so that bytes
+// which wait in the socket are not counted as lost.
+func (c *conn) lastRead(b []byte) (int, error) {
+	n, err := c.readWithin(b, lastLook)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.usable() == nil {
 		return 0, c.silent()
 	}
 	return n, err
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -23,13 +23,10 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/textproto"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
@@ -115,26 +112,6 @@
 // caller can get no answer, and so it must reach no target.
 func (g *Ingress) Close() { g.closed.Store(true) }
 
-// request is one request of a caller.
-type request struct {
-	id       string
-	route    *message.Route
-	service  message.ServiceName
-	keyed    bool
-	key      int
-	begun    clock.Millis
-	deadline clock.Millis
-	aim      clock.Millis
-	header   http.Header
-	body     []byte
-	stream   io.Reader // the rest of a long body
-	length   int64
-	print    string
-	// sent counts the targets that the request may have reached.
-	sent  int
-	trail []string
-}
-
 // ServeHTTP implements http.Handler.
 func (g *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	begun := g.o.Clock.Now()
@@ -173,117 +150,6 @@
 	}
 }
 
-// read takes in a request and finds its route.
-func (g *Ingress) read(w http.ResponseWriter, r *http.Request, v *view.View, begun clock.Millis) (*request, hop.Reason) {
-	q := &request{id: r.Header.Get(g.o.Names.RequestID), begun: begun, key: hop.NoKey, length: r.ContentLength}
-	host, _, _ := strings.Cut(r.Host, ":")
-	q.route = v.Match(host, r.URL.Path)
-	if q.route == nil {
-		return q, hop.NoRoute
-	}
-	q.service = split(q.route, rand.Float64())
-	if s, _ := v.Service(q.service); s.Keyed {
-		k, err := strconv.Atoi(r.Header.Get(g.o.Names.Key))
-		if err == nil && k >= 0 && k <= 65535 {
-			q.key = k
-		}
-		q.keyed = true
-	}
-	patience := defaultPatience
-	if n, err := strconv.Atoi(r.Header.Get(g.o.Names.LeftMillis)); err == nil && n >= 0 {
-		patience = clock.Millis(n)
-	}
-	if t := clock.Millis(q.route.TimeoutMillis); t > 0 {
-		patience = min(patience, t)
-	}
-	q.deadline = begun + patience
-	q.aim = begun + clock.Millis(q.route.TargetLatencyMillis)
-	if q.route.TargetLatencyMillis == 0 {
-		q.aim = q.deadline
-	}
-	q.header = endToEnd(r.Header)
-	q.header[textproto.CanonicalMIMEHeaderKey(g.o.Names.CallerService)] = []string{string(g.o.Service)}
-	delete(q.header, textproto.CanonicalMIMEHeaderKey(g.o.Names.Instance))
-	if reason := g.readBody(w, r, q); reason != "" {
-		return q, reason
-	}
-	q.print = fingerprint(r, q, g.o.Service)
-	return q, ""
-}
-
-// split chooses a service of a route by weight.
-func split(r *message.Route, at float64) message.ServiceName {
-	sum := 0.0
-	for _, p := range r.Splits {
-		sum += p.Weight
-	}
-	at *= sum
-	for _, p := range r.Splits {
-		if at -= p.Weight; at < 0 && p.Weight > 0 {
-			return p.Service
-		}
-	}
-	for _, p := range r.Splits {
-		if p.Weight > 0 {
-			return p.Service
-		}
-	}
-	return ""
-}
-
-// readBody reads a short body into memory and leaves a long one to be streamed.
-func (g *Ingress) readBody(w http.ResponseWriter, r *http.Request, q *request) hop.Reason {
-	if r.ContentLength == 0 {
-		return ""
-	}
-	b, err := io.ReadAll(io.LimitReader(r.Body, memoryBody))
-	if err != nil {
-		return hop.CallerLeft
-	}
-	q.body = b
-	if len(b) < memoryBody {
-		q.length = int64(len(b))
-		return ""
-	}
-	// A target may answer before it has read a long body; the rest is read on.
-	if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
-		return hop.BadRequest
-	}
-	q.stream = r.Body
-	return ""
-}
-
-// fingerprint identifies a request by its content, so that one that crashes
-// targets is known when it comes again.
-func fingerprint(r *http.Request, q *request, caller message.ServiceName) string {
-	h := xxhash.New()
-	for _, s := range []string{r.Method, "\x00", r.Host, "\x00", r.RequestURI, "\x00", string(caller), "\x00"} {
-		_, _ = h.WriteString(s)
-	}
-	_, _ = h.Write(q.body)
-	return strconv.FormatUint(h.Sum64(), 16)
-}
-
-// hopByHop fields concern one connection only.
-var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"}
-
-// endToEnd returns a copy of the fields without those of one connection.
-func endToEnd(h http.Header) http.Header {
-	out := make(http.Header, len(h)+4)
-	for k, v := range h {
-		out[k] = v
-	}
-	for _, line := range h["Connection"] {
-		for _, name := range strings.Split(line, ",") {
-			delete(out, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
-		}
-	}
-	for _, name := range hopByHop {
-		delete(out, name)
-	}
-	return out
-}
-
 // run makes attempts until there is an answer to pass on.
 func (g *Ingress) run(ctx context.Context, r *http.Request, q *request) *gate.Answer {
 	g.budget(q.service).Deposit()
@@ -500,91 +366,6 @@
 	return &gate.Answer{Reply: hop.Reply{Reason: hop.Lost}, Arrived: true}
 }
 
-// relay passes an answer on. It returns true if the answer broke off before the
-// caller got any of it and the request is repeatable.
-func (g *Ingress) relay(w http.ResponseWriter, r *http.Request, q *request, a *gate.Answer) (again bool) {
-	defer a.Close()
-	if a.Reason != "" {
-		g.finish(w, r, q, a)
-		return false
-	}
-	committed, err := gate.Relay(w, a, nil)
-	if err == nil {
-		g.count(q, a, a.Status)
-		return false
-	}
-	a.Reason = hop.Lost
-	if r.Context().Err() != nil {
-		a.Reason = hop.CallerLeft
-	}
-	if committed {
-		g.log(q, a, 0)
-		// What the caller got must not look complete.
-		panic(http.ErrAbortHandler)
-	}
-	if a.Reason == hop.Lost && q.route.Repeatable {
-		return true
-	}
-	g.finish(w, r, q, a)
-	return false
-}
-
-var statusOf = map[hop.Reason]int{
-	hop.NoRoute: http.StatusNotFound, hop.BadRequest: http.StatusBadRequest,
-	hop.Lost: http.StatusBadGateway, hop.Expired: http.StatusGatewayTimeout,
-}
-
-// finish answers a request in the system's own name.
-func (g *Ingress) finish(w http.ResponseWriter, r *http.Request, q *request, a *gate.Answer) {
-	status, ok := statusOf[a.Reason]
-	if !ok {
-		status = http.StatusServiceUnavailable
-	}
-	g.log(q, a, status)
-	if a.Reason == hop.CallerLeft || r.Context().Err() != nil {
-		panic(http.ErrAbortHandler)
-	}
-	h := w.Header()
-	h.Set(g.o.Names.RequestID, q.id)
-	if status == http.StatusServiceUnavailable && a.Reason != hop.Late {
-		h.Set("Retry-After", strconv.FormatFloat(float64(max(a.RetryMillis, 20))/1000, 'f', 3, 64))
-	}
-	h.Set("Content-Type", "text/plain")
-	text := "gentiansail: " + string(a.Reason) + "\n"
-	h.Set("Content-Length", strconv.Itoa(len(text)))
-	w.WriteHeader(status)
-	_, _ = io.WriteString(w, text)
-}
-
-// log writes the line of a request that the target did not answer.
-func (g *Ingress) log(q *request, a *gate.Answer, status int) {
-	g.count(q, a, status)
-	skipped, ok := g.o.Budget.Allow("request " + string(a.Reason))
-	if !ok {
-		return
-	}
-	e := g.o.Log.Info().Str("Event", "request").Str("Request", q.id).Str("Reason", string(a.Reason)).Int("Status", status).
-		Int64("TookMillis", int64(g.o.Clock.Now()-q.begun)).Int("Sent", q.sent).Strs("Attempts", q.trail).Int("Key", q.key)
-	if q.route != nil {
-		e = e.Str("Route", q.route.Name).Str("Service", string(q.service)).Int64("PatienceMillis", int64(q.deadline-q.begun)).Bool("Repeatable", q.route.Repeatable)
-	}
-	if v := g.o.Book.Current(); v != nil {
-		e = e.Int("View", int(v.Version)).Int("Configuration", v.Revision)
-	}
-	e.Int("Running", a.Load.Running).Int("Waiting", a.Load.Waiting).Int64("RetryMillis", int64(a.RetryMillis)).Int("Skipped", skipped).Msg("request ended without an answer of a target")
-}
-
-func (g *Ingress) count(q *request, a *gate.Answer, status int) {
-	if g.o.Count == nil {
-		return
-	}
-	route := ""
-	if q.route != nil {
-		route = q.route.Name
-	}
-	g.o.Count(route, string(q.service), a.Reason, status, g.o.Clock.Now()-q.begun)
-}
-
 // Forget drops what is known of targets that are not in the view any more.
 func (g *Ingress) Forget(v *view.View) {
 	g.table.Keep(func(id message.InstanceID) bool {
