sidecar: the last work of a leaving target follows the deployment's bound

Cause: read as a newcomer, settings.Host carried a drain bound that nothing used, and the sidecar stopped new work 1.2 s after the acknowledgement whatever the deployment allows. A deployment with a bound of 1 s would have seen work after it.

Change: 0.6 of the bound, which is the same 1.2 s on both sites. RetryWindowSeconds is gone from the settings: the budget of a sidecar holds in any window.

--- a/internal/coordination/core/ownership.go
+++ b/internal/coordination/core/ownership.go
@@ -28,8 +28,8 @@
 	handOverWindow clock.Millis = 750
 	// moveUnaligned is after which time a wanted move begins in any case.
 	moveUnaligned clock.Millis = 1500
-	// vacateUnaligned is the same for a target that leaves; it takes no new work 2 s
-	// after its acknowledgement.
+	// vacateUnaligned is the same for a target that leaves, which takes no new work
+	// soon after its acknowledgement.
 	vacateUnaligned clock.Millis = 700
 	// forgetAfter is the silence after which a target without keys is forgotten.
 	forgetAfter clock.Millis = 20_000
--- a/internal/settings/host.go
+++ b/internal/settings/host.go
@@ -54,11 +54,10 @@
 	DrainMillis clock.Millis
 	// StopSeconds is the time between SIGTERM and SIGKILL.
 	StopSeconds float64
-	// RetryRatio and ExtraRetries bound repeats to a service, over all hosts, in
-	// any window of RetryWindowSeconds.
-	RetryRatio         float64
-	RetryWindowSeconds float64
-	ExtraRetries       int
+	// RetryRatio and ExtraRetries bound repeats to a service over all hosts: a part of
+	// its requests, and a number beside that.
+	RetryRatio   float64
+	ExtraRetries int
 }
 
 // LoadCore reads and checks the settings of a core replica.
--- a/internal/settings/host_test.go
+++ b/internal/settings/host_test.go
@@ -16,7 +16,7 @@
   "Seeds": ["10.0.0.9:82"], "FirstStart": true, "DataFolder": "",
   "Target": {"Address": "10.0.0.1:83", "Service": "catalogue"},
   "TolerateHosts": 2, "MemoryMegabytes": 284, "HeartbeatMillis": 870,
-  "Bounds": {"MaxHoldMillis": 10000, "DrainMillis": 2000, "StopSeconds": 6, "RetryRatio": 0.2, "RetryWindowSeconds": 10, "ExtraRetries": 64}
+  "Bounds": {"MaxHoldMillis": 10000, "DrainMillis": 2000, "StopSeconds": 6, "RetryRatio": 0.2, "ExtraRetries": 64}
 }`
 
 func hostFile(t *testing.T, text string) string {
--- a/internal/traffic/sidecar/sidecar.go
+++ b/internal/traffic/sidecar/sidecar.go
@@ -46,9 +46,11 @@
 	watchTimeout clock.Millis = 1200
 	// checkInTimeout bounds the core's part of a check-in. Targets wait 1 s.
 	checkInTimeout clock.Millis = 930
-	// closeAfter is the time between the acknowledgement that a target leaves and its
-	// last new request: time for its keys to move, and well below the bound of 2 s.
-	closeAfter clock.Millis = 1200
+	// closePart is the part of the deployment's drain bound after which a target that
+	// leaves gets its last new request: time for its keys to move, and room for a
+	// request that is on its way. defaultDrain is the bound where none is stated.
+	closePart                 = 0.6
+	defaultDrain clock.Millis = 2000
 	// idleConnection is below the 10 s after which targets close idle connections.
 	idleConnection clock.Millis = 7000
 	// maxTargetConnections and maxPeerConnections bound connections to one address.
@@ -186,6 +188,16 @@
 	return defaultStop
 }
 
+// closeAfter is the time between the acknowledgement that a target leaves and its last
+// new request.
+func (s *Sidecar) closeAfter() clock.Millis {
+	bound := s.o.Settings.Bounds.DrainMillis
+	if bound <= 0 {
+		bound = defaultDrain
+	}
+	return clock.Millis(float64(bound) * closePart)
+}
+
 // leave empties the host before a planned stop.
 func (s *Sidecar) leave(stopCallers func()) {
 	k, begun := s.o.Clock, s.o.Clock.Now()
@@ -309,7 +321,7 @@
 	}
 	s.gate.SetTarget(gate.Target{Lifetime: c.Lifetime, Service: c.Service, Address: string(c.Address), Slots: c.Slots, Keyed: keyed})
 	if left {
-		s.gate.CloseAt(c.Lifetime, sent+closeAfter)
+		s.gate.CloseAt(c.Lifetime, sent+s.closeAfter())
 	}
 	ctx, cancel := context.WithTimeout(ctx, checkInTimeout.Duration())
 	defer cancel()
@@ -328,7 +340,7 @@
 		return message.CheckInReply{}, nil
 	}
 	if c.Draining {
-		s.gate.CloseAt(c.Lifetime, s.o.Clock.Now()+closeAfter)
+		s.gate.CloseAt(c.Lifetime, s.o.Clock.Now()+s.closeAfter())
 	}
 	if reply.Granted {
 		s.gate.SetHolds(c.Lifetime, reply.Holds, sent+clock.Millis(reply.HoldMillis))
@@ -370,7 +382,7 @@
 	if _, err := call[struct{}](ctx, s.core, message.MethodLeave, message.Leave{Lifetime: l, Gone: true}, checkInTimeout); err != nil {
 		return errors.Join(ErrCore, err)
 	}
-	s.gate.CloseAt(l, s.o.Clock.Now()+closeAfter)
+	s.gate.CloseAt(l, s.o.Clock.Now()+s.closeAfter())
 	return nil
 }
 
