exchange: bound memory and time for bytes without end that are no response

Cause: a response header could have 1 MiB, which takes 23 to 30 MB once it is decoded (short fields); a sidecar has 184 MB and 18 slots. Bytes that are not the beginning of a response were read until the line ended, slow ones until the caller's deadline. Each informational response allowed another header without an end. The bodies of responses to other requests, and of rejections, were bounded in bytes and not in time, so that a rejection ("not run") was passed on only at the caller's deadline. The daemon for the product's own interface had the same in rejectedByTarget.

Change: a header may have 64 KiB; a response must begin with HTTP/1. from its first byte; at most 10,000 informational responses; a body to skip is read for 500 ms, a body that nobody needs for 60 ms (exchange.DiscardBody, used by the gate and the node).

Bodies of the request's own response were bounded before (TestEndlessBodies and TestBodiesWithoutEnd guard it).

--- a/internal/exchange/body.go
+++ b/internal/exchange/body.go
@@ -3,12 +3,16 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
 // memoryBody is a request body in memory. Its reads never block.
@@ -86,3 +90,21 @@
 	b.once.Do(func() { b.finish(false) })
 	return nil
 }
+
+// Limits of DiscardBody. Callers wait for it, and a server writes a short body together
+// with its header.
+const (
+	maxDiscardedBody                = 64 << 10
+	discardBodyTimeout clock.Millis = 60
+)
+
+// DiscardBody reads a response body that nobody needs to its end and closes it, so that the
+// connection can be reused. A body that is long, or that does not end soon, is closed
+// before its end, together with its connection; the error is then not nil if the read was
+// interrupted.
+func DiscardBody(response *http.Response) error {
+	timer := time.AfterFunc(discardBodyTimeout.Duration(), func() { _ = response.Body.Close() })
+	defer timer.Stop()
+	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscardedBody))
+	return errors.Join(err, response.Body.Close())
+}
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -14,9 +14,9 @@
 	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
-// maxHeaderBytes bounds a response header. It is a tenth of the default of
-// http.Transport.
-const maxHeaderBytes = 1 << 20
+// maxHeaderBytes bounds a response header. Decoded, a header of short fields takes up to
+// 30 times as much memory.
+const maxHeaderBytes = 64 << 10
 
 // unlimitedBytes is a read budget that no response exhausts.
 const unlimitedBytes = int64(1) << 62
@@ -103,6 +103,27 @@
 	return err == nil && open
 }
 
+// responsePrefix is the beginning of each HTTP/1.x response.
+const responsePrefix = "HTTP/1."
+
+var errNotHTTP = merry.Sentinel("bytes are not the beginning of an HTTP/1.x response")
+
+// checkPrefix reads the beginning of a response and returns an error as soon as it differs
+// from responsePrefix. http.ReadResponse would read on until the line ends. It leaves
+// errors of the connection to the next read.
+func (c *conn) checkPrefix() error {
+	for n := 1; n <= len(responsePrefix); n++ {
+		b, err := c.reader.Peek(n)
+		if err != nil {
+			return nil
+		}
+		if string(b) != responsePrefix[:n] {
+			return merry.Wrap(errNotHTTP, merry.AppendMessagef("%q", b))
+		}
+	}
+	return nil
+}
+
 type connReader struct{ c *conn }
 
 // Read implements io.Reader. It returns ErrIdleTimeout when no byte arrives within
--- a/internal/exchange/do.go
+++ b/internal/exchange/do.go
@@ -11,6 +11,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/gentiansail/gentiansail/internal/header"
+	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
 // Do sends the request once and returns when the response header has arrived.
@@ -134,11 +135,19 @@
 	x.writeDone <- err
 }
 
+// maxInformational bounds the informational responses to one request. It allows for one
+// each second during two and a half hours.
+const maxInformational = 10_000
+
 // readHeader returns the final response header. Informational responses show
 // only that the server is alive.
 func (x *exchange) readHeader() (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(x.conn.reader, x.request.HTTP)
+	for range maxInformational + 1 {
+		err := x.conn.checkPrefix()
+		var response *http.Response
+		if err == nil {
+			response, err = http.ReadResponse(x.conn.reader, x.request.HTTP)
+		}
 		if err != nil {
 			return nil, merry.Wrap(ErrResponse, merry.WithCause(err), merry.AppendMessage(err.Error()))
 		}
@@ -153,13 +162,17 @@
 			x.request.OnInformational(response.StatusCode, response.Header)
 		}
 	}
+	return nil, merry.Wrap(ErrResponse, merry.AppendMessagef("more than %d informational responses", maxInformational))
 }
 
-// maxMismatched bounds the responses to other requests that are skipped, and
-// maxMismatchedBytes the body of each.
+// maxMismatched bounds the responses to other requests that are skipped,
+// maxMismatchedBytes the body of each, and mismatchedTimeout the time to read that body. A
+// server that sends such a response has it complete, so a body that takes longer is
+// unlikely to end, and no response can follow it.
 const (
-	maxMismatched      = 3
-	maxMismatchedBytes = 1 << 20
+	maxMismatched                   = 3
+	maxMismatchedBytes              = 1 << 20
+	mismatchedTimeout  clock.Millis = 500
 )
 
 // readMatching returns the response to this request. With SkipMismatched it skips
@@ -175,14 +188,23 @@
 		if !skip {
 			return response, err
 		}
-		x.conn.readBudget = maxMismatchedBytes
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := x.skipBody(response); err != nil {
 			return nil, merry.Wrap(ErrResponse, merry.WithCause(err), merry.AppendMessage(err.Error()))
 		}
-		x.conn.readBudget = maxHeaderBytes
 	}
 }
 
+// skipBody reads the body of a response to another request. At the end of
+// mismatchedTimeout it closes the connection.
+func (x *exchange) skipBody(response *http.Response) error {
+	x.conn.readBudget = maxMismatchedBytes
+	timer := time.AfterFunc(mismatchedTimeout.Duration(), func() { _ = x.conn.raw.Close() })
+	defer timer.Stop()
+	_, err := io.Copy(io.Discard, response.Body)
+	x.conn.readBudget = maxHeaderBytes
+	return err
+}
+
 // validate checks the request id and the framing of a response.
 func (x *exchange) validate(response *http.Response) error {
 	name := x.request.RequestIDHeader
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -251,8 +251,7 @@
 // rejectedByTarget returns the reply for a rejection by the target. The outcome is
 // unknown if the status is not the one that the target protocol defines.
 func (t *targetRequest) rejectedByTarget(response *http.Response, reason reasonCode, status int) *nodeReply {
-	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxProtocolBytes))
-	_ = response.Body.Close()
+	err := exchange.DiscardBody(response)
 	shed := reason == reasonOverload
 	t.finish(limit.Result{Latency: t.node.clock.Now() - t.sentAt, Shed: shed, Failed: err != nil || !shed})
 	if response.StatusCode != status {
--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -399,7 +399,7 @@
 		g.queue.Release(ticket, duration)
 	})
 	if g.rejectedByTarget(response) {
-		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxRejectionBody))
+		_ = exchange.DiscardBody(response)
 		release()
 		result.Reason, result.RetryMillis = hop.RejectedByTarget, g.queue.RetryAfter()
 		return result
@@ -414,10 +414,6 @@
 	return result
 }
 
-// maxRejectionBody bounds how much of the body of a target's rejection is read, so that
-// the connection can be reused.
-const maxRejectionBody = 64 << 10
-
 // releasingBody is a response body that releases the slot of its request when it ends.
 type releasingBody struct {
 	io.ReadCloser
