replication: heartbeats do not wait behind long entries

What callers saw: a valid configuration with many new routes had no acknowledgement in calm.

Cause: the entry of such a change has 1.2 MB, its message 1.6 MB. It was sent as a whole on the one connection to each follower, so that heartbeats, their responses and pings waited behind it: four followers, 170 Mbit/s, 0.48 core. After 500 ms without a response from a majority the leader stepped down, followers began an election, and the next leader met the same entry again. A message that took longer than 750 ms could never arrive, since unanswered pings closed its connection. The limit of 256 KB for a message does not help: it holds for several entries together, not for one. Class of fault: a sign of life that shares an ordered channel with bulk data.

Change: messages over 64 KB are sent in parts, each after the response to the one before (internal/coordination/replication, for both kinds of control group), and votes, responses and heartbeats have a queue of their own. While a long append is in transfer, the leader sends heartbeats that refer to the last entry known to match, so that the follower can accept them before the entry has arrived. A replica without the new method gets whole messages as before.

Same cause elsewhere: internal/control sent its messages the same way and uses the same package now.

The property test runs with overtaking heartbeats.

--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -11,6 +11,8 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/gentiansail/gentiansail/internal/coordination/message"
+	"github.com/gentiansail/gentiansail/internal/coordination/replication"
 	"github.com/gentiansail/gentiansail/internal/rpc"
 	"github.com/gentiansail/gentiansail/internal/wire"
 	"github.com/gentiansail/gentiansail/pkg/clock"
@@ -24,6 +26,8 @@
 	// admissionTimeout bounds one request for admission. A later request continues
 	// an admission that is not complete by then.
 	admissionTimeout clock.Millis = 5000
+	// admissionMargin is the time allowed for the response to arrive.
+	admissionMargin clock.Millis = 1000
 )
 
 // replicaHandlers handles the calls of other replicas and of an operator who
@@ -34,12 +38,15 @@
 	configured map[wire.ReplicaID]wire.Address
 	replica    *replog.Replica
 	peers      *peers
-	clock      clock.Clock
-	log        zerolog.Logger
+	// parts joins the parts of long messages from other replicas.
+	parts *replication.Assembler
+	clock clock.Clock
+	log   zerolog.Logger
 }
 
 func (h *replicaHandlers) register(server *rpc.Server) {
 	rpc.Handle(server, wire.MethodReplicaMessage, h.message)
+	rpc.Handle(server, wire.MethodReplicaMessagePart, h.messagePart)
 	rpc.Handle(server, wire.MethodReplicaIdentity, h.identity)
 	rpc.Handle(server, wire.MethodReplicaBootstrap, h.bootstrap)
 	rpc.Handle(server, wire.MethodReplicaAdmit, h.admit)
@@ -60,12 +67,28 @@
 	if err != nil {
 		return struct{}{}, &rpc.Error{Code: rpc.CodeRejected, Message: err.Error()}
 	}
-	m, err := replog.DecodeMessage(data)
+	return struct{}{}, h.deliver(data)
+}
+
+// messagePart receives a part of a long message. The message itself names its group.
+func (h *replicaHandlers) messagePart(_ context.Context, part message.LogPart) (struct{}, error) {
+	data, err := h.parts.Add(part)
 	if err != nil {
 		return struct{}{}, &rpc.Error{Code: rpc.CodeRejected, Message: err.Error()}
 	}
+	if data == nil {
+		return struct{}{}, nil
+	}
+	return struct{}{}, h.deliver(data)
+}
+
+func (h *replicaHandlers) deliver(data []byte) error {
+	m, err := replog.DecodeMessage(data)
+	if err != nil {
+		return &rpc.Error{Code: rpc.CodeRejected, Message: err.Error()}
+	}
 	h.replica.Deliver(m)
-	return struct{}{}, nil
+	return nil
 }
 
 func (h *replicaHandlers) identity(_ context.Context, r wire.IdentityRequest) (wire.IdentityResponse, error) {
@@ -178,7 +201,7 @@
 	request := wire.AdmitRequest{Group: h.group, Member: wire.ReplicaMember{
 		Name: wire.ReplicaID(self.Name), Identity: wire.Identity(self.Identity), Address: wire.Address(self.Address), Voter: true,
 	}}
-	ctx, cancel := context.WithTimeout(ctx, (admissionTimeout + sendTimeout).Duration())
+	ctx, cancel := context.WithTimeout(ctx, (admissionTimeout + admissionMargin).Duration())
 	defer cancel()
 	// The response is ignored: isVoter reads the result from the replica's own
 	// log.
--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 	"github.com/rs/zerolog"
 
+	"github.com/gentiansail/gentiansail/internal/coordination/replication"
 	"github.com/gentiansail/gentiansail/internal/process"
 	"github.com/gentiansail/gentiansail/internal/rpc"
 	"github.com/gentiansail/gentiansail/internal/settings"
@@ -124,7 +125,7 @@
 	promauto.With(c.registry).NewGaugeFunc(prometheus.GaugeOpts{
 		Namespace: "gentiansail", Subsystem: "control", Name: "term", Help: "Term of the replicated log; it grows with each election.",
 	}, func() float64 { return float64(replica.Status().Term) })
-	c.handlers = &replicaHandlers{group: s.Group, configured: s.Replicas, replica: replica, peers: c.peers, clock: clock.System(), log: log}
+	c.handlers = &replicaHandlers{group: s.Group, configured: s.Replicas, replica: replica, peers: c.peers, parts: replication.NewAssembler(), clock: clock.System(), log: log}
 	return c, nil
 }
 
--- a/internal/coordination/message/doc.go
+++ b/internal/coordination/message/doc.go
@@ -23,6 +23,7 @@
 	MethodBootstrap = "Core.Found"
 	MethodAdmit     = "Core.Admit"
 	MethodLog       = "Core.Log"
+	MethodLogPart   = "Core.LogPart"
 )
 
 // Prefixes of the names of published items, one for each kind.
--- a/internal/coordination/message/message.go
+++ b/internal/coordination/message/message.go
@@ -287,6 +287,24 @@
 	Data string `json:"Data"`
 }
 
+// LogPart carries a part of a long message of the replicated log.
+type LogPart struct {
+	// The part in base64.
+	Data string `json:"Data"`
+
+	// The name of the sending replica.
+	From string `json:"From"`
+
+	// The position of the part in the message, in bytes.
+	Offset int `json:"Offset"`
+
+	// The length of the message in bytes.
+	Total int `json:"Total"`
+
+	// Numbers the long messages of the sender since its start.
+	Transfer int `json:"Transfer"`
+}
+
 // Millis is a duration in milliseconds.
 type Millis int
 
--- a/internal/coordination/quorum/quorum.go
+++ b/internal/coordination/quorum/quorum.go
@@ -39,10 +39,10 @@
 	"github.com/rs/zerolog"
 
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
+	"github.com/gentiansail/gentiansail/internal/coordination/replication"
 	"github.com/gentiansail/gentiansail/internal/rpc"
 	"github.com/gentiansail/gentiansail/pkg/clock"
 	"github.com/gentiansail/gentiansail/pkg/replog"
-	"github.com/gentiansail/gentiansail/pkg/ring"
 )
 
 // Timing of the log.
@@ -61,10 +61,6 @@
 	joinInterval clock.Millis = 300
 	// joinTimeout bounds one such attempt.
 	joinTimeout clock.Millis = 1500
-	// sendTimeout bounds the sending of one message.
-	sendTimeout clock.Millis = 1000
-	// maxQueuedMessages bounds the messages that are queued for one peer.
-	maxQueuedMessages = 256
 )
 
 const group replog.GroupID = "mesh"
@@ -105,6 +101,8 @@
 	options Options
 	// replica is nil while the log is not open.
 	replica atomic.Pointer[replog.Replica]
+	// parts joins the parts of long messages from other replicas.
+	parts *replication.Assembler
 
 	// mu guards peers and sendCtx.
 	mu sync.Mutex
@@ -115,15 +113,15 @@
 	senders sync.WaitGroup
 }
 
-// peer is another replica, to which one goroutine sends the queued messages.
+// peer is another replica.
 type peer struct {
-	client   *rpc.Client
-	messages *ring.Ring[replog.Message]
+	client *rpc.Client
+	sender *replication.Sender
 }
 
 // New returns a Quorum that is not running yet.
 func New(options Options) *Quorum {
-	return &Quorum{options: options, peers: map[string]*peer{}}
+	return &Quorum{options: options, parts: replication.NewAssembler(), peers: map[string]*peer{}}
 }
 
 // Run keeps the log open until ctx ends.
@@ -290,26 +288,42 @@
 // Register registers the handlers for the calls of other replicas.
 func (q *Quorum) Register(s *rpc.Server) {
 	rpc.Handle(s, message.MethodLog, q.deliver)
+	rpc.Handle(s, message.MethodLogPart, q.deliverPart)
 	rpc.Handle(s, message.MethodIdentity, q.identity)
 	rpc.Handle(s, message.MethodBootstrap, q.bootstrap)
 	rpc.Handle(s, message.MethodAdmit, q.admit)
 }
 
 func (q *Quorum) deliver(_ context.Context, m message.LogMessage) (struct{}, error) {
-	r := q.replica.Load()
-	if r == nil {
-		return struct{}{}, unavailable(ErrNotOpen)
-	}
 	data, err := base64.StdEncoding.DecodeString(m.Data)
 	if err != nil {
 		return struct{}{}, rejected(err)
 	}
-	decoded, err := replog.DecodeMessage(data)
+	return struct{}{}, q.deliverEncoded(data)
+}
+
+func (q *Quorum) deliverPart(_ context.Context, part message.LogPart) (struct{}, error) {
+	data, err := q.parts.Add(part)
 	if err != nil {
 		return struct{}{}, rejected(err)
 	}
-	r.Deliver(decoded)
-	return struct{}{}, nil
+	if data == nil {
+		return struct{}{}, nil
+	}
+	return struct{}{}, q.deliverEncoded(data)
+}
+
+func (q *Quorum) deliverEncoded(data []byte) error {
+	r := q.replica.Load()
+	if r == nil {
+		return unavailable(ErrNotOpen)
+	}
+	m, err := replog.DecodeMessage(data)
+	if err != nil {
+		return rejected(err)
+	}
+	r.Deliver(m)
+	return nil
 }
 
 func (q *Quorum) identity(context.Context, message.IdentityRequest) (message.IdentityReply, error) {
@@ -479,49 +493,29 @@
 	defer q.mu.Unlock()
 	p := q.peers[address]
 	if p == nil {
-		p = &peer{client: rpc.NewClient(address), messages: ring.New[replog.Message](maxQueuedMessages)}
+		p = q.newPeer(address)
 		q.peers[address] = p
 		ctx := q.sendCtx
-		q.senders.Go(func() { p.sendMessages(ctx) })
+		q.senders.Go(func() {
+			defer p.client.Close()
+			_ = p.sender.Run(ctx)
+		})
 	}
 	return p
 }
 
-// send queues a message for its recipient, or drops it if the queue is full.
-func (q *Quorum) send(m replog.Message) { q.peer(m.To.Address).messages.Offer(m) }
-
-// sendMessages sends queued messages until ctx ends.
-func (p *peer) sendMessages(ctx context.Context) {
-	defer p.client.Close()
-	for {
-		m, err := p.messages.Take(ctx)
-		if err != nil {
-			return
-		}
-		if p.sendOne(ctx, m) != nil {
-			p.discardQueued()
-		}
-	}
-}
-
-// discardQueued drops the messages that are queued for an unreachable peer, so that the
-// peer gets recent ones when it is reachable again.
-func (p *peer) discardQueued() {
-	for {
-		select {
-		case <-p.messages.Items():
-		default:
-			return
-		}
-	}
+func (q *Quorum) newPeer(address string) *peer {
+	client := rpc.NewClient(address)
+	return &peer{client: client, sender: replication.NewSender(replication.Options{
+		From: q.options.Name, Client: client, PartMethod: message.MethodLogPart,
+		Notify: func(ctx context.Context, data string) error {
+			return client.Notify(ctx, message.MethodLog, message.LogMessage{Data: data})
+		},
+	})}
 }
 
-func (p *peer) sendOne(ctx context.Context, m replog.Message) error {
-	ctx, cancel := context.WithTimeout(ctx, sendTimeout.Duration())
-	defer cancel()
-	data := base64.StdEncoding.EncodeToString(m.Encode())
-	return p.client.Notify(ctx, message.MethodLog, message.LogMessage{Data: data})
-}
+// send queues a message for its recipient, or drops it if the queue is full.
+func (q *Quorum) send(m replog.Message) { q.peer(m.To.Address).sender.Offer(m) }
 
 // PeerAddress returns the address on which a process listens for other processes, given
 // any address of its host and the peer port, which is the same on all hosts. It returns an
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -82,6 +82,9 @@
 	CodeRejected Code = 1003
 	// CodeUnknown: the call may or may not have taken effect.
 	CodeUnknown Code = 1004
+	// CodeUnknownMethod: the server, perhaps of an earlier version, has no such method.
+	// The code is the one of JSON-RPC.
+	CodeUnknownMethod Code = jsonrpc2.CodeMethodNotFound
 )
 
 // Error is an error that the handler of a call returned. It is sent to the client
--- a/internal/wire/doc.go
+++ b/internal/wire/doc.go
@@ -31,6 +31,7 @@
 	MethodOperatorRelease    = "Operator.Release"
 	MethodOperatorConfig     = "Operator.Config"
 	MethodReplicaMessage     = "Replica.Message"
+	MethodReplicaMessagePart = "Replica.MessagePart"
 	MethodReplicaAdmit       = "Replica.Admit"
 	MethodReplicaBootstrap   = "Replica.Bootstrap"
 	MethodReplicaIdentity    = "Replica.Identity"
--- a/pkg/replog/core.go
+++ b/pkg/replog/core.go
@@ -21,6 +21,8 @@
 	// appendBytes and chunkBytes limit the entries or the chunk in one message.
 	appendBytes int
 	chunkBytes  uint64
+	// longAppendBytes is the size of entries from which a message counts as long.
+	longAppendBytes int
 
 	// state must be durable before any message of the same outputs is sent.
 	state      hardState
@@ -106,7 +108,7 @@
 	c := &core{
 		group: group, self: self, heartbeatEvery: heartbeat, electionTimeout: timeout,
 		random: random, now: now, state: l.state, log: l.log,
-		memberships: []indexedMembership{{}}, appendBytes: maxAppendBytes, chunkBytes: snapshotChunkBytes,
+		memberships: []indexedMembership{{}}, appendBytes: maxAppendBytes, chunkBytes: snapshotChunkBytes, longAppendBytes: longAppendBytes,
 	}
 	c.stableIndex = c.log.last()
 	if s := l.snapshot; s != nil {
--- a/pkg/replog/leader.go
+++ b/pkg/replog/leader.go
@@ -17,6 +17,9 @@
 	// maxInflightEntries limits the entries sent beyond the last one that the
 	// replica has acknowledged.
 	maxInflightEntries Index = 8192
+	// longAppendBytes is the size of the entries in a message from which heartbeats may
+	// overtake it.
+	longAppendBytes = 64 << 10
 	// snapshotChunkBytes is the size of a snapshot chunk. The next chunk is sent
 	// after the reply to the previous one.
 	snapshotChunkBytes = 256 << 10
@@ -51,6 +54,8 @@
 	// heartbeat repeats the probe, or asks for the state of the snapshot.
 	awaitingReply bool
 	heartbeatDue  bool
+	// longUntil is the last index of the last long append.
+	longUntil Index
 	// replied is true if the peer has replied in this term, at lastReply.
 	replied   bool
 	lastReply clock.Millis
@@ -166,6 +171,7 @@
 		if p.snapshotToSend != nil {
 			c.sendChunk(m, p)
 		} else {
+			c.sendOvertakingHeartbeat(m, p)
 			c.sendAppend(m, p)
 		}
 		p.heartbeatDue = false
@@ -188,6 +194,30 @@
 	c.out.EarlyMessages = append(c.out.EarlyMessages, c.addSender(m))
 	p.next += Index(len(entries))
 	p.awaitingReply = p.probing
+	size := 0
+	for _, n := range entries {
+		size += len(n.Data)
+	}
+	if size >= c.longAppendBytes {
+		p.longUntil = p.next - 1
+	}
+}
+
+// sendOvertakingHeartbeat sends a due heartbeat that may overtake a long append in
+// transfer, which can take longer than the election timeout. It refers to the last entry
+// known to match, because the receiver would reject one that refers to entries that have
+// not arrived. The heartbeat of sendAppend is sent as well, since its rejection shows that
+// entries were lost.
+func (c *core) sendOvertakingHeartbeat(to Member, p *peer) {
+	if !p.heartbeatDue || p.probing || p.match >= p.longUntil {
+		return
+	}
+	t, ok := c.log.term(p.match)
+	if !ok {
+		return
+	}
+	m := Message{Kind: KindAppend, To: to, Index: p.match, LogTerm: t, Commit: c.commitIndex, Round: c.leading.reads.round, overtakes: true}
+	c.out.EarlyMessages = append(c.out.EarlyMessages, c.addSender(m))
 }
 
 // sendChunk sends the next chunk of a snapshot. While the reply to the previous
--- a/pkg/replog/message.go
+++ b/pkg/replog/message.go
@@ -67,6 +67,21 @@
 	// describes before it sends the message.
 	chunkSize int
 	fileInfo  snapshotFileInfo
+	// overtakes is true for a heartbeat that does not refer to entries in transfer.
+	overtakes bool
+}
+
+// MayOvertake reports whether the message may be delivered before messages that were sent
+// earlier to the same replica, and should be if these are long. Any order is safe, but an
+// append that overtakes entries it refers to makes the leader send them again.
+func (m Message) MayOvertake() bool {
+	switch m.Kind {
+	case KindAppend:
+		return m.overtakes
+	case KindSnapshot:
+		return false
+	}
+	return true
 }
 
 const (
--- a/pkg/replog/property_test.go
+++ b/pkg/replog/property_test.go
@@ -160,7 +160,7 @@
 	self := Member{Name: n.name, Identity: l.identity}
 	c := newCore("g", self, l, simHeartbeat, simTimeout, g.random, g.now)
 	// Small limits, so that entries and snapshots need several messages.
-	c.appendBytes, c.chunkBytes = 64, 256
+	c.appendBytes, c.chunkBytes, c.longAppendBytes = 64, 256, 32
 	n.engine = &engine{core: c, store: s, chunkReaders: map[Identity]*chunkReader{}, send: func(m Message) { g.network = append(g.network, m.Encode()) }}
 }
 
