core: log each operator's change with its duration and size

Cause: calls that a replica refused before it proposed the change (another replica leads, too few replicas) left no line, and accepted ones did not tell how long they took.

Change: one line for each call of ApplyChange with Routes and TookMillis. Measured: TestEachChangeIsLogged failed before for all three kinds of call.

--- a/internal/coordination/core/operator.go
+++ b/internal/coordination/core/operator.go
@@ -23,17 +23,23 @@
 // ApplyChange accepts or rejects an operator's change. If it returns an error, the change
 // may still take effect.
 func (c *Core) ApplyChange(ctx context.Context, change message.ConfigurationChange) (registry.Outcome, error) {
+	start := c.options.Clock.Now()
+	out, err := c.applyChange(ctx, change)
+	c.metrics.changes.WithLabelValues(outcomeName(out, err)).Inc()
+	c.log.Info().Err(err).Str("Event", "change").Int("Version", change.Version).Int("Base", change.BaseVersion).Str("Digest", change.Digest).
+		Int("Status", int(out.Status)).Str("Reason", out.Reason).Int("Routes", len(change.Routes)).Int64("TookMillis", int64(c.options.Clock.Now()-start)).
+		Msg("configuration change from operator")
+	return out, err
+}
+
+func (c *Core) applyChange(ctx context.Context, change message.ConfigurationChange) (registry.Outcome, error) {
 	if err := c.requireLeader(); err != nil {
 		return registry.Outcome{}, err
 	}
 	if c.machine.Configuration().Revision.Version == 0 && c.tooFewReplicas() {
 		return registry.Outcome{}, merry.Wrap(ErrTooFewReplicas)
 	}
-	out, err := c.propose(ctx, message.Command{Change: &change})
-	c.metrics.changes.WithLabelValues(outcomeName(out, err)).Inc()
-	c.log.Info().Err(err).Str("Event", "change").Int("Version", change.Version).Int("Base", change.BaseVersion).Str("Digest", change.Digest).
-		Int("Status", int(out.Status)).Str("Reason", out.Reason).Msg("configuration change from operator")
-	return out, err
+	return c.propose(ctx, message.Command{Change: &change})
 }
 
 // tooFewReplicas reports whether a first configuration has to wait for more replicas.
--- /dev/null
+++ b/internal/coordination/core/operator_test.go
@@ -0,0 +1,90 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/gentiansail/gentiansail/internal/coordination/message"
+	"github.com/gentiansail/gentiansail/internal/settings"
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+// startLeader runs a core of one replica and returns it once it leads.
+func startLeader(t *testing.T, log zerolog.Logger) *Core {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	address := l.Addr().String()
+	c := New(Options{Clock: clock.System(), Log: log, Metrics: prometheus.NewRegistry(), Settings: settings.Host{
+		Name: "core-1", IP: "127.0.0.1", PeerPort: l.Addr().(*net.TCPAddr).Port, Listen: settings.HostListeners{Control: address},
+		Seeds: []string{address}, FirstStart: true, DataFolder: t.TempDir(),
+	}})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- c.Run(ctx, l) }()
+	t.Cleanup(func() {
+		cancel()
+		qt.Check(t, <-ended, qt.IsNil)
+	})
+	for end := time.Now().Add(60 * time.Second); !c.isLeader(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no leader within 60 s")
+		}
+	}
+	return c
+}
+
+func changeWithRoutes(version, base, routes int) message.ConfigurationChange {
+	c := message.ConfigurationChange{Version: version, BaseVersion: base, Replace: true, Digest: fmt.Sprint(version, base), Services: []message.ServiceSpec{{Name: "pledges", Source: "{}"}}}
+	for i := range routes {
+		c.Routes = append(c.Routes, message.Route{Name: fmt.Sprint("route", i), HostName: "mesh.example", Prefix: fmt.Sprintf("/%d/", i), Splits: []message.Split{{Service: "pledges", Weight: 1}}, Source: strings.Repeat("x", 300)})
+	}
+	return c
+}
+
+// Guards against operators' calls that leave no trace in the log of the replica that
+// answered them.
+func TestEachChangeIsLogged(t *testing.T) {
+	var lines lineWriter
+	c := startLeader(t, zerolog.New(&lines))
+	_, err := c.ApplyChange(t.Context(), changeWithRoutes(3, 0, 2))
+	qt.Assert(t, err, qt.IsNil)
+	_, err = c.ApplyChange(t.Context(), changeWithRoutes(4, 0, 2))
+	qt.Assert(t, err, qt.IsNil)
+	c.leaseTableTerm.Store(0) // as on a replica that does not lead
+	_, err = c.ApplyChange(t.Context(), changeWithRoutes(5, 3, 2))
+	qt.Assert(t, err, qt.Not(qt.IsNil))
+	for _, want := range []string{
+		`"Event":"change","Version":3,[^\n]*"Status":0,"Reason":""`,
+		`"Event":"change","Version":4,[^\n]*"Status":1,"Reason":"the change builds on version 0[^\n]*`,
+		`"error":"another replica leads[^\n]*"Event":"change","Version":5,[^\n]*`,
+	} {
+		qt.Check(t, lines.String(), qt.Matches, `(?s).*`+want+`,"Routes":2,"TookMillis":\d+,.*`)
+	}
+}
+
+// lineWriter keeps what is logged.
+type lineWriter struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (w *lineWriter) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.b.Write(p)
+}
+
+func (w *lineWriter) String() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.b.String()
+}
