core: a resent change joins the one that is being committed

What callers saw: an operator resends a change that gets no response within a second. The leader put each copy into the log: eight calls with the same change of 2,000 routes made nine entries, of about 1 MB each.

Cause: a copy was recognized only when its entry was applied. Class of fault: retries of slow work that repeat the work.

Change: a change that was accepted is acknowledged from the state; one that is being committed is joined, also after its first sender has given up.

Measured: TestResentChangeIsNotReplicatedAgain failed before (index 11 instead of 3), passes now.

--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -64,6 +64,10 @@
 	// leases of an earlier term.
 	leaseTableTerm atomic.Uint64
 
+	// changesMu guards pendingChanges, which are the changes being committed by digest.
+	changesMu      sync.Mutex
+	pendingChanges map[string]*pendingChange
+
 	// mu serializes decisions about keys: grants, moves and expiries.
 	mu sync.Mutex
 	// unassignedSince is when all keys of a service were first seen to be unassigned.
@@ -85,7 +89,7 @@
 	if options.Settings.Bounds.MaxLeaseMillis == 0 {
 		leaseDuration = defaultLeaseDuration
 	}
-	c := &Core{options: options, log: options.Log, machine: registry.New(), leases: grant.NewLeaseTable(options.Clock, leaseDuration)}
+	c := &Core{options: options, log: options.Log, machine: registry.New(), pendingChanges: map[string]*pendingChange{}, leases: grant.NewLeaseTable(options.Clock, leaseDuration)}
 	c.resetPlans()
 	var seeds []message.Address
 	for _, a := range options.Settings.Seeds {
@@ -172,11 +176,15 @@
 
 // propose commits a command and returns its outcome.
 func (c *Core) propose(ctx context.Context, command message.Command) (registry.Outcome, error) {
+	return c.proposeWithin(ctx, command, proposeTimeout)
+}
+
+func (c *Core) proposeWithin(ctx context.Context, command message.Command, timeout clock.Millis) (registry.Outcome, error) {
 	data, err := json.Marshal(command)
 	if err != nil {
 		return registry.Outcome{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout.Duration())
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
 	out, err := c.quorum.Propose(ctx, data)
 	if err != nil {
--- a/internal/coordination/core/operator.go
+++ b/internal/coordination/core/operator.go
@@ -8,6 +8,7 @@
 
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
 	"github.com/gentiansail/gentiansail/internal/coordination/registry"
+	"github.com/gentiansail/gentiansail/internal/rpc"
 	"github.com/gentiansail/gentiansail/pkg/clock"
 	"github.com/gentiansail/gentiansail/pkg/replog"
 )
@@ -39,7 +40,49 @@
 	if c.machine.Configuration().Revision.Version == 0 && c.tooFewReplicas() {
 		return registry.Outcome{}, merry.Wrap(ErrTooFewReplicas)
 	}
-	return c.propose(ctx, message.Command{Change: &change})
+	return c.commitChange(ctx, change)
+}
+
+// commitTimeout bounds the commit of a change, which goes on after its sender has given up.
+// It ends earlier if the leadership does.
+const commitTimeout clock.Millis = 10_000
+
+// pendingChange is a change that is being committed. The other fields are valid after done
+// is closed.
+type pendingChange struct {
+	done    chan struct{}
+	outcome registry.Outcome
+	err     error
+}
+
+// commitChange commits a change, or waits for the commit of the same change if an operator
+// has sent it before. Each copy in the log would delay the first one.
+func (c *Core) commitChange(ctx context.Context, change message.ConfigurationChange) (registry.Outcome, error) {
+	c.changesMu.Lock()
+	p := c.pendingChanges[change.Digest]
+	switch {
+	case p != nil:
+	case c.machine.Accepted(change.Digest):
+		c.changesMu.Unlock()
+		return registry.Outcome{Status: registry.Done}, nil
+	default:
+		p = &pendingChange{done: make(chan struct{})}
+		c.pendingChanges[change.Digest] = p
+		go func() {
+			defer close(p.done)
+			p.outcome, p.err = c.proposeWithin(context.WithoutCancel(ctx), message.Command{Change: &change}, commitTimeout)
+			c.changesMu.Lock()
+			defer c.changesMu.Unlock()
+			delete(c.pendingChanges, change.Digest)
+		}()
+	}
+	c.changesMu.Unlock()
+	select {
+	case <-p.done:
+		return p.outcome, p.err
+	case <-ctx.Done():
+		return registry.Outcome{}, &rpc.Error{Code: rpc.CodeUnknown, Message: "the change is still being committed: " + ctx.Err().Error()}
+	}
 }
 
 // tooFewReplicas reports whether a first configuration has to wait for more replicas.
--- a/internal/coordination/core/operator_test.go
+++ b/internal/coordination/core/operator_test.go
@@ -14,8 +14,10 @@
 	"github.com/rs/zerolog"
 
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
+	"github.com/gentiansail/gentiansail/internal/coordination/registry"
 	"github.com/gentiansail/gentiansail/internal/settings"
 	"github.com/gentiansail/gentiansail/pkg/clock"
+	"github.com/gentiansail/gentiansail/pkg/replog"
 )
 
 // startLeader runs a core of one replica and returns it once it leads.
@@ -42,6 +44,14 @@
 	return c
 }
 
+// lastIndex returns the index of the last entry that the replica has applied.
+func (c *Core) lastIndex(t *testing.T) replog.Index {
+	qt.Assert(t, c.quorum.Confirm(t.Context()), qt.IsNil)
+	s, ok := c.quorum.Status()
+	qt.Assert(t, ok, qt.IsTrue)
+	return s.AppliedIndex
+}
+
 func changeWithRoutes(version, base, routes int) message.ConfigurationChange {
 	c := message.ConfigurationChange{Version: version, BaseVersion: base, Replace: true, Digest: fmt.Sprint(version, base), Services: []message.ServiceSpec{{Name: "pledges", Source: "{}"}}}
 	for i := range routes {
@@ -50,6 +60,38 @@
 	return c
 }
 
+// Guards against a leader that replicates a change again each time its sender resends it.
+// An operator resends a large change while its first entry is still being committed, and
+// each copy would delay the acknowledgement further.
+func TestResentChangeIsNotReplicatedAgain(t *testing.T) {
+	c := startLeader(t, zerolog.Nop())
+	apply := func(change message.ConfigurationChange) {
+		out, err := c.ApplyChange(t.Context(), change)
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, out, qt.Equals, registry.Outcome{Status: registry.Done})
+	}
+	first := changeWithRoutes(3, 0, 2000)
+	before := c.lastIndex(t)
+	var senders sync.WaitGroup
+	for range 8 {
+		senders.Go(func() { apply(first) })
+	}
+	senders.Wait()
+	apply(first)
+	qt.Assert(t, c.lastIndex(t), qt.Equals, before+1)
+	second := changeWithRoutes(5, 3, 1)
+	apply(second)
+	apply(first)
+	qt.Assert(t, c.lastIndex(t), qt.Equals, before+2)
+	// A change that was rejected is decided again, because another one may be in force.
+	late := changeWithRoutes(9, 3, 1)
+	for range 2 {
+		out, err := c.ApplyChange(t.Context(), late)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, out.Status, qt.Equals, registry.Conflict)
+	}
+}
+
 // Guards against operators' calls that leave no trace in the log of the replica that
 // answered them.
 func TestEachChangeIsLogged(t *testing.T) {
--- a/internal/coordination/registry/configuration.go
+++ b/internal/coordination/registry/configuration.go
@@ -24,6 +24,14 @@
 	}
 }
 
+// Accepted reports whether the change with a digest was accepted, now or earlier. False may
+// also mean that this replica has not applied the change yet.
+func (m *Machine) Accepted(digest string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Contains(m.state.Digests, digest)
+}
+
 // applyChange accepts a change as a whole or rejects it. A change that was accepted before
 // is acknowledged again, even if others have been accepted since: a sender resends it if
 // it did not get the first acknowledgement.
