replication: compress long messages of the log

What callers saw: the acknowledgement of 1,640 new routes came 0.76 s after they were sent, with heartbeats kept apart; the operator's call ends after 0.95 s.

Cause: the message to each of four followers has 1.6 MB (base64 included), which the leader encodes and checks as JSON, writes, and its followers decode: most of its processor time, on 0.48 core, and 0.3 s of its link. Routes are much alike.

Change: messages over 64 KB are compressed (DEFLATE, fastest level: 2 ms for 0.7 MB on a whole core, to a fifteenth).

--- a/internal/coordination/message/message.go
+++ b/internal/coordination/message/message.go
@@ -289,6 +289,9 @@
 
 // LogPart carries a part of a long message of the replicated log.
 type LogPart struct {
+	// True if the message is compressed (DEFLATE).
+	Compressed bool `json:"Compressed"`
+
 	// The part in base64.
 	Data string `json:"Data"`
 
@@ -298,7 +301,7 @@
 	// The position of the part in the message, in bytes.
 	Offset int `json:"Offset"`
 
-	// The length of the message in bytes.
+	// The length of the message in bytes, as it is sent.
 	Total int `json:"Total"`
 
 	// Numbers the long messages of the sender since its start.
--- a/internal/coordination/replication/assembler.go
+++ b/internal/coordination/replication/assembler.go
@@ -1,7 +1,11 @@
 package replication
 
 import (
+	"bytes"
+	"compress/flate"
 	"encoding/base64"
+	"errors"
+	"io"
 	"sync"
 
 	"github.com/ansel1/merry/v2"
@@ -63,7 +67,21 @@
 		return nil, nil
 	}
 	delete(a.partials, part.From)
-	return p.data, nil
+	if !part.Compressed {
+		return p.data, nil
+	}
+	return decompress(p.data)
+}
+
+func decompress(data []byte) ([]byte, error) {
+	out, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxMessageBytes+1))
+	if err == nil && len(out) > maxMessageBytes {
+		err = errors.New("message is too long")
+	}
+	if err != nil {
+		return nil, merry.Wrap(ErrInvalidPart, merry.WithCause(err), merry.AppendMessage(err.Error()))
+	}
+	return out, nil
 }
 
 // begin replaces the incomplete message of a sender, and drops the oldest one of others if
--- a/internal/coordination/replication/replication.go
+++ b/internal/coordination/replication/replication.go
@@ -3,7 +3,8 @@
 // A long message, such as one with a large entry, may take longer to arrive than an election
 // timeout. It is sent in parts, each of which waits until the previous one has arrived, so
 // that heartbeats and votes need not wait for more than one part. Messages that may overtake
-// others have a queue of their own; all others are sent in order.
+// others have a queue of their own; all others are sent in order. Long messages are also
+// compressed: the routes of a configuration take about a fifteenth of their length.
 //
 // # Usage
 //
@@ -16,6 +17,8 @@
 package replication
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
 	"encoding/base64"
 
@@ -123,10 +126,11 @@
 		return s.sendWhole(ctx, data)
 	}
 	s.transfers++
-	for offset := 0; offset < len(data); offset += maxPartBytes {
+	compressed := compress(data)
+	for offset := 0; offset < len(compressed); offset += maxPartBytes {
 		err := s.sendPart(ctx, message.LogPart{
-			From: s.options.From, Transfer: s.transfers, Offset: offset, Total: len(data),
-			Data: base64.StdEncoding.EncodeToString(data[offset:min(offset+maxPartBytes, len(data))]),
+			From: s.options.From, Transfer: s.transfers, Offset: offset, Total: len(compressed), Compressed: true,
+			Data: base64.StdEncoding.EncodeToString(compressed[offset:min(offset+maxPartBytes, len(compressed))]),
 		})
 		if rpc.IsCode(err, rpc.CodeUnknownMethod) {
 			// A replica of an earlier version takes whole messages only.
@@ -139,6 +143,22 @@
 	return nil
 }
 
+func compress(data []byte) []byte {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err == nil {
+		_, err = w.Write(data)
+	}
+	if err == nil {
+		err = w.Close()
+	}
+	if err != nil {
+		// The level is valid and a buffer takes all bytes.
+		panic(err)
+	}
+	return out.Bytes()
+}
+
 func (s *Sender) sendPart(ctx context.Context, part message.LogPart) error {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout.Duration())
 	defer cancel()
--- a/internal/coordination/replication/replication_test.go
+++ b/internal/coordination/replication/replication_test.go
@@ -1,6 +1,7 @@
 package replication
 
 import (
+	"bytes"
 	"context"
 	"encoding/base64"
 	"fmt"
@@ -93,3 +94,21 @@
 		qt.Assert(t, <-ended, qt.IsNil)
 	}
 }
+
+// Guards against compressed messages that are changed on their way, and against ones that
+// take more memory than the longest message when they are decompressed.
+func TestCompressedMessages(t *testing.T) {
+	add := func(data []byte) ([]byte, error) {
+		return NewAssembler().Add(message.LogPart{From: "a", Transfer: 1, Total: len(data), Compressed: true, Data: base64.StdEncoding.EncodeToString(data)})
+	}
+	whole := bytes.Repeat([]byte("route "), maxPartBytes)
+	data, err := add(compress(whole))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, bytes.Equal(data, whole), qt.IsTrue)
+	for name, invalid := range map[string][]byte{"too long": compress(make([]byte, maxMessageBytes+1)), "cut": compress(whole)[:100], "not compressed": []byte("route")} {
+		t.Run(name, func(t *testing.T) {
+			_, err := add(invalid)
+			qt.Assert(t, err, qt.ErrorIs, ErrInvalidPart)
+		})
+	}
+}
