tests: power lost on all hosts together with two disks

In the property test of the log, all nodes crash at once with unsynced writes lost in part, while as many voters as the leader can spare come back empty.

--- a/internal/integration/mesh/harness_test.go
+++ b/internal/integration/mesh/harness_test.go
@@ -43,6 +43,8 @@
 	peerPort int
 	seeds    []string
 	cores    []*core.Core
+	// folders are the data folders of the core replicas.
+	folders []string
 	// stopCore contains a function for each core replica that stops it and waits until
 	// it has ended.
 	stopCore []func()
@@ -80,6 +82,7 @@
 	for i := range replicas {
 		s.cores = append(s.cores, nil)
 		s.stopCore = append(s.stopCore, nil)
+		s.folders = append(s.folders, "")
 		s.startCore(i, t.TempDir(), true)
 	}
 	s.applyChange(message.ConfigurationChange{
@@ -101,7 +104,7 @@
 		Name: fmt.Sprintf("core-%d", i), FailureDomain: "a", IP: ip, PeerPort: s.peerPort, Listen: settings.HostListeners{Control: s.seeds[i]},
 		Seeds: s.seeds[:min(3, len(s.seeds))], FirstStart: firstStart, DataFolder: folder, TolerateHosts: (len(s.seeds) - 1) / 2,
 	}})
-	s.cores[i] = c
+	s.cores[i], s.folders[i] = c, folder
 	l := listen(s.t, fmt.Sprintf("%s:%d", ip, s.peerPort))
 	ctx, cancel := context.WithCancel(s.ctx)
 	ended := make(chan struct{})
@@ -216,6 +219,11 @@
 
 // addHost starts a sidecar and its target.
 func (s *testMesh) addHost(number int, service message.ServiceName) *host {
+	return s.startHost(number, service, 1)
+}
+
+// startHost starts a sidecar and a target with the given start time.
+func (s *testMesh) startHost(number int, service message.ServiceName, startTime int) *host {
 	ip := fmt.Sprintf("127.0.3.%d", number)
 	h := &host{mesh: s, sidecarErr: make(chan error, 1)}
 	callers := listen(s.t, ip+":0")
@@ -232,7 +240,7 @@
 	h.stopSidecar = cancel
 	l := sidecar.Listeners{Callers: callers, Readiness: listen(s.t, ip+":0"), Control: listen(s.t, ip+":0"), Peers: listen(s.t, fmt.Sprintf("%s:%d", ip, s.peerPort))}
 	s.running.Go(func() { h.sidecarErr <- h.sidecar.Run(ctx, l, http.NotFoundHandler(), http.NotFoundHandler()) })
-	h.startTarget(targetListener, service, fmt.Sprintf("i-%d", number), 1)
+	h.startTarget(targetListener, service, fmt.Sprintf("i-%d", number), startTime)
 	s.eventually("the sidecar is ready", h.sidecar.Ready)
 	return h
 }
--- a/pkg/replog/property_test.go
+++ b/pkg/replog/property_test.go
@@ -425,7 +425,11 @@
 
 // canLoseOne returns CanLoseOne of the running leader with the highest term. It is false
 // within one election timeout after a wipe.
-func (g *simGroup) canLoseOne() bool {
+func (g *simGroup) canLoseOne() bool { return g.tolerableLosses() > 0 }
+
+// tolerableLosses returns how many voters can be lost at once, according to the running
+// leader with the highest term. It is 0 within one election timeout after a wipe.
+func (g *simGroup) tolerableLosses() int {
 	var best *simNode
 	for _, n := range g.nodes {
 		if n.engine != nil && !n.paused && n.engine.core.leading != nil && (best == nil || n.engine.core.state.Term > best.engine.core.state.Term) {
@@ -433,10 +437,34 @@
 		}
 	}
 	if best == nil || g.now-g.lastWipe < simTimeout {
-		return false
+		return 0
 	}
 	best.engine.core.now = g.now
-	return newPublishedStatus(best.engine.core, best.applier.appliedIndex).statusAt(g.now).CanLoseOne
+	s := newPublishedStatus(best.engine.core, best.applier.appliedIndex).statusAt(g.now)
+	caughtUp := 0
+	for _, v := range s.Voters {
+		if v.CaughtUp {
+			caughtUp++
+		}
+	}
+	losses := max(0, caughtUp-(len(s.Voters)/2+1))
+	if s.CanLoseOne != (losses > 0) {
+		g.recordError(fmt.Errorf("CanLoseOne is %v with %d caught-up voters of %d", s.CanLoseOne, caughtUp, len(s.Voters)))
+	}
+	return losses
+}
+
+// losePower takes the power of all nodes at once, while proposals are in progress. The given
+// nodes come back with empty disks.
+func (g *simGroup) losePower(emptied ...*simNode) {
+	g.forEach(g.crash)
+	g.forEach(func(n *simNode) {
+		if slices.Contains(emptied, n) {
+			g.wipe(n)
+		} else {
+			g.start(n)
+		}
+	})
 }
 
 // clearFaults ends all faults.
@@ -518,6 +546,18 @@
 				g.wipe(node(t))
 			}
 		},
+		"lose power": func(t *rapid.T) {
+			g.clearFaults()
+			g.run(120, true)
+			g.forEach(g.propose)
+			g.run(rapid.IntRange(0, 8).Draw(t, "rounds before"), false)
+			first := node(t)
+			var emptied []*simNode
+			for i := range g.tolerableLosses() {
+				emptied = append(emptied, g.nodes[(slices.Index(g.nodes, first)+i)%len(g.nodes)])
+			}
+			g.losePower(emptied...)
+		},
 		"": func(t *rapid.T) {
 			if g.failure != nil {
 				t.Fatal(g.failure)
