sidecar: log how long and why the core's leader was not found

core-found tells the time since the first failure, the failed attempts and the last failure. Without it the log could not tell a core without a leader from a leader that could not be reached.

--- a/internal/traffic/sidecar/core_client.go
+++ b/internal/traffic/sidecar/core_client.go
@@ -30,8 +30,11 @@
 	// nextReplica counts the attempts while the leader is unknown.
 	nextReplica int
 	// unavailable is set from a failed attempt until the next successful one, so that only
-	// the first failure is logged.
-	unavailable bool
+	// the first failure is logged. The fields after it describe the attempts since then.
+	unavailable    bool
+	unavailableAt  clock.Millis
+	failedAttempts int
+	lastFailure    string
 }
 
 func newCoreClient(clk clock.Clock, log zerolog.Logger, seeds []message.Address) *coreClient {
@@ -83,7 +86,11 @@
 	switch {
 	case err == nil:
 		if c.leader != address || c.unavailable {
-			c.log.Info().Str("Event", "core-found").Str("Leader", string(address)).Msg("leader of the core responds")
+			line := c.log.Info().Str("Event", "core-found").Str("Leader", string(address))
+			if c.unavailable {
+				line = line.Int64("SilentMillis", int64(c.clock.Now()-c.unavailableAt)).Int("Failed", c.failedAttempts).Str("LastFailure", c.lastFailure)
+			}
+			line.Msg("leader of the core responds")
 		}
 		c.leader, c.unavailable = address, false
 		return
@@ -94,12 +101,15 @@
 		return
 	}
 	if !c.unavailable {
+		c.unavailableAt, c.failedAttempts = c.clock.Now(), 0
 		c.log.Warn().Err(err).Str("Event", "core-lost").Str("Asked", string(address)).Msg("call to the core failed")
 	}
 	if c.leader == address {
 		c.leader = ""
 	}
 	c.unavailable = true
+	c.failedAttempts++
+	c.lastFailure = string(address) + ": " + err.Error()
 }
 
 // call calls the leader of the core. It retries, at other replicas if needed, until a call
