rpc: keep connections that are established late

Replayed with logs, the sidecar had lost the core when all of it lost power, and found the new leader 2.6 s after it had begun to lead; others took 0.1 s.

Cause: the links of a few sidecars (2 Mbit/s) are congested at that time, so that connecting takes longer than the 300 ms that a call waits. Each attempt then ended at 300 ms and the next one began anew: on such a link a client never connects. After that, the search went on to the next replica in turn although one was connected. Class of fault: a time-out that discards progress instead of only ending the wait.

Change: a call still waits 300 ms, so that another replica can be asked, but connecting goes on for 1.5 s and a later call uses the connection. While the leader is unknown, every second attempt goes to a connected replica.

--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/sourcegraph/jsonrpc2"
@@ -22,6 +23,10 @@
 	dial    func(ctx context.Context, address string) (net.Conn, error)
 	traffic traffic
 
+	// dialCtx ends when the client is closed.
+	dialCtx    context.Context
+	cancelDial context.CancelFunc
+
 	mu      sync.Mutex
 	conn    *jsonrpc2.Conn
 	dialing *dialAttempt
@@ -39,14 +44,26 @@
 
 // NewClient returns a client of the server at address. It does not connect yet.
 func NewClient(address string) *Client {
-	return &Client{address: address, dial: dialTCP}
+	c := &Client{address: address, dial: dialTCP}
+	c.dialCtx, c.cancelDial = context.WithCancel(context.Background())
+	return c
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout.Duration()}
+	var d net.Dialer
 	return d.DialContext(ctx, "tcp", address)
 }
 
+// Connected reports whether a connection is open, as far as the client knows.
+func (c *Client) Connected() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isConnected()
+}
+
+// isConnected is Connected for callers that hold c.mu.
+func (c *Client) isConnected() bool { return c.conn != nil && !isDisconnected(c.conn) }
+
 // Address returns the server's address.
 func (c *Client) Address() string { return c.address }
 
@@ -62,6 +79,7 @@
 	conn := c.conn
 	c.conn, c.closed = nil, true
 	c.mu.Unlock()
+	c.cancelDial()
 	if conn != nil {
 		_ = conn.Close()
 	}
@@ -125,7 +143,7 @@
 		c.mu.Unlock()
 		return nil, errClosed
 	}
-	if c.conn != nil && !isDisconnected(c.conn) {
+	if c.isConnected() {
 		defer c.mu.Unlock()
 		return c.conn, nil
 	}
@@ -133,8 +151,7 @@
 	if a == nil {
 		a = &dialAttempt{done: make(chan struct{})}
 		c.dialing = a
-		// The connection must outlive the call that started to dial.
-		go c.connect(context.WithoutCancel(ctx), a)
+		go c.connect(a)
 	}
 	c.mu.Unlock()
 	select {
@@ -154,27 +171,56 @@
 	}
 }
 
-// connect dials once, bounded by dialTimeout, and then closes a.done.
-func (c *Client) connect(ctx context.Context, a *dialAttempt) {
-	defer close(a.done)
+// connect dials once. After dialTimeout the attempt fails, and with it the calls that wait
+// for it, but dialing goes on: on a congested link each connection may take longer than a
+// call can wait, and a later call can use it. That call begins another attempt meanwhile,
+// since packets that were sent while the host was down are repeated late.
+func (c *Client) connect(a *dialAttempt) {
+	timer := time.AfterFunc(dialTimeout.Duration(), func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.endAttempt(a, nil, merry.Wrap(ErrConnect, merry.AppendMessagef("%s: not connected within %d ms", c.address, dialTimeout)))
+	})
+	ctx, cancel := context.WithTimeout(c.dialCtx, lateDialTimeout.Duration())
+	defer cancel()
 	raw, err := c.dial(ctx, c.address)
+	timer.Stop()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.dialing = nil
-	if err != nil {
-		a.err = merry.Wrap(ErrConnect, merry.WithCause(err), merry.AppendMessage(err.Error()))
+	switch {
+	case err != nil:
+		c.endAttempt(a, nil, merry.Wrap(ErrConnect, merry.WithCause(err), merry.AppendMessage(err.Error())))
 		return
-	}
-	if c.closed {
+	case c.closed:
 		_ = raw.Close()
-		a.err = errClosed
+		c.endAttempt(a, nil, errClosed)
+		return
+	case c.isConnected():
+		_ = raw.Close() // another attempt was faster
+	default:
+		c.use(raw)
+	}
+	if c.dialing != nil {
+		c.endAttempt(c.dialing, c.conn, nil)
+	}
+}
+
+// endAttempt ends an attempt, unless it has ended before. c.mu must be held.
+func (c *Client) endAttempt(a *dialAttempt, conn *jsonrpc2.Conn, err error) {
+	if c.dialing != a {
 		return
 	}
+	c.dialing = nil
+	a.conn, a.err = conn, err
+	close(a.done)
+}
+
+// use makes raw the connection of the client. c.mu must be held.
+func (c *Client) use(raw net.Conn) {
 	transport := &timeoutConn{Conn: raw, idleTimeout: clientIdleTimeout, traffic: &c.traffic}
 	transport.lastReceived.Store(int64(clock.System().Now()))
 	stream := jsonrpc2.NewBufferedStream(transport, frameCodec{})
-	c.conn = jsonrpc2.NewConn(ctx, stream, rejectAll{}, discardLog)
-	a.conn = c.conn
+	c.conn = jsonrpc2.NewConn(c.dialCtx, stream, rejectAll{}, discardLog)
 	go c.keepAlive(c.conn, transport)
 }
 
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -61,8 +61,10 @@
 	serverIdleTimeout clock.Millis = 3000
 	// writeTimeout bounds each write, for peers that do not read.
 	writeTimeout clock.Millis = 2000
-	// dialTimeout bounds connecting to a host that does not respond.
-	dialTimeout clock.Millis = 300
+	// dialTimeout bounds how long a call waits for a connection, lateDialTimeout how long
+	// connecting goes on for later calls.
+	dialTimeout     clock.Millis = 300
+	lateDialTimeout clock.Millis = 1500
 )
 
 const methodPing = "Rpc.Ping"
--- a/internal/traffic/sidecar/core_client.go
+++ b/internal/traffic/sidecar/core_client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 
 	"github.com/rs/zerolog"
@@ -29,6 +30,8 @@
 	leader message.Address
 	// nextReplica counts the attempts while the leader is unknown.
 	nextReplica int
+	// preferConnected alternates with these attempts.
+	preferConnected bool
 	// unavailable is set from a failed attempt until the next successful one, so that only
 	// the first failure is logged. The fields after it describe the attempts since then.
 	unavailable    bool
@@ -59,23 +62,38 @@
 	c.replicas = addresses
 }
 
-// chooseReplica returns the leader, or while it is unknown, each replica in turn.
+// chooseReplica returns the leader, or while it is unknown, each replica in turn. Every
+// second attempt then goes to a replica with an open connection, if there is one: on a
+// congested link connecting takes long, and any replica may know the leader.
 func (c *coreClient) chooseReplica() (message.Address, *rpc.Client) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	address := c.leader
-	if address == "" {
-		// The seeds are always included, because all known replicas may have been replaced.
-		candidates := append(append([]message.Address{}, c.replicas...), c.seeds...)
-		address = candidates[c.nextReplica%len(candidates)]
-		c.nextReplica++
+	if c.leader != "" {
+		return c.leader, c.client(c.leader)
 	}
+	// The seeds are always included, because all known replicas may have been replaced.
+	candidates := slices.Concat(c.replicas, c.seeds)
+	c.preferConnected = !c.preferConnected
+	if c.preferConnected {
+		for i := range candidates {
+			if x := candidates[(c.nextReplica+i)%len(candidates)]; c.client(x).Connected() {
+				return x, c.client(x)
+			}
+		}
+	}
+	address := candidates[c.nextReplica%len(candidates)]
+	c.nextReplica++
+	return address, c.client(address)
+}
+
+// client returns the client of a replica. The caller must hold c.mu.
+func (c *coreClient) client(address message.Address) *rpc.Client {
 	client := c.clients[address]
 	if client == nil {
 		client = rpc.NewClient(string(address))
 		c.clients[address] = client
 	}
-	return address, client
+	return client
 }
 
 // recordResult updates the leader after a call to a replica.
