--- a/internal/integration/soak_test.go
+++ b/internal/integration/soak_test.go
@@ -77,7 +77,8 @@
 // or link has one already.
 func (s *soak) begin() {
 	all := append(s.processFaults(), s.linkFaults()...)
-	x, duration := all[s.random.IntN(len(all))], s.between(200, 3500)
+	// Leases and elections take up to 2 s, so that many faults outlast them.
+	x, duration := all[s.random.IntN(len(all))], s.between(200, 5000)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.disturbed[x.what] {
@@ -108,10 +109,11 @@
 	}
 }
 
-// linkFaults returns the faults of one random link of a node, and a change of the
+// linkFaults returns the faults of random links of one node, and a change of the
 // configuration.
 func (s *soak) linkFaults() []soakFault {
-	node := cluster.Endpoint(s.Hosts[s.random.IntN(len(s.Hosts))].Name)
+	h := s.Hosts[s.random.IntN(len(s.Hosts))]
+	node := cluster.Endpoint(h.Name)
 	replica := cluster.Endpoint(s.Replicas[s.random.IntN(len(s.Replicas))].Name)
 	target, other := node+"-target", cluster.Endpoint(s.Hosts[s.random.IntN(len(s.Hosts))].Name)
 	toControl, toTarget := string(node+" to "+replica), string(node+" to "+target)
@@ -121,6 +123,7 @@
 	latency := &toxics.LatencyToxic{Latency: int64(s.between(20, 400)), Jitter: 20}
 	delayed := s.Link(node, target)
 	return []soakFault{
+		{"cut", string(node) + " to all of control", func() error { s.cutFromControl(h); return nil }, func() error { s.healControl(h); return nil }},
 		{"cut", toControl, func() error { return s.Cut(node, replica) }, heal(node, replica)},
 		{"cut one way", toControl, func() error { return s.CutOneWay(replica, node) }, heal(node, replica)},
 		{"silence of open connections", toControl, s.Link(node, replica).BlackholeOpen, heal(node, replica)},
