soak: acknowledged revisions are kept

The check after a change was true for any second revision. Now each acknowledged change must raise the revision, and the last one must stand at the end.

--- a/internal/integration/soak_test.go
+++ b/internal/integration/soak_test.go
@@ -41,13 +41,14 @@
 				s.Targets *= *soakScale
 				services[name] = s
 			}
-			s := &soak{faults: startFaultsWith(t, cluster.Options{Services: services, Links: true}), random: rand.New(rand.NewPCG(seed, 0)), disturbed: map[string]bool{}}
+			s := &soak{faults: startFaultsWith(t, cluster.Options{Services: services, Links: true}), random: rand.New(rand.NewPCG(seed, 0)), disturbed: map[string]bool{}, revision: 1}
 			for range *soakFaults {
 				s.begin()
 				_ = clock.System().Sleep(s.ctx, s.between(0, 1200))
 			}
 			s.active.Wait()
 			s.awaitReady()
+			s.await("acknowledged revisions are kept", func(r wire.StatusResponse) bool { return r.Revision >= s.revision })
 			s.finish(s.allowUncheckedStaleRun)
 		})
 	}
@@ -62,6 +63,9 @@
 	mu sync.Mutex
 	// disturbed are the processes and links with a fault in progress.
 	disturbed map[string]bool
+	// revision is the newest revision that was seen after its change had been acknowledged.
+	// Only one change is in progress at a time.
+	revision wire.Revision
 }
 
 // soakFault is a fault of a process, or of one or more links.
@@ -164,6 +168,12 @@
 		s.t.Logf("change not accepted: %v", err)
 		return nil
 	}
-	s.await("the accepted change is in the status", func(r wire.StatusResponse) bool { return r.Revision >= 2 })
+	s.await("the accepted change is in the status", func(r wire.StatusResponse) bool {
+		if r.Revision <= s.revision {
+			return false
+		}
+		s.revision = r.Revision
+		return true
+	})
 	return nil
 }
