--- a/internal/integration/mesh/harness_test.go
+++ b/internal/integration/mesh/harness_test.go
@@ -134,6 +134,16 @@
 	return out
 }
 
+// tolerableLosses returns how many replicas can be lost at once, according to the leader;
+// -1 if there is none.
+func (s *testMesh) tolerableLosses() int {
+	losses := -1
+	for _, c := range s.cores {
+		losses = max(losses, c.TolerableLosses())
+	}
+	return losses
+}
+
 // eventually waits until a condition is met. The limit of 60 s only ends a test that
 // would otherwise hang.
 func (s *testMesh) eventually(what string, f func() bool) {
--- a/internal/integration/mesh/mesh_test.go
+++ b/internal/integration/mesh/mesh_test.go
@@ -291,12 +291,7 @@
 		if !s.cores[0].IsVoter() || !s.cores[1].IsVoter() {
 			return false
 		}
-		for _, x := range s.cores {
-			if x.TolerableLosses() >= 2 {
-				return true
-			}
-		}
-		return false
+		return s.tolerableLosses() >= 2
 	})
 	for i := 2; i < 4; i++ {
 		s.stopCore[i]()
--- a/internal/integration/mesh/power_test.go
+++ b/internal/integration/mesh/power_test.go
@@ -21,14 +21,7 @@
 	s := startMesh(t, 5)
 	hosts := []*host{s.addHost(1, "catalogue"), s.addHost(2, "catalogue")}
 	s.eventually("all keys have an owner", func() bool { return hosts[0].target.grantedKeys()+hosts[1].target.grantedKeys() == 65536 })
-	s.eventually("two replicas can be lost", func() bool {
-		for _, c := range s.cores {
-			if c.TolerableLosses() == 2 {
-				return true
-			}
-		}
-		return false
-	})
+	s.eventually("two replicas can be lost", func() bool { return s.tolerableLosses() == 2 })
 	change := message.ConfigurationChange{Version: 4, BaseVersion: 1, Digest: "second", Routes: []message.Route{
 		{Name: "newest", HostName: "mesh.example", Prefix: "/newest/", Repeatable: true, MaxAttempts: 2, Splits: []message.Split{{Service: "catalogue", Weight: 1}}, Source: "{}"},
 	}}
@@ -77,13 +70,6 @@
 		return true
 	})
 	qt.Assert(t, time.Since(begin) < recovery, qt.IsTrue, qt.Commentf("%v", time.Since(begin)))
-	s.eventually("the emptied replicas are voters again", func() bool {
-		for _, c := range s.cores {
-			if c.TolerableLosses() == 2 {
-				return true
-			}
-		}
-		return false
-	})
+	s.eventually("the emptied replicas are voters again", func() bool { return s.tolerableLosses() == 2 })
 	qt.Assert(t, s.applyChange(change).Status, qt.Equals, registry.Done, qt.Commentf("the acknowledged change is acknowledged again"))
 }
