quorum: log why a replica is not admitted

Cause: a replica that waits for its admission left no line at the info level, and its leader none at all.

Change: the leader logs the event admission-postponed, at most every 2 s for each replica, with the error, the term and the silence of each voter.

--- a/internal/coordination/quorum/quorum.go
+++ b/internal/coordination/quorum/quorum.go
@@ -104,8 +104,10 @@
 	// parts joins the parts of long messages from other replicas.
 	parts *replication.Assembler
 
-	// mu guards peers and sendCtx.
+	// mu guards the fields below.
 	mu sync.Mutex
+	// postponedLoggedAt is when the postponed admission of a replica was last logged.
+	postponedLoggedAt map[message.HostName]clock.Millis
 	// peers are the other replicas by address.
 	peers map[string]*peer
 	// sendCtx ends after the log, so that its last messages are sent.
@@ -121,7 +123,7 @@
 
 // New returns a Quorum that is not running yet.
 func New(options Options) *Quorum {
-	return &Quorum{options: options, parts: replication.NewAssembler(), peers: map[string]*peer{}}
+	return &Quorum{options: options, parts: replication.NewAssembler(), peers: map[string]*peer{}, postponedLoggedAt: map[message.HostName]clock.Millis{}}
 }
 
 // Run keeps the log open until ctx ends.
@@ -374,16 +376,42 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout.Duration())
 	defer cancel()
-	if err := q.removeUnresponsiveVoter(ctx, r, s, replog.ReplicaID(a.Member.Name)); err != nil {
-		return struct{}{}, unavailable(err)
+	err := q.removeUnresponsiveVoter(ctx, r, s, replog.ReplicaID(a.Member.Name))
+	if err == nil {
+		err = r.Admit(ctx, member(a.Member))
 	}
-	if err := r.Admit(ctx, member(a.Member)); err != nil {
+	if err != nil {
+		q.logPostponedAdmission(a.Member.Name, s, err)
 		return struct{}{}, unavailable(err)
 	}
 	q.options.Log.Info().Str("Event", "admitted").Str("Replica", string(a.Member.Name)).Str("Identity", string(a.Member.Identity)).Msg("replica admitted as voter")
 	return struct{}{}, nil
 }
 
+// admissionLogInterval limits how often the postponed admission of a replica is logged.
+const admissionLogInterval clock.Millis = 2000
+
+// logPostponedAdmission logs why a replica was not admitted, with the time since the last
+// response of each voter.
+func (q *Quorum) logPostponedAdmission(name message.HostName, s replog.Status, cause error) {
+	now := q.options.Clock.Now()
+	q.mu.Lock()
+	last, logged := q.postponedLoggedAt[name]
+	due := !logged || now-last >= admissionLogInterval
+	if due {
+		q.postponedLoggedAt[name] = now
+	}
+	q.mu.Unlock()
+	if !due {
+		return
+	}
+	silence := zerolog.Dict()
+	for _, m := range s.Voters {
+		silence.Int64(string(m.Name), int64(m.LastContact))
+	}
+	q.options.Log.Warn().Err(cause).Str("Event", "admission-postponed").Str("Replica", string(name)).Uint64("Term", uint64(s.Term)).Dict("VoterSilentMillis", silence).Msg("replica is not admitted yet")
+}
+
 // replaceVoterAfter is the time since the last response after which a voter can be
 // replaced by a replica of another name. A voter that returns in less time must not find
 // itself outside the group.
