quorum: replace a voter that was lost before the leader's term

Cause: a voter made room for a newcomer 6 s after its last response. A voter that has not responded in the leader's term has no last response; the status has -1 for it, which is never more than 6 s. So a host was not replaced if it was the leader, or if the leader changed after its loss, however long ago.

Change: the status has the silence of a member, which counts from its last response or from the begin of the leader's term. The class of fault: a marker for "unknown" that is compared as a number.

Tests of the package share one way to start replicas.

--- a/internal/coordination/quorum/quorum.go
+++ b/internal/coordination/quorum/quorum.go
@@ -391,8 +391,8 @@
 // admissionLogInterval limits how often the postponed admission of a replica is logged.
 const admissionLogInterval clock.Millis = 2000
 
-// logPostponedAdmission logs why a replica was not admitted, with the time since the last
-// response of each voter.
+// logPostponedAdmission logs why a replica was not admitted, with the silence of each
+// voter.
 func (q *Quorum) logPostponedAdmission(name message.HostName, s replog.Status, cause error) {
 	now := q.options.Clock.Now()
 	q.mu.Lock()
@@ -407,12 +407,12 @@
 	}
 	silence := zerolog.Dict()
 	for _, m := range s.Voters {
-		silence.Int64(string(m.Name), int64(m.LastContact))
+		silence.Int64(string(m.Name), int64(m.Silence))
 	}
 	q.options.Log.Warn().Err(cause).Str("Event", "admission-postponed").Str("Replica", string(name)).Uint64("Term", uint64(s.Term)).Dict("VoterSilentMillis", silence).Msg("replica is not admitted yet")
 }
 
-// replaceVoterAfter is the time since the last response after which a voter can be
+// replaceVoterAfter is the silence after which a voter can be
 // replaced by a replica of another name. A voter that returns in less time must not find
 // itself outside the group.
 const replaceVoterAfter clock.Millis = 6000
@@ -431,14 +431,14 @@
 		if m.Name == name {
 			return nil
 		}
-		if m.LastContact > replaceVoterAfter && (unresponsive == nil || m.LastContact > unresponsive.LastContact) {
+		if m.Silence > replaceVoterAfter && (unresponsive == nil || m.Silence > unresponsive.Silence) {
 			unresponsive = &s.Voters[i]
 		}
 	}
 	if unresponsive == nil {
 		return merry.Wrap(errGroupFull)
 	}
-	q.options.Log.Info().Str("Event", "voter-removed").Str("Replica", string(unresponsive.Name)).Int64("SilentMillis", int64(unresponsive.LastContact)).Msg("removing unresponsive voter")
+	q.options.Log.Info().Str("Event", "voter-removed").Str("Replica", string(unresponsive.Name)).Int64("SilentMillis", int64(unresponsive.Silence)).Msg("removing unresponsive voter")
 	return r.Remove(ctx, unresponsive.Member)
 }
 
--- a/internal/coordination/quorum/quorum_test.go
+++ b/internal/coordination/quorum/quorum_test.go
@@ -1,48 +1,22 @@
 package quorum
 
 import (
-	"context"
-	"net"
 	"os"
 	"path/filepath"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/rs/zerolog"
 
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
 	"github.com/gentiansail/gentiansail/internal/rpc"
-	"github.com/gentiansail/gentiansail/pkg/clock"
 	"github.com/gentiansail/gentiansail/pkg/replog"
 )
 
 // start runs a replica whose only seed is itself.
 func start(t *testing.T, folder string, firstStart bool) *Quorum {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	address := message.Address(l.Addr().String())
-	q := New(Options{
-		Name: "core-1", Address: address, DataFolder: folder, Seeds: []message.Address{address}, FirstStart: firstStart, VoterCount: 1,
-		Machine: StateMachine{
-			Apply:   func(replog.Entry) any { return nil },
-			Capture: func() (func() ([]byte, error), error) { return func() ([]byte, error) { return nil, nil }, nil },
-			Restore: func([]byte) error { return nil }, Reset: func() {},
-		},
-		Clock: clock.System(), Log: zerolog.Nop(), OnRole: func(replog.Role, replog.Term) {},
-	})
-	server := rpc.NewServer()
-	q.Register(server)
-	ctx, cancel := context.WithCancel(context.Background())
-	serverDone, runDone := make(chan error, 1), make(chan error, 1)
-	go func() { serverDone <- server.Serve(ctx, l) }()
-	go func() { runDone <- q.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		qt.Check(t, <-runDone, qt.IsNil)
-		qt.Check(t, <-serverDone, qt.IsNil)
-	})
-	return q
+	l := listen(t)
+	return startReplica(t, l, Options{Name: "core-1", DataFolder: folder, Seeds: []message.Address{message.Address(l.Addr().String())}, FirstStart: firstStart, VoterCount: 1}).Quorum
 }
 
 // eventually waits until a condition is true. The time limit is not part of the check; it
--- a/pkg/replog/status.go
+++ b/pkg/replog/status.go
@@ -33,6 +33,10 @@
 	// LastContact is the time since the member's last reply: 0 for the leader
 	// itself, NeverContacted if the member has not replied in this term.
 	LastContact clock.Millis
+	// Silence is how long the leader has waited for a reply of the member: since the last
+	// reply or, without one in this term, since the leader's term began. It is 0 for the
+	// leader itself and on other replicas.
+	Silence clock.Millis
 	// Match is the last index that the member is known to have stored.
 	Match Index
 }
@@ -45,8 +49,10 @@
 // computed on reading, so that they are right even while a slow disk blocks the
 // loop.
 type publishedStatus struct {
-	status        Status
-	lastReply     map[Identity]clock.Millis
+	status    Status
+	lastReply map[Identity]clock.Millis
+	// silentSince has the start of Silence for each other member, on the leader only.
+	silentSince   map[Identity]clock.Millis
 	activeTimeout clock.Millis
 }
 
@@ -77,6 +83,9 @@
 			m.LastContact = now - at
 			m.CaughtUp = m.CaughtUp && m.LastContact < p.activeTimeout
 		}
+		if since, ok := p.silentSince[m.Identity]; ok {
+			m.Silence = now - since
+		}
 		out = append(out, m)
 	}
 	return out
@@ -88,7 +97,7 @@
 }
 
 func newPublishedStatus(c *core, appliedIndex Index) *publishedStatus {
-	p := &publishedStatus{activeTimeout: c.electionTimeout, lastReply: map[Identity]clock.Millis{}}
+	p := &publishedStatus{activeTimeout: c.electionTimeout, lastReply: map[Identity]clock.Millis{}, silentSince: map[Identity]clock.Millis{}}
 	p.status = Status{
 		Group: c.group, Self: c.self, Role: c.role, Term: c.state.Term, Leader: c.leader,
 		CommitIndex: c.commitIndex, AppliedIndex: appliedIndex, LastIndex: c.log.last(),
@@ -116,6 +125,7 @@
 	}
 	if q := c.leading.peers[m.Identity]; q != nil {
 		s.Match, s.CaughtUp = q.match, c.caughtUp(q)
+		p.silentSince[m.Identity] = max(q.lastReply, c.leading.startTime)
 		if q.replied {
 			p.lastReply[m.Identity] = q.lastReply
 		}
