quorum: a successor is a voter before a lost host is removed

Cause: a full group admitted a newcomer only once a voter had been silent for 6 s. A successor counts for the losses to be borne 4 s after its start, also one that is started before the host that it replaces is stopped. In between, two lost disks left two of five voters with a log. Class of fault: a place is given away before the one who takes it is there.

Change: a newcomer becomes a voter beside the others, up to the number of losses that are tolerated. The leader removes silent members after 2 s as long as enough voters remain. Learners that are silent are removed as well; they stayed for good.

--- a/internal/coordination/quorum/membership.go
+++ b/internal/coordination/quorum/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/rs/zerolog"
@@ -43,8 +44,8 @@
 	}
 }
 
-// admit makes a replica a voter. If the group has all voters that it needs, an
-// unresponsive voter is removed first, so that a permanently lost host can be replaced.
+// admit makes a replica a voter, beside those that the group needs: a successor has to be
+// a voter before the host that it replaces is gone.
 func (q *Quorum) admit(ctx context.Context, a message.AdmitRequest) (struct{}, error) {
 	r := q.replica.Load()
 	if r == nil {
@@ -56,7 +57,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout.Duration())
 	defer cancel()
-	err := q.removeUnresponsiveVoter(ctx, r, s, replog.ReplicaID(a.Member.Name))
+	err := q.checkRoom(s, a.Member)
 	if err == nil {
 		err = r.Admit(ctx, member(a.Member))
 	}
@@ -68,6 +69,20 @@
 	return struct{}{}, nil
 }
 
+var errGroupFull = merry.Sentinel("group has as many voters as it may have")
+
+// checkRoom returns an error if another voter would be one too many. There is room for the
+// successors of all hosts that may be lost at once. A replica takes the place of a voter
+// of its name.
+func (q *Quorum) checkRoom(s replog.Status, m message.ReplicaMember) error {
+	tolerated := max((q.options.VoterCount-1)/2, 1)
+	full := len(s.Voters) >= q.options.VoterCount+tolerated
+	if full && !slices.ContainsFunc(s.Voters, func(v replog.MemberStatus) bool { return v.Name == replog.ReplicaID(m.Name) }) {
+		return merry.Wrap(errGroupFull)
+	}
+	return nil
+}
+
 // admissionLogInterval limits how often the postponed admission of a replica is logged.
 const admissionLogInterval clock.Millis = 2000
 
@@ -92,33 +107,29 @@
 	q.options.Log.Warn().Err(cause).Str("Event", "admission-postponed").Str("Replica", string(name)).Uint64("Term", uint64(s.Term)).Dict("VoterSilentMillis", silence).Msg("replica is not admitted yet")
 }
 
-// replaceVoterAfter is the silence after which a voter can be
-// replaced by a replica of another name. A voter that returns in less time must not find
-// itself outside the group.
-const replaceVoterAfter clock.Millis = 6000
-
-var errGroupFull = merry.Sentinel("group already has all voters it needs")
+// removeAfter is the silence after which a member is removed that the group does not
+// need. It is short, because a lost voter beside the needed ones lets the group bear one
+// loss less. A voter that returns later asks for admission again.
+const removeAfter clock.Millis = 2000
 
-// removeUnresponsiveVoter removes the voter that has been unresponsive for longest, if the
-// group has all voters that it needs. A replica with the name of a voter replaces that
-// voter on admission, so then none is removed.
-func (q *Quorum) removeUnresponsiveVoter(ctx context.Context, r *replog.Replica, s replog.Status, name replog.ReplicaID) error {
-	if len(s.Voters) < q.options.VoterCount {
-		return nil
+// removeSilentMember removes the member that has been silent for longest, if the group
+// has the voters that it needs without it.
+func (q *Quorum) removeSilentMember(ctx context.Context, r *replog.Replica, s replog.Status) {
+	removable := s.Learners
+	if len(s.Voters) > q.options.VoterCount {
+		removable = slices.Concat(s.Voters, s.Learners)
 	}
-	var unresponsive *replog.MemberStatus
-	for i, m := range s.Voters {
-		if m.Name == name {
-			return nil
-		}
-		if m.Silence > replaceVoterAfter && (unresponsive == nil || m.Silence > unresponsive.Silence) {
-			unresponsive = &s.Voters[i]
+	var silent replog.MemberStatus
+	for _, m := range removable {
+		if m.Silence > max(removeAfter, silent.Silence) {
+			silent = m
 		}
 	}
-	if unresponsive == nil {
-		return merry.Wrap(errGroupFull)
+	if silent.Name == "" {
+		return
 	}
-	q.options.Log.Info().Str("Event", "voter-removed").Str("Replica", string(unresponsive.Name)).Int64("SilentMillis", int64(unresponsive.Silence)).Msg("removing unresponsive voter")
-	return r.Remove(ctx, unresponsive.Member)
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout.Duration())
+	defer cancel()
+	err := r.Remove(ctx, silent.Member)
+	q.options.Log.Info().Err(err).Str("Event", "member-removed").Str("Replica", string(silent.Name)).Int64("SilentMillis", int64(silent.Silence)).Int("Voters", len(s.Voters)).Msg("removing silent member")
 }
-
--- a/internal/coordination/quorum/quorum.go
+++ b/internal/coordination/quorum/quorum.go
@@ -57,7 +57,7 @@
 	// reopenDelay is the time after a disk fault until the log is opened again.
 	reopenDelay clock.Millis = 500
 	// joinInterval is how often a replica outside the group requests admission, or tries
-	// to bootstrap the group.
+	// to bootstrap the group, and how often the leader looks for silent members.
 	joinInterval clock.Millis = 300
 	// joinTimeout bounds one such attempt.
 	joinTimeout clock.Millis = 1500
@@ -157,7 +157,7 @@
 		return err
 	}
 	q.options.Machine.Reset()
-	joinCtx, cancel := context.WithCancel(ctx)
+	membershipCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r, err := replog.Open(ctx, replog.Options{
 		Folder: filepath.Join(q.options.DataFolder, "log"), Group: group,
@@ -172,14 +172,14 @@
 	}
 	q.replica.Store(r)
 	defer q.replica.Store(nil)
-	joinEnded := make(chan struct{})
+	membershipEnded := make(chan struct{})
 	go func() {
-		defer close(joinEnded)
-		q.joinGroup(joinCtx, r)
+		defer close(membershipEnded)
+		q.maintainMembership(membershipCtx, r)
 	}()
 	err = <-r.Done()
 	cancel()
-	<-joinEnded
+	<-membershipEnded
 	return err
 }
 
@@ -204,19 +204,24 @@
 	return err == nil
 }
 
-// joinGroup bootstraps the group or requests admission until this identity is a voter.
-func (q *Quorum) joinGroup(ctx context.Context, r *replog.Replica) {
-	for ctx.Err() == nil {
+// maintainMembership bootstraps the group or requests admission while this identity is not
+// a voter, and removes silent members while it leads.
+func (q *Quorum) maintainMembership(ctx context.Context, r *replog.Replica) {
+	for joined := false; ctx.Err() == nil; {
 		s := r.Status()
-		if isVoter(s) {
-			_ = os.Remove(filepath.Join(q.options.DataFolder, firstStartFile))
-			return
-		}
-		if len(s.Voters) == 0 && q.mayBootstrap() && len(q.options.Seeds) > 0 && q.options.Seeds[0] == q.options.Address {
+		switch {
+		case s.Role == replog.Leader:
+			q.removeSilentMember(ctx, r, s)
+		case isVoter(s):
+		case len(s.Voters) == 0 && q.mayBootstrap() && len(q.options.Seeds) > 0 && q.options.Seeds[0] == q.options.Address:
 			q.bootstrapGroup(ctx, r)
-		} else {
+		default:
 			q.requestAdmission(ctx, s)
 		}
+		if !joined && isVoter(s) {
+			joined = true
+			_ = os.Remove(filepath.Join(q.options.DataFolder, firstStartFile))
+		}
 		if q.options.Clock.Sleep(ctx, joinInterval) != nil {
 			return
 		}
@@ -247,7 +252,7 @@
 		members = append(members, reply.Member)
 	}
 	// This replica comes last. If a call fails before that, it does not belong to the group
-	// yet, so joinGroup calls bootstrapGroup again.
+	// yet, so maintainMembership calls bootstrapGroup again.
 	for _, a := range append(q.options.Seeds[1:len(q.options.Seeds):len(q.options.Seeds)], q.options.Address) {
 		if _, err := rpc.Call[struct{}](ctx, q.client(string(a)), message.MethodBootstrap, message.BootstrapRequest{Members: members}); err != nil {
 			q.options.Log.Warn().Err(err).Str("Event", "founding-failed").Str("Seed", string(a)).Msg("seed did not bootstrap the group")
--- a/internal/coordination/quorum/replacement_test.go
+++ b/internal/coordination/quorum/replacement_test.go
@@ -1,6 +1,10 @@
 package quorum
 
 import (
+	qt "github.com/frankban/quicktest"
+	"github.com/gentiansail/gentiansail/pkg/replog"
+	"time"
+
 	"net"
 	"slices"
 	"testing"
@@ -22,3 +26,32 @@
 		return len(g.voterNames()) == 3 && len(names) == 3 && slices.Contains(names, "d")
 	})
 }
+
+// successorTime is when a successor must count for the losses that the group bears.
+const successorTime = 4 * time.Second
+
+// Guards against a group that loses its majority with two of five disks 4 s after the start of
+// a successor, because a host that is lost for good is still a voter.
+func TestSuccessorReplacesLostVoterInTime(t *testing.T) {
+	g := startGroup(t, threeListeners(t), nil)
+	leader := g.awaitLeader()
+	g.stop(slices.DeleteFunc(g.voterNames(), func(name replog.ReplicaID) bool { return name == leader })[0])
+	start := time.Now()
+	g.add("d")
+	eventually(t, "the successor is a voter in place of the lost one", func() bool {
+		return len(g.voterNames()) == 3 && len(g.caughtUp()) == 3 && slices.Contains(g.voterNames(), "d")
+	})
+	qt.Assert(t, time.Since(start) < successorTime, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
+}
+
+// Guards against a successor that becomes a voter only after the host that it replaces has
+// ended, while two other disks may be lost.
+func TestSuccessorIsVoterBeforePlannedEnd(t *testing.T) {
+	g := startGroup(t, threeListeners(t), nil)
+	start := time.Now()
+	g.add("d")
+	eventually(t, "the successor is a voter beside the others", func() bool { return len(g.caughtUp()) == 4 })
+	qt.Assert(t, time.Since(start) < successorTime, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
+	g.stop(g.awaitLeader())
+	eventually(t, "the group has no lost voter", func() bool { return len(g.voterNames()) == 3 && len(g.caughtUp()) == 3 })
+}
