quorum: a removed voter asks for admission again

Not seen by callers yet, found while the cause of the missing recovery was looked for elsewhere: the group would bear one loss less for good, with the same end.

Cause: a replica stopped asking for admission once it was a voter by its own log. A voter that was removed while its host was frozen, cut off or down does not get the entry that says so, and a restart reads the same log.

Evidence: TestRemovedVoterJoinsAgain.

Change: a voter that finds no leader for 1 s asks for admission too. The leader admits the identity as a learner first, so an old log is brought up to date before it counts; the request of one that is still a voter has no effect.

--- a/internal/coordination/quorum/group_test.go
+++ b/internal/coordination/quorum/group_test.go
@@ -22,6 +22,15 @@
 	ended  chan error
 }
 
+// restart runs a replica again that was stopped, on its address and data folder.
+func (r *testReplica) restart(t *testing.T) *testReplica {
+	l, err := net.Listen("tcp", string(r.options.Address))
+	qt.Assert(t, err, qt.IsNil)
+	options := r.options
+	options.FirstStart = false
+	return startReplica(t, l, options)
+}
+
 // startReplica runs a replica until it is stopped or the test ends. The other options are
 // those of a state machine without state.
 func startReplica(t *testing.T, l net.Listener, options Options) *testReplica {
--- a/internal/coordination/quorum/quorum.go
+++ b/internal/coordination/quorum/quorum.go
@@ -59,6 +59,9 @@
 	// joinInterval is how often a replica outside the group requests admission, or tries
 	// to bootstrap the group, and how often the leader looks for silent members.
 	joinInterval clock.Millis = 300
+	// leaderlessLimit is the time without a leader after which a voter requests admission.
+	// An election takes less.
+	leaderlessLimit clock.Millis = 1000
 	// joinTimeout bounds one such attempt.
 	joinTimeout clock.Millis = 1500
 )
@@ -205,14 +208,19 @@
 }
 
 // maintainMembership bootstraps the group or requests admission while this identity is not
-// a voter, and removes silent members while it leads.
+// a voter, and removes silent members while it leads. A voter that finds no leader requests
+// admission as well: it may have been removed, and does not get the entry that says so.
 func (q *Quorum) maintainMembership(ctx context.Context, r *replog.Replica) {
+	lastLeader := q.options.Clock.Now()
 	for joined := false; ctx.Err() == nil; {
 		s := r.Status()
+		if s.Leader.Identity != "" {
+			lastLeader = q.options.Clock.Now()
+		}
 		switch {
 		case s.Role == replog.Leader:
 			q.removeSilentMember(ctx, r, s)
-		case isVoter(s):
+		case isVoter(s) && q.options.Clock.Now()-lastLeader < leaderlessLimit:
 		case len(s.Voters) == 0 && q.mayBootstrap() && len(q.options.Seeds) > 0 && q.options.Seeds[0] == q.options.Address:
 			q.bootstrapGroup(ctx, r)
 		default:
--- a/internal/coordination/quorum/replacement_test.go
+++ b/internal/coordination/quorum/replacement_test.go
@@ -55,3 +55,18 @@
 	g.stop(g.awaitLeader())
 	eventually(t, "the group has no lost voter", func() bool { return len(g.voterNames()) == 3 && len(g.caughtUp()) == 3 })
 }
+
+// Guards against a voter that was removed while it was silent and stays outside the group,
+// because its own log still lists it as a voter.
+func TestRemovedVoterJoinsAgain(t *testing.T) {
+	g := startGroup(t, threeListeners(t), nil)
+	g.add("d")
+	eventually(t, "the successor is a voter beside the others", func() bool { return len(g.caughtUp()) == 4 })
+	removed := g.replicas["a"]
+	g.stop("a")
+	eventually(t, "the silent voter is removed", func() bool { return len(g.voterNames()) == 3 })
+	start := time.Now()
+	g.replicas["a"] = removed.restart(t)
+	eventually(t, "it is a voter again", func() bool { return slices.Contains(g.caughtUp(), "a") })
+	qt.Assert(t, time.Since(start) < successorTime, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
+}
