quorum: a replaced voter leaves the group before it ends

Cause: a successor counts from 4 s after its start, so two disks may be lost in the moment in which the host that it replaces is stopped. Of six voters three are then left, no majority; the stopped one was removed 2 s later only.

Change: a replica that is stopping asks the leader to remove it, for up to 1 s, if the group has more voters than it needs; a leader transfers its leadership first. The reply comes once the removal is committed. Restarts of needed voters change nothing.

--- a/internal/coordination/message/doc.go
+++ b/internal/coordination/message/doc.go
@@ -24,6 +24,7 @@
 	MethodIdentity   = "Core.Identity"
 	MethodBootstrap  = "Core.Found"
 	MethodAdmit      = "Core.Admit"
+	MethodResign     = "Core.Resign"
 	MethodLog        = "Core.Log"
 	MethodLogPart    = "Core.LogPart"
 )
--- a/internal/coordination/message/message.go
+++ b/internal/coordination/message/message.go
@@ -428,6 +428,13 @@
 	Name HostName `json:"Name"`
 }
 
+// ResignRequest asks the leader to remove a replica that is stopping, if the group
+// needs fewer voters than it has.
+type ResignRequest struct {
+	// Member corresponds to the JSON schema field "Member".
+	Member ReplicaMember `json:"Member"`
+}
+
 // Route sends the requests for a host name and path prefix to services.
 type Route struct {
 	// HostName corresponds to the JSON schema field "HostName".
--- a/internal/coordination/quorum/group_test.go
+++ b/internal/coordination/quorum/group_test.go
@@ -40,7 +40,7 @@
 	}
 	options.Machine.Capture = func() (func() ([]byte, error), error) { return func() ([]byte, error) { return nil, nil }, nil }
 	options.Machine.Restore, options.Machine.Reset = func([]byte) error { return nil }, func() {}
-	options.Clock, options.Log, options.OnRole = clock.System(), zerolog.Nop(), func(replog.Role, replog.Term) {}
+	options.Clock, options.Log, options.OnRole = clock.System(), zerolog.New(zerolog.NewTestWriter(t)).With().Timestamp().Str("Name", options.Name).Logger(), func(replog.Role, replog.Term) {}
 	r := &testReplica{Quorum: New(options), ended: make(chan error, 1)}
 	server := rpc.NewServer()
 	r.Register(server)
--- a/internal/coordination/quorum/membership.go
+++ b/internal/coordination/quorum/membership.go
@@ -16,7 +16,6 @@
 
 // requestAdmission asks the known replicas to admit this one, until the leader does.
 func (q *Quorum) requestAdmission(ctx context.Context, s replog.Status) {
-	self := message.ReplicaMember{Name: message.HostName(s.Self.Name), Identity: message.Identity(s.Self.Identity), Address: q.options.Address}
 	asked := map[message.Address]bool{q.options.Address: true}
 	addresses := append([]message.Address{message.Address(s.Leader.Address)}, q.options.Seeds...)
 	for _, m := range s.Voters {
@@ -30,7 +29,7 @@
 		}
 		asked[a] = true
 		ctx, cancel := context.WithTimeout(ctx, joinTimeout.Duration())
-		_, err := rpc.Call[struct{}](ctx, q.client(string(a)), message.MethodAdmit, message.AdmitRequest{Member: self})
+		_, err := rpc.Call[struct{}](ctx, q.client(string(a)), message.MethodAdmit, message.AdmitRequest{Member: q.self(s)})
 		cancel()
 		if err == nil {
 			return
@@ -133,3 +132,67 @@
 	err := r.Remove(ctx, silent.Member)
 	q.options.Log.Info().Err(err).Str("Event", "member-removed").Str("Replica", string(silent.Name)).Int64("SilentMillis", int64(silent.Silence)).Int("Voters", len(s.Voters)).Msg("removing silent member")
 }
+
+// leaveTimeout bounds the attempt of a stopping replica to leave the group.
+const leaveTimeout clock.Millis = 1000
+
+// leaveInterval is the time between two attempts to leave the group.
+const leaveInterval clock.Millis = 20
+
+// leaveGroup removes this replica from the group before it stops, if the group has the
+// voters that it needs without it. Its host may be gone for good afterwards, and two other
+// disks may be lost before its silence shows that.
+func (q *Quorum) leaveGroup(ctx context.Context, r *replog.Replica) {
+	s := r.Status()
+	if !isVoter(s) || len(s.Voters) <= q.options.VoterCount {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout.Duration())
+	defer cancel()
+	var err error
+	if s.Role == replog.Leader {
+		err = r.TransferLeadership(ctx)
+	}
+	for left := false; !left && q.options.Clock.Sleep(ctx, leaveInterval) == nil; {
+		if leader := q.Leader(); leader != "" && leader != string(q.options.Address) {
+			_, err = rpc.Call[struct{}](ctx, q.client(leader), message.MethodResign, message.ResignRequest{Member: q.self(s)})
+			left = err == nil
+		}
+	}
+	q.options.Log.Info().Err(err).Str("Event", "group-left").Int("Voters", len(s.Voters)).Msg("leaving the group before the stop")
+}
+
+var errVoterNeeded = merry.Sentinel("group needs all of its voters")
+
+// resign removes a voter that is stopping.
+func (q *Quorum) resign(ctx context.Context, request message.ResignRequest) (struct{}, error) {
+	r := q.replica.Load()
+	if r == nil {
+		return struct{}{}, unavailable(ErrNotOpen)
+	}
+	s := r.Status()
+	if s.Role != replog.Leader {
+		return struct{}{}, q.notLeader()
+	}
+	if len(s.Voters) <= q.options.VoterCount {
+		return struct{}{}, rejected(errVoterNeeded)
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout.Duration())
+	defer cancel()
+	if err := r.RemoveLeaving(ctx, member(request.Member)); err != nil {
+		return struct{}{}, unavailable(err)
+	}
+	// A repeated call succeeds once the removal is committed.
+	for r.RemoveLeaving(ctx, member(request.Member)) != nil {
+		if err := q.options.Clock.Sleep(ctx, leaveInterval); err != nil {
+			return struct{}{}, unavailable(err)
+		}
+	}
+	q.options.Log.Info().Str("Event", "member-removed").Str("Replica", string(request.Member.Name)).Int("Voters", len(s.Voters)).Msg("removing member that is stopping")
+	return struct{}{}, nil
+}
+
+// self returns this replica as a member.
+func (q *Quorum) self(s replog.Status) message.ReplicaMember {
+	return message.ReplicaMember{Name: message.HostName(s.Self.Name), Identity: message.Identity(s.Self.Identity), Address: q.options.Address}
+}
--- a/internal/coordination/quorum/quorum.go
+++ b/internal/coordination/quorum/quorum.go
@@ -162,7 +162,9 @@
 	q.options.Machine.Reset()
 	membershipCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r, err := replog.Open(ctx, replog.Options{
+	replicaCtx, stopReplica := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopReplica()
+	r, err := replog.Open(replicaCtx, replog.Options{
 		Folder: filepath.Join(q.options.DataFolder, "log"), Group: group,
 		Name: replog.ReplicaID(q.options.Name), Address: string(q.options.Address), Clock: q.options.Clock,
 		Random:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -180,9 +182,16 @@
 		defer close(membershipEnded)
 		q.maintainMembership(membershipCtx, r)
 	}()
-	err = <-r.Done()
-	cancel()
-	<-membershipEnded
+	select {
+	case err = <-r.Done():
+		cancel()
+		<-membershipEnded
+	case <-ctx.Done():
+		<-membershipEnded
+		q.leaveGroup(replicaCtx, r)
+		stopReplica()
+		err = <-r.Done()
+	}
 	return err
 }
 
@@ -277,6 +286,7 @@
 	rpc.Handle(s, message.MethodIdentity, q.identity)
 	rpc.Handle(s, message.MethodBootstrap, q.bootstrap)
 	rpc.Handle(s, message.MethodAdmit, q.admit)
+	rpc.Handle(s, message.MethodResign, q.resign)
 }
 
 func (q *Quorum) deliver(_ context.Context, m message.LogMessage) (struct{}, error) {
@@ -318,7 +328,7 @@
 	}
 	s := r.Status()
 	return message.IdentityReply{
-		Member: message.ReplicaMember{Name: message.HostName(s.Self.Name), Identity: message.Identity(s.Self.Identity), Address: q.options.Address},
+		Member: q.self(s),
 		Empty:  len(s.Voters) == 0, FirstStart: q.mayBootstrap(),
 	}, nil
 }
--- a/internal/coordination/quorum/replacement_test.go
+++ b/internal/coordination/quorum/replacement_test.go
@@ -70,3 +70,29 @@
 	eventually(t, "it is a voter again", func() bool { return slices.Contains(g.caughtUp(), "a") })
 	qt.Assert(t, time.Since(start) < successorTime, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
 }
+
+// Guards against a group without a majority after two disks are lost right after the planned
+// end of a host whose successor is already a voter.
+func TestReplacedVoterLeavesBeforeItEnds(t *testing.T) {
+	for name, leads := range map[string]bool{"leader": true, "follower": false} {
+		t.Run(name, func(t *testing.T) {
+			g := startGroup(t, threeListeners(t), nil)
+			g.add("d")
+			eventually(t, "the successor is a voter beside the others", func() bool { return len(g.caughtUp()) == 4 })
+			leader := g.awaitLeader()
+			replaced := g.voterNames()[slices.IndexFunc(g.voterNames(), func(name replog.ReplicaID) bool { return (name == leader) == leads })]
+			g.stop(replaced)
+			g.awaitLeader()
+			qt.Assert(t, g.voterNames(), qt.HasLen, 3)
+			qt.Assert(t, slices.Contains(g.voterNames(), replaced), qt.IsFalse)
+		})
+	}
+}
+
+// Guards against a group that becomes smaller than needed when its replicas are restarted.
+func TestNeededVoterStaysWhenItStops(t *testing.T) {
+	g := startGroup(t, threeListeners(t), nil)
+	g.stop(g.awaitLeader())
+	g.awaitLeader()
+	qt.Assert(t, g.voterNames(), qt.HasLen, 3)
+}
--- a/pkg/replog/admission.go
+++ b/pkg/replog/admission.go
@@ -59,15 +59,19 @@
 	return c.isActive(p) && p.match >= c.leading.catchUpIndex && p.match >= c.membershipIndex()
 }
 
-// removeMember removes an unresponsive member. It does nothing if m is not a member.
-// While an earlier membership change is uncommitted it returns ErrNotLeader, and
-// the caller must retry.
-func (c *core) removeMember(m Member) error {
+// removeMember removes a member that is unresponsive or leaving. It does nothing if m is
+// not a member. While an earlier membership change is uncommitted it returns ErrNotLeader,
+// and the caller must retry.
+func (c *core) removeMember(m Member, leaving bool) error {
 	if c.leading == nil || c.leading.transfer.target != "" || !c.hasCommittedInTerm() || c.membershipIndex() > c.commitIndex {
 		return merry.Wrap(ErrNotLeader)
 	}
 	if indexOfIdentity(c.membership().all(), m.Identity) < 0 {
 		return nil
 	}
+	if leaving && m.Identity != c.self.Identity {
+		c.proposeMembership(c.membership().without(m.Identity))
+		return nil
+	}
 	return c.proposeRemoval(m)
 }
--- a/pkg/replog/replica.go
+++ b/pkg/replog/replica.go
@@ -219,8 +219,18 @@
 // membership change waits until this one is committed. The error is ErrNotLeader,
 // ErrMemberResponsive or the context's error.
 func (r *Replica) Remove(ctx context.Context, m Member) error {
+	return r.remove(ctx, m, false)
+}
+
+// RemoveLeaving is Remove for a member that has said that it is leaving, and is still
+// responsive. The leader cannot remove itself; it transfers its leadership first.
+func (r *Replica) RemoveLeaving(ctx context.Context, m Member) error {
+	return r.remove(ctx, m, true)
+}
+
+func (r *Replica) remove(ctx context.Context, m Member, leaving bool) error {
 	result := make(chan error, 1)
-	return r.callLoop(ctx, result, func(n *loop) { result <- n.engine.core.removeMember(m) })
+	return r.callLoop(ctx, result, func(n *loop) { result <- n.engine.core.removeMember(m, leaving) })
 }
 
 // TransferLeadership transfers leadership to the responsive voter with the highest
