replog: silence of a new member counts from its admission

Cause: the silence of a member without a reply counted from the begin of the leader's term, which may be long ago. The leader removes members that are silent for 2 s, so a learner could be removed in the milliseconds before its first reply.

Change: a peer has the time at which it was added.

Measured: TestSilenceCountsFromAdmission fails on the code before (60,300 ms in place of 300) and passes now.

--- a/pkg/replog/core_test.go
+++ b/pkg/replog/core_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
 // newElectedLeader returns the leader of term 4 in a group of a, b and c, and member b.
@@ -173,3 +175,13 @@
 	qt.Assert(t, leader.log.base, qt.Equals, Index(18))
 	qt.Assert(t, leader.snapshotsInTransfer(), qt.HasLen, 0)
 }
+
+// Guards against a new member that is removed as silent before it could reply, because its
+// silence counts from the begin of an old term.
+func TestSilenceCountsFromAdmission(t *testing.T) {
+	c, _ := newElectedLeader(t)
+	c.now += 60_000
+	c.proposeMembership(c.membership().withLearner(Member{Name: "d", Identity: "id-d"}))
+	c.now += 300
+	qt.Assert(t, newPublishedStatus(c, 0).statusAt(c.now).Learners[0].Silence, qt.Equals, clock.Millis(300))
+}
--- a/pkg/replog/leader.go
+++ b/pkg/replog/leader.go
@@ -44,6 +44,8 @@
 
 // peer is the leader's view of another replica.
 type peer struct {
+	// addedAt is when the replica became a member, or when the leader's term began.
+	addedAt clock.Millis
 	// match is the last index known to match the leader's log, next the index of
 	// the next entry to send.
 	match, next Index
@@ -89,7 +91,7 @@
 	}
 	for _, m := range c.membership().all() {
 		if m.Identity != c.self.Identity && l.peers[m.Identity] == nil {
-			l.peers[m.Identity] = &peer{next: c.log.last() + 1, probing: true, heartbeatDue: true}
+			l.peers[m.Identity] = &peer{addedAt: c.now, next: c.log.last() + 1, probing: true, heartbeatDue: true}
 		}
 	}
 }
--- a/pkg/replog/status.go
+++ b/pkg/replog/status.go
@@ -34,8 +34,8 @@
 	// itself, NeverContacted if the member has not replied in this term.
 	LastContact clock.Millis
 	// Silence is how long the leader has waited for a reply of the member: since the last
-	// reply or, without one in this term, since the leader's term began. It is 0 for the
-	// leader itself and on other replicas.
+	// reply or, without one in this term, since it became a member or the leader's term
+	// began. It is 0 for the leader itself and on other replicas.
 	Silence clock.Millis
 	// Match is the last index that the member is known to have stored.
 	Match Index
@@ -125,7 +125,7 @@
 	}
 	if q := c.leading.peers[m.Identity]; q != nil {
 		s.Match, s.CaughtUp = q.match, c.caughtUp(q)
-		p.silentSince[m.Identity] = max(q.lastReply, c.leading.startTime)
+		p.silentSince[m.Identity] = max(q.lastReply, q.addedAt)
 		if q.replied {
 			p.lastReply[m.Identity] = q.lastReply
 		}
