gate: keep the limit that a target names

Operators saw that a target in need got far more requests than the limit that it named (LIMIT).

Cause: no code read the field; the gate fills the slots of a target, whatever it says.

Change: all requests of a target pass the gate beside it, so the gate alone keeps the limit: the queue gives slots at that pace, at most 200 ms of requests ahead, and the wait for the pace counts in the decision to reject and in Retry-After. The limit ends with a signed response without the field to a request that began after the limit was named last, or with the incarnation. While it is in force the speed reported to callers' hosts and to the core is that of the limit, so that other targets are chosen and keys move.

--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -21,6 +21,9 @@
 //   - At a slow target, a request that would miss its objective without any wait may wait
 //     for half of the time until its deadline.
 //
+// A target may name the number of requests a second that it takes. Requests then begin at
+// that pace, and the wait for their turn counts like the wait for a slot.
+//
 // # Usage
 //
 //	q := admission.New(clock.System())
@@ -38,6 +41,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/gentiansail/gentiansail/pkg/clock"
 )
@@ -131,6 +135,12 @@
 	running      int
 	lastSequence int
 	waiting      []*Ticket
+	// pace limits how often a request gets a slot.
+	pace pace
+	// wakeScheduled is true while a call of advance is scheduled.
+	wakeScheduled bool
+	// after calls a function after a time.
+	after func(clock.Millis, func())
 	// routeMeans and mean are moving averages of the duration of requests, in
 	// milliseconds, by route and over all requests.
 	routeMeans map[string]float64
@@ -139,7 +149,10 @@
 
 // New returns a queue for a target without slots.
 func New(clk clock.Clock) *Queue {
-	return &Queue{clock: clk, routeMeans: map[string]float64{}}
+	return &Queue{
+		clock: clk, routeMeans: map[string]float64{},
+		after: func(d clock.Millis, f func()) { time.AfterFunc(d.Duration(), f) },
+	}
 }
 
 // SetSlots sets how many requests the target runs at the same time.
@@ -150,6 +163,22 @@
 	q.assignSlots()
 }
 
+// SetRate limits how many requests a second get a slot; 0 removes the limit.
+func (q *Queue) SetRate(perSecond float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.pace.set(perSecond, q.clock.Now())
+	q.assignSlots()
+}
+
+// advance assigns slots when the pace allows the next request.
+func (q *Queue) advance() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.wakeScheduled = false
+	q.assignSlots()
+}
+
 // Admit decides about a request at once, or queues it and returns Queued.
 func (q *Queue) Admit(t *Ticket) Decision {
 	q.mu.Lock()
@@ -162,11 +191,11 @@
 	if now > t.latestStart {
 		return TooLate
 	}
-	if q.running < q.slots && len(q.waiting) == 0 {
-		q.running++
+	if q.running < q.slots && len(q.waiting) == 0 && q.pace.wait(now, 0) == 0 {
+		q.begin(now)
 		return Admitted
 	}
-	wait := q.expectedWait(t)
+	wait := q.expectedWait(t, now)
 	if canRetry := t.latestStart-t.Objective >= minRetryTime; canRetry {
 		if t.rejectIfLate = q.canMeetObjective(t, now); !t.rejectIfLate {
 			t.latestStart = now + (t.latestStart-now)/lateWaitDivisor
@@ -177,9 +206,25 @@
 	}
 	t.decided = make(chan struct{})
 	q.waiting = append(q.waiting, t)
+	q.scheduleAdvance(now)
 	return Queued
 }
 
+// begin counts a request that gets a slot.
+func (q *Queue) begin(now clock.Millis) {
+	q.running++
+	q.pace.begin(now)
+}
+
+// scheduleAdvance makes a free slot be assigned when the pace allows it.
+func (q *Queue) scheduleAdvance(now clock.Millis) {
+	if q.wakeScheduled || len(q.waiting) == 0 || q.running >= q.slots {
+		return
+	}
+	q.wakeScheduled = true
+	q.after(max(q.pace.wait(now, 0), 1), q.advance)
+}
+
 // Cancel removes a waiting ticket from the queue. It returns false if the ticket already
 // has a decision; if that is Admitted, the caller must release the slot.
 func (q *Queue) Cancel(t *Ticket) bool {
@@ -255,7 +300,7 @@
 	for _, t := range q.waiting {
 		work += q.expectedDuration(t)
 	}
-	return clock.Millis(work/float64(max(q.slots, 1)) + q.mean/2)
+	return max(clock.Millis(work/float64(max(q.slots, 1))+q.mean/2), q.pace.wait(q.clock.Now(), len(q.waiting)))
 }
 
 // expectedDuration returns the mean duration of the ticket's route in milliseconds, or
@@ -280,14 +325,16 @@
 }
 
 // expectedWait returns the expected wait of a ticket behind those that go before it.
-func (q *Queue) expectedWait(t *Ticket) clock.Millis {
+func (q *Queue) expectedWait(t *Ticket, now clock.Millis) clock.Millis {
 	work := q.expectedDuration(t) / 2 // on average, a running request has half of its work left
+	first := 0
 	for _, w := range q.waiting {
 		if before(w, t) {
 			work += q.expectedDuration(w)
+			first++
 		}
 	}
-	return clock.Millis(work / float64(max(q.slots, 1)))
+	return max(clock.Millis(work/float64(max(q.slots, 1))), q.pace.wait(now, first))
 }
 
 // before reports whether a goes before b, for two tickets that can both meet their
@@ -305,11 +352,11 @@
 }
 
 // assignSlots rejects the tickets that have become too late, and assigns free slots to the
-// first of the others.
+// first of the others as far as the pace allows.
 func (q *Queue) assignSlots() {
 	now := q.clock.Now()
 	q.rejectLate(now)
-	for q.running < q.slots && len(q.waiting) > 0 {
+	for q.running < q.slots && len(q.waiting) > 0 && q.pace.wait(now, 0) == 0 {
 		first := 0
 		for i := range q.waiting {
 			if q.preferred(q.waiting[i], q.waiting[first], now) {
@@ -318,9 +365,10 @@
 		}
 		t := q.waiting[first]
 		q.waiting = append(q.waiting[:first], q.waiting[first+1:]...)
-		q.running++
+		q.begin(now)
 		t.decide(Admitted)
 	}
+	q.scheduleAdvance(now)
 }
 
 // rejectLate rejects the tickets that cannot be completed before their deadline. While
--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -56,6 +56,9 @@
 	// OnConnectionLost, if set, is called when a connection to the target is lost during
 	// an exchange, with the fingerprints of all requests that the target was running.
 	OnConnectionLost func(message.Incarnation, []string)
+	// OnRateLimit, if set, is called when the limit that a target names changes; 0 means no
+	// limit.
+	OnRateLimit func(incarnation message.Incarnation, before, now float64)
 	// OnKeyRejected, if set, is called when the target states that it does not own the key
 	// of a request although it has a grant.
 	OnKeyRejected func(message.Incarnation, message.Key)
@@ -85,6 +88,8 @@
 	// stopping is true when this process is about to stop.
 	stopping bool
 	grants   []KeyGrant
+	// rateLimit is the limit that the target names in its responses.
+	rateLimit rateLimit
 	// running maps the requests at the target to their fingerprints.
 	running  map[*TargetRequest]string
 	keyLoads keyrange.LoadCounter
@@ -98,11 +103,15 @@
 // SetTarget records a heartbeat of the target. A new incarnation starts without grants.
 func (g *Gate) SetTarget(t Target) {
 	g.mu.Lock()
-	if t.Incarnation != g.target.Incarnation {
-		g.grants, g.rejectFrom = nil, 0
+	begins := t.Incarnation != g.target.Incarnation
+	if begins {
+		g.grants, g.rejectFrom, g.rateLimit = nil, 0, rateLimit{}
 	}
 	g.target, g.hasTarget = t, true
 	g.mu.Unlock()
+	if begins {
+		g.queue.SetRate(0)
+	}
 	g.queue.SetSlots(t.Slots)
 }
 
@@ -173,8 +182,11 @@
 
 // Load returns the current load of the target.
 func (g *Gate) Load() hop.Load {
+	g.mu.Lock()
+	limit := g.rateLimit
+	g.mu.Unlock()
 	running, waiting, slots, mean := g.queue.Load()
-	return hop.Load{Running: running, Waiting: waiting, Slots: slots, ServiceMillis: mean}
+	return limit.limitSpeed(hop.Load{Running: running, Waiting: waiting, Slots: slots, ServiceMillis: mean}, g.options.Clock.Now())
 }
 
 // TargetRequest is a request to be run by a target.
@@ -406,6 +418,7 @@
 // must carry the signature of the target; without it, it is treated as lost.
 func (g *Gate) readResponse(request *TargetRequest, ticket *admission.Ticket, incarnation message.Incarnation, result *Result, response *http.Response, start clock.Millis) *Result {
 	result.MayHaveReachedTarget = true
+	g.observeRateLimit(incarnation, response.Header, start)
 	release := sync.OnceFunc(func() {
 		_ = response.Body.Close()
 		duration := g.options.Clock.Now() - start
--- a/internal/traffic/gate/gate_test.go
+++ b/internal/traffic/gate/gate_test.go
@@ -20,7 +20,7 @@
 
 // newGate returns the gate of a target with one slot.
 func newGate(address string) *Gate {
-	g := New(Options{Names: hop.HeaderNames{RequestID: "Test-Id", RemainingMillis: "Test-Left", Instance: "Test-Instance", Signature: "Test-Signature", NotRun: "Test-Not-Run"}, Clock: clock.System(), Pool: exchange.NewPool(exchange.Options{})})
+	g := New(Options{Names: hop.HeaderNames{RequestID: "Test-Id", RemainingMillis: "Test-Left", Instance: "Test-Instance", Signature: "Test-Signature", NotRun: "Test-Not-Run", RateLimit: "Test-Limit"}, Clock: clock.System(), Pool: exchange.NewPool(exchange.Options{})})
 	g.SetTarget(Target{Incarnation: message.Incarnation{ID: "i-1", StartTime: 1}, Service: "pledges", Address: address, Slots: 1})
 	return g
 }
--- a/internal/traffic/hop/hop.go
+++ b/internal/traffic/hop/hop.go
@@ -199,4 +199,7 @@
 	Signature string
 	// NotRun marks a response of a target that did not run the request.
 	NotRun string
+	// RateLimit is how many requests a second a target takes from all hosts together, as a
+	// decimal number. It applies while the target's responses have it.
+	RateLimit string
 }
--- a/internal/traffic/sidecar/sidecar.go
+++ b/internal/traffic/sidecar/sidecar.go
@@ -99,6 +99,7 @@
 	ingress    *ingress.Ingress
 	pipeline   *pipeline.Server
 	leaser     *leaser
+	logBudget  *process.LineLimiter
 
 	stopping atomic.Bool
 	// stopStarted is when a planned stop started, in clock.Millis.
@@ -113,7 +114,7 @@
 
 // New returns a sidecar that is not running yet.
 func New(options Options) *Sidecar {
-	s := &Sidecar{options: options, log: options.Log, views: view.NewStore()}
+	s := &Sidecar{options: options, log: options.Log, views: view.NewStore(), logBudget: process.NewLineLimiter(options.Clock, logLinesPerSecond)}
 	var seeds []message.Address
 	for _, seed := range options.Settings.Seeds {
 		seeds = append(seeds, quorum.PeerAddress(seed, options.Settings.PeerPort))
@@ -122,13 +123,13 @@
 	s.targetPool = exchange.NewPool(exchange.Options{MaxPerAddress: maxTargetConnections, IdleConnTimeout: targetIdleLimit, Clock: options.Clock, Dial: link.Dial})
 	s.peerPool = exchange.NewPool(exchange.Options{MaxPerAddress: maxPeerConnections, IdleConnTimeout: peerIdleLimit, Clock: options.Clock, Dial: link.Dial})
 	s.gate = gate.New(gate.Options{Names: options.Names, Clock: options.Clock, Pool: s.targetPool, OnConnectionLost: s.checkForCrash,
-		OnKeyRejected: func(i message.Incarnation, key message.Key) { s.leaser.keyRejected(i, key) }})
+		OnKeyRejected: func(i message.Incarnation, key message.Key) { s.leaser.keyRejected(i, key) }, OnRateLimit: s.logRateLimit})
 	s.leaser = newLeaser(s)
 	s.ingress = ingress.New(ingress.Options{
 		Names: options.Names, Service: message.ServiceName(options.Settings.Target.Service), Host: message.HostName(options.Settings.Name),
 		Domain: message.FailureDomain(options.Settings.FailureDomain), Clock: options.Clock, Views: s.views, Gate: s.gate, PeerAddress: s.peerAddress(),
 		Pool: s.peerPool, RetryRatio: options.Settings.Bounds.RetryRatio, ExtraRetries: options.Settings.Bounds.ExtraRetries,
-		Log: options.Log, LogBudget: process.NewLineLimiter(options.Clock, logLinesPerSecond), RecordResult: newMetrics(options.Metrics, s).record,
+		Log: options.Log, LogBudget: s.logBudget, RecordResult: newMetrics(options.Metrics, s).record,
 	})
 	s.pipeline = pipeline.New(pipeline.Options{Handler: s.ingress, MayRunAhead: s.ingress.MayRunAhead, Clock: options.Clock})
 	return s
--- a/internal/traffic/sidecar/target.go
+++ b/internal/traffic/sidecar/target.go
@@ -201,6 +201,15 @@
 	}()
 }
 
+// logRateLimit logs a change of the limit that the target names in its responses.
+func (s *Sidecar) logRateLimit(incarnation message.Incarnation, before, now float64) {
+	skipped, ok := s.logBudget.Allow("rate-limit")
+	if !ok {
+		return
+	}
+	s.log.Info().Str("Event", "rate-limit").Str("Target", string(incarnation.ID)).Float64("Before", before).Float64("PerSecond", now).Int("Skipped", skipped).Msg("limit of the target has changed")
+}
+
 // idleWait is how long the connections of a target that has ended may take to break.
 const idleWait clock.Millis = 100
 
