gate, ingress: no requests for a target that says it is leaving

Cause: a target that leaves says so in all its answers now, and requests of a host that has passed such an answer on must not reach it later than the drain bound (DRAIN). Departures were known from heartbeats alone, and those may not reach the core; nothing read the field.

Evidence: TestTargetThatLeavesInResponsesGetsNoWork, a target that says so in its responses and not in its heartbeats, served all requests 2 s later, with and without keys, and with the core out of reach.

Change: the gate rejects requests from 0.6 of the drain bound after the first such response on, and reports the departure to the core, so that keys move and other hosts learn of it. The host of the caller remembers it too: it prefers other targets at once, and sends nothing after the same time, also if the sidecar beside the target has started again and knows nothing.

--- a/internal/integration/mesh/harness_test.go
+++ b/internal/integration/mesh/harness_test.go
@@ -32,6 +32,7 @@
 var names = hop.HeaderNames{
 	RequestID: "Test-Id", RemainingMillis: "Test-Left", Key: "Test-Key", CallerService: "Test-Caller",
 	Instance: "Test-Instance", Signature: "Test-Signature", NotRun: "Test-Not-Run",
+	RateLimit: "Test-Limit", Leaving: "Test-Leaving",
 }
 
 // heartbeatInterval is shorter than that of real targets, to shorten the tests.
--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -56,6 +56,9 @@
 	// OnConnectionLost, if set, is called when a connection to the target is lost during
 	// an exchange, with the fingerprints of all requests that the target was running.
 	OnConnectionLost func(message.Incarnation, []string)
+	// OnLeaving, if set, is called with each response in which the target says that it is
+	// leaving.
+	OnLeaving func(message.Incarnation)
 	// OnRateLimit, if set, is called when the limit that a target names changes; 0 means no
 	// limit.
 	OnRateLimit func(incarnation message.Incarnation, before, now float64)
@@ -398,6 +401,9 @@
 	return r.Header.Get(g.options.Names.NotRun) != "" || r.StatusCode == http.StatusMisdirectedRequest
 }
 
+// IsLeaving reports whether a response says that its target is leaving.
+func IsLeaving(h http.Header, names hop.HeaderNames) bool { return h.Get(names.Leaving) == "1" }
+
 // FailedExchange returns the result of a request whose exchange failed before a response
 // header arrived.
 func FailedExchange(ctx context.Context, err error) *Result {
@@ -419,6 +425,9 @@
 func (g *Gate) readResponse(request *TargetRequest, ticket *admission.Ticket, incarnation message.Incarnation, result *Result, response *http.Response, start clock.Millis) *Result {
 	result.MayHaveReachedTarget = true
 	g.observeRateLimit(incarnation, response.Header, start)
+	if g.options.OnLeaving != nil && IsLeaving(response.Header, g.options.Names) {
+		g.options.OnLeaving(incarnation)
+	}
 	release := sync.OnceFunc(func() {
 		_ = response.Body.Close()
 		duration := g.options.Clock.Now() - start
--- a/internal/traffic/hop/hop.go
+++ b/internal/traffic/hop/hop.go
@@ -202,4 +202,6 @@
 	// RateLimit is how many requests a second a target takes from all hosts together, as a
 	// decimal number. It applies while the target's responses have it.
 	RateLimit string
+	// Leaving is 1 in the responses of a target that is leaving.
+	Leaving string
 }
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -79,6 +79,9 @@
 	// PeerAddress is the address of this host for other sidecars.
 	PeerAddress message.Address
 	Pool        *exchange.Pool
+	// RejectDelay is the time from the first response in which a target says that it is
+	// leaving until it gets no more requests from this host.
+	RejectDelay clock.Millis
 	// RetryRatio and ExtraRetries limit the retries of all sidecars of the deployment.
 	RetryRatio   float64
 	ExtraRetries int
@@ -93,6 +96,8 @@
 	options  Options
 	balancer *placement.Balancer
 	throttle *throttle.Limiter
+	// departures are the targets that have said that they are leaving.
+	departures *departures
 
 	// closeConnections is true when callers are asked to close their connections.
 	closeConnections atomic.Bool
@@ -105,7 +110,7 @@
 
 // New returns an Ingress.
 func New(options Options) *Ingress {
-	return &Ingress{options: options, balancer: placement.New(options.Clock, options.Domain, rand.Float64), throttle: throttle.New(options.Clock, rand.Float64), retryBudgets: map[message.ServiceName]*retry.Budget{}}
+	return &Ingress{options: options, balancer: placement.New(options.Clock, options.Domain, rand.Float64), throttle: throttle.New(options.Clock, rand.Float64), departures: newDepartures(options.Clock, options.RejectDelay), retryBudgets: map[message.ServiceName]*retry.Budget{}}
 }
 
 // CloseConnections asks callers to close their connections after the next response.
@@ -282,12 +287,12 @@
 func (in *Ingress) chooseTarget(v *view.View, req *request, tried map[message.InstanceID]bool) (message.Instance, hop.Reason) {
 	if req.keyed && req.key != hop.NoKey {
 		owner, ok := v.Owner(req.service, message.Key(req.key))
-		if !ok {
+		if !ok || in.departures.hasLeft(owner.Incarnation) {
 			return message.Instance{}, hop.NoOwner
 		}
 		return owner, ""
 	}
-	target, ok := in.balancer.Choose(v.Instances(req.service), tried)
+	target, ok := in.balancer.Choose(in.departures.mark(v.Instances(req.service)), tried)
 	if !ok {
 		return message.Instance{}, hop.NoTarget
 	}
@@ -345,6 +350,9 @@
 	if result.MayHaveReachedTarget {
 		req.reachedTargets++
 	}
+	if gate.IsLeaving(result.Header, in.options.Names) {
+		in.departures.record(target.Incarnation)
+	}
 	in.updateBalancer(target.Incarnation.ID, result)
 	if req.keyed {
 		in.updateThrottle(target.Incarnation.ID, result)
@@ -425,6 +433,10 @@
 		_, ok := v.Instance(id)
 		return ok
 	}
+	in.departures.retain(func(i message.Incarnation) bool {
+		instance, ok := v.Instance(i.ID)
+		return ok && instance.Incarnation == i
+	})
 	in.balancer.Retain(known)
 	in.throttle.Retain(known)
 }
--- a/internal/traffic/sidecar/sidecar.go
+++ b/internal/traffic/sidecar/sidecar.go
@@ -110,6 +110,8 @@
 	// incarnation and sequence are those of the newest heartbeat.
 	incarnation message.Incarnation
 	sequence    int
+	// leaving is the incarnation that has said in a response that it is leaving.
+	leaving message.Incarnation
 }
 
 // New returns a sidecar that is not running yet.
@@ -123,12 +125,12 @@
 	s.targetPool = exchange.NewPool(exchange.Options{MaxPerAddress: maxTargetConnections, IdleConnTimeout: targetIdleLimit, Clock: options.Clock, Dial: link.Dial})
 	s.peerPool = exchange.NewPool(exchange.Options{MaxPerAddress: maxPeerConnections, IdleConnTimeout: peerIdleLimit, Clock: options.Clock, Dial: link.Dial})
 	s.gate = gate.New(gate.Options{Names: options.Names, Clock: options.Clock, Pool: s.targetPool, OnConnectionLost: s.checkForCrash,
-		OnKeyRejected: func(i message.Incarnation, key message.Key) { s.leaser.keyRejected(i, key) }, OnRateLimit: s.logRateLimit})
+		OnKeyRejected: func(i message.Incarnation, key message.Key) { s.leaser.keyRejected(i, key) }, OnRateLimit: s.logRateLimit, OnLeaving: s.handleLeaving})
 	s.leaser = newLeaser(s)
 	s.ingress = ingress.New(ingress.Options{
 		Names: options.Names, Service: message.ServiceName(options.Settings.Target.Service), Host: message.HostName(options.Settings.Name),
 		Domain: message.FailureDomain(options.Settings.FailureDomain), Clock: options.Clock, Views: s.views, Gate: s.gate, PeerAddress: s.peerAddress(),
-		Pool: s.peerPool, RetryRatio: options.Settings.Bounds.RetryRatio, ExtraRetries: options.Settings.Bounds.ExtraRetries,
+		Pool: s.peerPool, RejectDelay: s.rejectDelay(), RetryRatio: options.Settings.Bounds.RetryRatio, ExtraRetries: options.Settings.Bounds.ExtraRetries,
 		Log: options.Log, LogBudget: s.logBudget, RecordResult: newMetrics(options.Metrics, s).record,
 	})
 	s.pipeline = pipeline.New(pipeline.Options{Handler: s.ingress, MayRunAhead: s.ingress.MayRunAhead, Clock: options.Clock})
--- a/internal/traffic/sidecar/target.go
+++ b/internal/traffic/sidecar/target.go
@@ -201,6 +201,29 @@
 	}()
 }
 
+// leaveReportTime bounds the attempts to report to the core that the target is leaving. It
+// stops soon after that in any case.
+const leaveReportTime clock.Millis = 10_000
+
+// handleLeaving handles a response in which the target says that it is leaving. The target
+// may not say so in its heartbeats, or those may not reach the core.
+func (s *Sidecar) handleLeaving(incarnation message.Incarnation) {
+	s.mu.Lock()
+	known := s.leaving == incarnation
+	s.leaving = incarnation
+	s.mu.Unlock()
+	if known {
+		return
+	}
+	s.gate.RejectFrom(incarnation, s.options.Clock.Now()+s.rejectDelay())
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), leaveReportTime.Duration())
+		defer cancel()
+		_, err := call[struct{}](ctx, s.core, message.MethodLeave, message.Leave{Incarnation: incarnation}, coreCallTimeout)
+		s.log.Info().Err(err).Str("Event", "target-leaving").Str("Target", string(incarnation.ID)).Msg("target says in its responses that it is leaving")
+	}()
+}
+
 // logRateLimit logs a change of the limit that the target names in its responses.
 func (s *Sidecar) logRateLimit(incarnation message.Incarnation, before, now float64) {
 	skipped, ok := s.logBudget.Allow("rate-limit")
