gate: do not use a connection again after a rejection by the target

Operators of similar systems saw clients told 'not run, try again' for requests that had run or were running (REFUSED), or that ran at a second target (TWICE).

Cause: it can happen here. A rejection may lack the request id, and a request that was rejected may be sent to the same target again with the same id. On a connection that was kept, a second copy of the rejection passed for the response to a request that the target was running.

Evidence: TestRefusalWrittenTwice, without an id and with the id of a request that is sent again. A copy with the id of another request was skipped before, too.

Change: the gate closes the connection of a rejection, without reading its body. No copy can then arrive in front of another response.

--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -438,7 +438,8 @@
 		g.queue.Release(ticket, duration)
 	})
 	if g.rejectedByTarget(response) {
-		_ = exchange.DiscardBody(response)
+		// Closes the connection. A faulty target may write the rejection once more, and on
+		// this connection that would pass for its response to a later request.
 		release()
 		if response.StatusCode == http.StatusMisdirectedRequest && request.Key != hop.NoKey && g.options.OnKeyRejected != nil {
 			g.options.OnKeyRejected(incarnation, message.Key(request.Key))
--- a/internal/traffic/gate/gate_test.go
+++ b/internal/traffic/gate/gate_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -97,3 +98,72 @@
 	running, _, _, _ := g.queue.Load()
 	qt.Check(t, running, qt.Equals, 0)
 }
+
+// Guards against a request that may have run and is reported as not run, because the target
+// writes an earlier refusal once more: without an id, or with the id of a request that is
+// sent to it again after the refusal.
+func TestRefusalWrittenTwice(t *testing.T) {
+	tests := map[string]struct{ id, secondRequest string }{
+		"refusal without id":           {"", "r2"},
+		"same request is sent again":   {"Test-Id: r1\r\n", "r1"},
+		"refusal with id of the first": {"Test-Id: r1\r\n", "r2"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			qt.Assert(t, err, qt.IsNil)
+			refusal := "HTTP/1.1 503 Service Unavailable\r\nTest-Not-Run: 1\r\n" + tt.id + "Content-Length: 0\r\n\r\n"
+			connections := make(chan struct{}, 8)
+			var refused atomic.Bool
+			serve := func(s net.Conn) {
+				defer func() { connections <- struct{}{} }()
+				defer s.Close()
+				reader := bufio.NewReader(s)
+				for refusedHere := false; ; {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					if !refused.Swap(true) {
+						refusedHere = true
+						_, _ = io.WriteString(s, refusal)
+						continue
+					}
+					if refusedHere {
+						_, _ = io.WriteString(s, refusal)
+					}
+					_, _ = io.WriteString(s, "HTTP/1.1 200 OK\r\nTest-Signature: signed\r\nTest-Id: "+r.Header.Get("Test-Id")+"\r\nContent-Length: 3\r\n\r\nran")
+				}
+			}
+			accepted := make(chan int, 1)
+			go func() {
+				n := 0
+				for {
+					s, err := l.Accept()
+					if err != nil {
+						accepted <- n
+						return
+					}
+					n++
+					go serve(s)
+				}
+			}()
+			g := newGate(l.Addr().String())
+			do := func(id string) *Result {
+				request := newRequest(2000)
+				request.ID = id
+				request.Header.Set("Test-Id", id)
+				return g.Do(t.Context(), request)
+			}
+			qt.Check(t, do("r1").Reason, qt.Equals, hop.RejectedByTarget)
+			second := do(tt.secondRequest)
+			qt.Check(t, string(second.Reason), qt.Equals, "")
+			qt.Check(t, second.Status, qt.Equals, http.StatusOK)
+			second.Close()
+			qt.Check(t, l.Close(), qt.IsNil)
+			for range <-accepted {
+				<-connections
+			}
+		})
+	}
+}
