node: do not use a connection again after a rejection by the target

Evidence: by reading, and TestConnectionOfRejectionIsNotKept.

Change: the connection is closed without reading the body. Rejections under overload cost a new connection each; not measured.

Measured: the test fails on the code before for both kinds and passes; the tests of the package pass with -race.

--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -251,9 +251,10 @@
 // rejectedByTarget returns the reply for a rejection by the target. The outcome is
 // unknown if the status is not the one that the target protocol defines.
 func (t *targetRequest) rejectedByTarget(response *http.Response, reason reasonCode, status int) *nodeReply {
-	err := exchange.DiscardBody(response)
+	// Closes the connection, on which a faulty target may write the rejection once more.
+	_ = response.Body.Close()
 	shed := reason == reasonOverload
-	t.finish(limit.Result{Latency: t.node.clock.Now() - t.sentAt, Shed: shed, Failed: err != nil || !shed})
+	t.finish(limit.Result{Latency: t.node.clock.Now() - t.sentAt, Shed: shed, Failed: !shed})
 	if response.StatusCode != status {
 		return unknownOutcome(http.StatusBadGateway, reasonNoResponse)
 	}
--- a/internal/node/forward_test.go
+++ b/internal/node/forward_test.go
@@ -54,3 +54,34 @@
 		})
 	}
 }
+
+// unreadBody records whether a body was closed before any of it was read.
+type unreadBody struct{ read, closed bool }
+
+func (b *unreadBody) Read([]byte) (int, error) {
+	b.read = true
+	return 0, io.EOF
+}
+
+func (b *unreadBody) Close() error {
+	b.closed = true
+	return nil
+}
+
+// Guards against a request that may have run and is reported as not run, because a faulty
+// target writes its earlier rejection once more on a kept connection. The pool keeps a
+// connection whose response was read to its end.
+func TestConnectionOfRejectionIsNotKept(t *testing.T) {
+	for _, rejection := range []string{header.RejectedGrant, header.RejectedOverload} {
+		t.Run(rejection, func(t *testing.T) {
+			c := clock.System()
+			m := newMember(c, announcement{Slots: 1, Connections: 10}, lease.DefaultTerms)
+			permit, err := m.limiter.Acquire(t.Context(), limit.Normal, c.Now()+10_000)
+			qt.Assert(t, err, qt.IsNil)
+			request := &targetRequest{node: &node{clock: c}, member: m, q: &routedRequest{}, permit: permit, leaveScopes: func() {}}
+			body := &unreadBody{}
+			request.newReply(&http.Response{StatusCode: http.StatusServiceUnavailable, Header: http.Header{header.Rejected: {rejection}}, Body: body}).close()
+			qt.Assert(t, *body, qt.Equals, unreadBody{closed: true})
+		})
+	}
+}
