exchange: test of headers that break off

Found: it does not happen here. Each prefix of six headers, of responses with a length, in chunks, delimited by the close and without a body, ends as an error with an unknown outcome.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -545,3 +545,32 @@
 	qt.Assert(t, response.Body.Close(), qt.IsNil)
 	p.CloseIdle(address)
 }
+
+// Guards against a response whose header broke off and that is returned as a complete one
+// with an empty or short body.
+func TestHeaderThatBreaksOff(t *testing.T) {
+	tests := map[string]string{
+		"body of known length": "HTTP/1.1 200 OK\r\nThe-Id: mine\r\nThe-Signature: 3e1b\r\nContent-Length: 25\r\n\r\n",
+		"length first":         "HTTP/1.1 200 OK\r\nContent-Length: 25\r\nThe-Id: mine\r\nThe-Signature: 3e1b\r\n\r\n",
+		"chunked body":         "HTTP/1.1 200 OK\r\nThe-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"close-delimited body": "HTTP/1.1 200 OK\r\nThe-Id: mine\r\nThe-Signature: 3e1b\r\n\r\n",
+		"no body":              "HTTP/1.1 200 OK\r\nThe-Id: mine\r\nContent-Length: 0\r\n\r\n",
+		"bare line feeds":      "HTTP/1.1 200 OK\nThe-Id: mine\nThe-Signature: 3e1b\n\n",
+	}
+	for name, head := range tests {
+		t.Run(name, func(t *testing.T) {
+			for length := range len(head) {
+				address := serveOnce(t, head[:length])
+				r := post(t, address)
+				r.Body, r.ContentLength = http.NoBody, 0
+				response, err := pool(t).Do(t.Context(), Request{Address: address, HTTP: r, RequestID: "mine", RequestIDHeader: "The-Id", RequireRequestID: true, SkipMismatched: true, AllowCloseDelimited: true})
+				if err == nil {
+					body, readErr := io.ReadAll(response.Body)
+					qt.Check(t, readErr, qt.IsNotNil, qt.Commentf("%q: %q", head[:length], body))
+					continue
+				}
+				qt.Check(t, ProgressOf(err), qt.Equals, Unknown, qt.Commentf("%q", head[:length]))
+			}
+		})
+	}
+}
