sidecar: a request late in a planned stop is not cut off

Operators of similar systems saw requests that came late in the grace of a planned stop taken, passed on, and cut off without an answer at its end (LOST).

Cause: it can happen here. From 2.6 s to 4.2 s after SIGTERM, while the target of the host still works, callers on open connections were served whatever time their requests had; the process ends 5.5 s after SIGTERM with a grace of 6 s. Class of fault: work is begun without a look at the time that is left for it.

Deployments have deadlines of up to 6 s.

Change: after callers have had time to notice, a request is rejected as not run if its caller may wait for longer than the process runs. Shorter ones are served.

--- a/internal/integration/mesh/harness_test.go
+++ b/internal/integration/mesh/harness_test.go
@@ -435,13 +435,18 @@
 
 // send sends a caller's request to the host. A negative key sends none.
 func (h *host) send(method, path, id string, key int, body string) response {
+	return h.sendWithin(method, path, id, key, body, 2000)
+}
+
+// sendWithin sends a request of a caller that waits for the given time, in milliseconds.
+func (h *host) sendWithin(method, path, id string, key int, body string, remainingMillis int) response {
 	r, err := http.NewRequest(method, "http://"+h.callerAddress+path, strings.NewReader(body))
 	if err != nil {
 		return response{err: err}
 	}
 	r.Host = "mesh.example"
 	r.Header.Set(names.RequestID, id)
-	r.Header.Set(names.RemainingMillis, "2000")
+	r.Header.Set(names.RemainingMillis, strconv.Itoa(remainingMillis))
 	if key >= 0 {
 		r.Header.Set(names.Key, strconv.Itoa(key))
 	}
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -101,6 +101,8 @@
 
 	// closeConnections is true when callers are asked to close their connections.
 	closeConnections atomic.Bool
+	// serveUntil is when this process ends, in clock.Millis; 0 if it is not about to stop.
+	serveUntil atomic.Int64
 	// rejectRequests is true when all requests are rejected.
 	rejectRequests atomic.Bool
 
@@ -121,6 +123,10 @@
 // cannot get a response, so it must not reach a target.
 func (in *Ingress) RejectRequests() { in.rejectRequests.Store(true) }
 
+// RejectAfter rejects new requests whose callers may wait for longer than until the given
+// time, at which this process ends. A request that is passed on could be cut off.
+func (in *Ingress) RejectAfter(end clock.Millis) { in.serveUntil.Store(int64(end)) }
+
 // MayRunAhead reports whether a request may run before earlier requests of its connection
 // are answered: it may be repeated, and the connection stays open.
 func (in *Ingress) MayRunAhead(r *http.Request) bool {
@@ -155,6 +161,10 @@
 		in.writeError(w, r, req, gate.Rejection(reason, 0))
 		return
 	}
+	if end := clock.Millis(in.serveUntil.Load()); end > 0 && req.deadline > end {
+		in.writeError(w, r, req, gate.Rejection(hop.Stopping, 0))
+		return
+	}
 	if v.Quarantined(req.fingerprint) {
 		in.writeError(w, r, req, gate.Rejection(hop.Quarantined, 0))
 		return
--- a/internal/traffic/sidecar/stop.go
+++ b/internal/traffic/sidecar/stop.go
@@ -32,8 +32,12 @@
 // An idle target does not mean that there are none: requests of callers on this host may
 // be processed by targets on other hosts.
 func (s *Sidecar) remainingStopTime() time.Duration {
-	end := clock.Millis(s.stopStarted.Load()) + s.gracePeriod() - killMargin
-	return max(end-s.options.Clock.Now(), killMargin).Duration()
+	return max(s.stopEnd()-s.options.Clock.Now(), killMargin).Duration()
+}
+
+// stopEnd returns when this process ends in a planned stop that has started.
+func (s *Sidecar) stopEnd() clock.Millis {
+	return clock.Millis(s.stopStarted.Load()) + s.gracePeriod() - killMargin
 }
 
 // drain prepares a planned stop: callers move to other hosts, the target finishes its
@@ -50,6 +54,7 @@
 		s.announceStop()
 	}()
 	_ = clk.Sleep(background, callerNoticeTime)
+	s.ingress.RejectAfter(s.stopEnd())
 	s.gate.Stop()
 	for clk.Now()-started < maxDrainTime && s.gate.Load().Running > 0 {
 		_ = clk.Sleep(background, 20)
