admission: a raised limit applies at once

The next begin and the scheduled wake-up of a low limit stayed when the target named a higher one, so that requests waited up to 2 s for nothing.

Change: the next begin is at most one interval of the new limit away, and an earlier wake-up is scheduled beside a later one.

--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -137,8 +137,8 @@
 	waiting      []*Ticket
 	// pace limits how often a request gets a slot.
 	pace pace
-	// wakeScheduled is true while a call of advance is scheduled.
-	wakeScheduled bool
+	// wakeAt is when the earliest scheduled call of advance is due; 0 if there is none.
+	wakeAt clock.Millis
 	// after calls a function after a time.
 	after func(clock.Millis, func())
 	// routeMeans and mean are moving averages of the duration of requests, in
@@ -175,7 +175,7 @@
 func (q *Queue) advance() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.wakeScheduled = false
+	q.wakeAt = 0
 	q.assignSlots()
 }
 
@@ -218,11 +218,14 @@
 
 // scheduleAdvance makes a free slot be assigned when the pace allows it.
 func (q *Queue) scheduleAdvance(now clock.Millis) {
-	if q.wakeScheduled || len(q.waiting) == 0 || q.running >= q.slots {
+	if len(q.waiting) == 0 || q.running >= q.slots {
 		return
 	}
-	q.wakeScheduled = true
-	q.after(max(q.pace.wait(now, 0), 1), q.advance)
+	wait := max(q.pace.wait(now, 0), 1)
+	if q.wakeAt == 0 || now+wait < q.wakeAt {
+		q.wakeAt = now + wait
+		q.after(wait, q.advance)
+	}
 }
 
 // Cancel removes a waiting ticket from the queue. It returns false if the ticket already
--- a/internal/traffic/admission/pace.go
+++ b/internal/traffic/admission/pace.go
@@ -29,6 +29,7 @@
 		p.next = float64(now + paceBurst)
 	}
 	p.interval = 1000 / max(perSecond, minPace)
+	p.next = min(p.next, float64(now+paceBurst)+p.interval)
 }
 
 // wait returns the time until a request may begin behind the given number of others.
--- a/internal/traffic/admission/pace_test.go
+++ b/internal/traffic/admission/pace_test.go
@@ -69,3 +69,26 @@
 		})
 	}
 }
+
+// Guards against requests that wait for the pace of an earlier, lower limit.
+func TestRaisedRateLimit(t *testing.T) {
+	manual := clock.NewManual(1000)
+	q := New(manual.Clock())
+	wake := clock.Millis(0)
+	q.after = func(d clock.Millis, _ func()) { wake = d }
+	q.SetSlots(10)
+	q.SetRate(0.5)
+	first := &Ticket{Deadline: 100_000, Objective: 100_000}
+	for range 2 {
+		manual.Advance(2000)
+		qt.Assert(t, q.Admit(first), qt.Equals, Admitted)
+	}
+	waiting := &Ticket{Deadline: 100_000, Objective: 100_000}
+	qt.Assert(t, q.Admit(waiting), qt.Equals, Queued)
+	qt.Assert(t, wake > 1000, qt.IsTrue)
+	q.SetRate(100)
+	qt.Assert(t, wake <= 10, qt.IsTrue, qt.Commentf("%d ms", wake))
+	manual.Advance(wake)
+	q.advance()
+	qt.Assert(t, waiting.Decision(), qt.Equals, Admitted)
+}
