gate: limits of responses that end together apply in order

The limit was recorded under the lock of the gate and given to the queue after it. Of two responses that end together, the older one could come last at the queue, which then kept no limit until it changed again.

Change: the queue is told under the lock. It calls nothing of the gate.

Measured: tests of the package pass with -race.

--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -106,15 +106,12 @@
 // SetTarget records a heartbeat of the target. A new incarnation starts without grants.
 func (g *Gate) SetTarget(t Target) {
 	g.mu.Lock()
-	begins := t.Incarnation != g.target.Incarnation
-	if begins {
+	if t.Incarnation != g.target.Incarnation {
 		g.grants, g.rejectFrom, g.rateLimit = nil, 0, rateLimit{}
+		g.queue.SetRate(0)
 	}
 	g.target, g.hasTarget = t, true
 	g.mu.Unlock()
-	if begins {
-		g.queue.SetRate(0)
-	}
 	g.queue.SetSlots(t.Slots)
 }
 
--- a/internal/traffic/gate/rate_limit.go
+++ b/internal/traffic/gate/rate_limit.go
@@ -38,29 +38,32 @@
 // limit, if it has the signature of the target and its request began after the limit was
 // named last: responses may overtake each other.
 func (g *Gate) observeRateLimit(incarnation message.Incarnation, h http.Header, begin clock.Millis) {
+	before, now := g.updateRateLimit(incarnation, h, begin)
+	if now != before && g.options.OnRateLimit != nil {
+		g.options.OnRateLimit(incarnation, before, now)
+	}
+}
+
+// updateRateLimit returns the requests a second before and after a response.
+func (g *Gate) updateRateLimit(incarnation message.Incarnation, h http.Header, begin clock.Millis) (before, now float64) {
 	perSecond, named := parseRateLimit(h, g.options.Names.RateLimit)
 	g.mu.Lock()
-	if g.target.Incarnation != incarnation {
-		g.mu.Unlock()
-		return
-	}
-	before := g.rateLimit
+	defer g.mu.Unlock()
+	before = g.rateLimit.perSecond
 	switch {
+	case g.target.Incarnation != incarnation:
+		return before, before
 	case named:
 		// A limit of 0 must not end the limit.
 		g.rateLimit = rateLimit{perSecond: max(perSecond, 0.001), namedAt: g.options.Clock.Now()}
-	case h.Get(g.options.Names.RateLimit) == "" && h.Get(g.options.Names.Signature) != "" && begin > before.namedAt:
+	case h.Get(g.options.Names.RateLimit) == "" && h.Get(g.options.Names.Signature) != "" && begin > g.rateLimit.namedAt:
 		g.rateLimit = rateLimit{}
 	}
-	now := g.rateLimit
-	g.mu.Unlock()
-	if now.perSecond == before.perSecond {
-		return
-	}
-	g.queue.SetRate(now.perSecond)
-	if g.options.OnRateLimit != nil {
-		g.options.OnRateLimit(incarnation, before.perSecond, now.perSecond)
+	now = g.rateLimit.perSecond
+	if now != before {
+		g.queue.SetRate(now)
 	}
+	return before, now
 }
 
 // RateLimit returns the requests a second that the target takes; 0 if it names no limit.
