quorum: silent members are removed while this replica asks for admission

A voter without a leader asks one address after the other, each for up to 1.5 s; if it becomes the leader meanwhile, the removal of silent members waited for that, and a successor counts after 4 s.

Change: the two loops run side by side.

--- a/internal/coordination/quorum/membership.go
+++ b/internal/coordination/quorum/membership.go
@@ -111,6 +111,15 @@
 // loss less. A voter that returns later asks for admission again.
 const removeAfter clock.Millis = 2000
 
+// removeSilentMembers removes silent members while this replica leads.
+func (q *Quorum) removeSilentMembers(ctx context.Context, r *replog.Replica) {
+	for q.options.Clock.Sleep(ctx, membershipInterval) == nil {
+		if s := r.Status(); s.Role == replog.Leader {
+			q.removeSilentMember(ctx, r, s)
+		}
+	}
+}
+
 // removeSilentMember removes the member that has been silent for longest, if the group
 // has the voters that it needs without it.
 func (q *Quorum) removeSilentMember(ctx context.Context, r *replog.Replica, s replog.Status) {
--- a/internal/coordination/quorum/quorum.go
+++ b/internal/coordination/quorum/quorum.go
@@ -56,9 +56,9 @@
 	snapshotInterval = 500
 	// reopenDelay is the time after a disk fault until the log is opened again.
 	reopenDelay clock.Millis = 500
-	// joinInterval is how often a replica outside the group requests admission, or tries
+	// membershipInterval is how often a replica outside the group requests admission, or tries
 	// to bootstrap the group, and how often the leader looks for silent members.
-	joinInterval clock.Millis = 300
+	membershipInterval clock.Millis = 300
 	// leaderlessLimit is the time without a leader after which a voter requests admission.
 	// An election takes less.
 	leaderlessLimit clock.Millis = 1000
@@ -177,17 +177,15 @@
 	}
 	q.replica.Store(r)
 	defer q.replica.Store(nil)
-	membershipEnded := make(chan struct{})
-	go func() {
-		defer close(membershipEnded)
-		q.maintainMembership(membershipCtx, r)
-	}()
+	var membership sync.WaitGroup
+	membership.Go(func() { q.joinGroup(membershipCtx, r) })
+	membership.Go(func() { q.removeSilentMembers(membershipCtx, r) })
 	select {
 	case err = <-r.Done():
 		cancel()
-		<-membershipEnded
+		membership.Wait()
 	case <-ctx.Done():
-		<-membershipEnded
+		membership.Wait()
 		q.leaveGroup(replicaCtx, r)
 		stopReplica()
 		err = <-r.Done()
@@ -216,10 +214,10 @@
 	return err == nil
 }
 
-// maintainMembership bootstraps the group or requests admission while this identity is not
-// a voter, and removes silent members while it leads. A voter that finds no leader requests
-// admission as well: it may have been removed, and does not get the entry that says so.
-func (q *Quorum) maintainMembership(ctx context.Context, r *replog.Replica) {
+// joinGroup bootstraps the group or requests admission while this identity is not a voter.
+// A voter that finds no leader requests admission as well: it may have been removed, and
+// does not get the entry that says so.
+func (q *Quorum) joinGroup(ctx context.Context, r *replog.Replica) {
 	lastLeader := q.options.Clock.Now()
 	for joined := false; ctx.Err() == nil; {
 		s := r.Status()
@@ -227,8 +225,6 @@
 			lastLeader = q.options.Clock.Now()
 		}
 		switch {
-		case s.Role == replog.Leader:
-			q.removeSilentMember(ctx, r, s)
 		case isVoter(s) && q.options.Clock.Now()-lastLeader < leaderlessLimit:
 		case len(s.Voters) == 0 && q.mayBootstrap() && len(q.options.Seeds) > 0 && q.options.Seeds[0] == q.options.Address:
 			q.bootstrapGroup(ctx, r)
@@ -239,7 +235,7 @@
 			joined = true
 			_ = os.Remove(filepath.Join(q.options.DataFolder, firstStartFile))
 		}
-		if q.options.Clock.Sleep(ctx, joinInterval) != nil {
+		if q.options.Clock.Sleep(ctx, membershipInterval) != nil {
 			return
 		}
 	}
@@ -269,7 +265,7 @@
 		members = append(members, reply.Member)
 	}
 	// This replica comes last. If a call fails before that, it does not belong to the group
-	// yet, so maintainMembership calls bootstrapGroup again.
+	// yet, so joinGroup calls bootstrapGroup again.
 	for _, a := range append(q.options.Seeds[1:len(q.options.Seeds):len(q.options.Seeds)], q.options.Address) {
 		if _, err := rpc.Call[struct{}](ctx, q.client(string(a)), message.MethodBootstrap, message.BootstrapRequest{Members: members}); err != nil {
 			q.options.Log.Warn().Err(err).Str("Event", "founding-failed").Str("Seed", string(a)).Msg("seed did not bootstrap the group")
