replog: the folder of a log outlives a power loss

The replica would come back with an empty disk, beyond the two that may be lost, and three of five voters would have no log.

Cause: the name of the log's folder was never made durable. Its files and their names were synced, the folder above it was not, so a power loss may lose all of it. Class of fault: something counts as durable before all that leads to it is.

Evidence: the simulated disk of the tests had only one folder, which could not be lost.

Change: opening a store syncs the folder above it, each time, since an earlier process may have ended in between; missing folders above are created durably. The mark of the first start stands in the same folder and becomes durable with it.

Measured: both tests fail on the code before and pass now; all tests of the package pass with -race.

--- a/pkg/replog/disk_test.go
+++ b/pkg/replog/disk_test.go
@@ -12,10 +12,16 @@
 
 var errDisk = errors.New("simulated disk failure")
 
+// simFolder is the name of the folder of a simDisk.
+const simFolder = "folder"
+
 // simDisk simulates one folder on a disk. A crash keeps all data that was fsynced and
 // a random part of the rest.
 type simDisk struct {
 	random *rand.Rand
+	// folderDurable is true after an fsync of the folder's parent. Before it, a crash may
+	// lose the folder with all that is in it.
+	folderDurable bool
 	// names are the current files by name, durable those as of the last fsync of the
 	// folder.
 	names   map[string]*simFile
@@ -62,6 +68,9 @@
 // corrupt a byte.
 func (d *simDisk) crash() {
 	d.failAfter = -1
+	if !d.folderDurable && d.random.IntN(2) == 0 {
+		d.names, d.durable, d.pending = map[string]*simFile{}, map[string]*simFile{}, nil
+	}
 	for _, change := range d.pending {
 		if d.random.IntN(2) == 0 {
 			change(d.durable)
@@ -151,12 +160,15 @@
 		Remove: func(p string) error {
 			return d.changeNames(func(m map[string]*simFile) { delete(m, base(p)) })
 		},
-		SyncFolder: func(string) error {
-			if d.nextFails() {
+		SyncFolder: func(p string) error {
+			switch {
+			case d.nextFails():
 				return errDisk
-			}
-			if !d.ignoresSync {
+			case d.ignoresSync:
+			case base(p) == simFolder:
 				d.durable, d.pending = maps.Clone(d.names), nil
+			default:
+				d.folderDurable = true
 			}
 			return nil
 		},
--- a/pkg/replog/files.go
+++ b/pkg/replog/files.go
@@ -13,6 +13,8 @@
 // fileSystem contains the file operations of a store. Tests replace them with a
 // simulated disk and with operations that fail.
 type fileSystem struct {
+	// MakeFolder creates a folder and those above it. Only the names of those above it are
+	// durable.
 	MakeFolder func(path string) error
 	List       func(folder string) ([]string, error)
 	// Read returns fs.ErrNotExist for a file that does not exist.
@@ -47,7 +49,7 @@
 		return writableFile{Write: f.Write, Sync: f.Sync, Close: f.Close}, nil
 	}
 	return fileSystem{
-		MakeFolder: func(p string) error { return os.MkdirAll(p, 0o700) },
+		MakeFolder: osMakeFolder,
 		List:       osList,
 		Read:       os.ReadFile,
 		ReadAt:     osReadAt,
@@ -61,6 +63,19 @@
 	}
 }
 
+func osMakeFolder(path string) error {
+	parent := filepath.Dir(path)
+	if _, err := os.Stat(parent); errors.Is(err, fs.ErrNotExist) {
+		if err := errors.Join(osMakeFolder(parent), osSyncFolder(filepath.Dir(parent))); err != nil {
+			return err
+		}
+	}
+	if err := os.Mkdir(path, 0o700); !errors.Is(err, fs.ErrExist) {
+		return err
+	}
+	return nil
+}
+
 func osList(folder string) ([]string, error) {
 	es, err := os.ReadDir(folder)
 	var names []string
--- a/pkg/replog/property_test.go
+++ b/pkg/replog/property_test.go
@@ -144,7 +144,7 @@
 // start starts a node from the files on its disk.
 func (g *simGroup) start(n *simNode) {
 	identity := func() Identity { return Identity(fmt.Sprintf("%s-%d", n.name, g.random.Uint64())) }
-	s, l, err := openStore(n.disk.files(), "folder", "g", identity)
+	s, l, err := openStore(n.disk.files(), simFolder, "g", identity)
 	if err != nil {
 		g.handleStorageError(n, err)
 		return
--- a/pkg/replog/store.go
+++ b/pkg/replog/store.go
@@ -75,6 +75,10 @@
 	if err := f.MakeFolder(folder); err != nil {
 		return nil, storedState{}, storageError("create folder", err)
 	}
+	// A folder whose name is not durable can be lost with all its files in a power loss.
+	if err := f.SyncFolder(filepath.Dir(folder)); err != nil {
+		return nil, storedState{}, storageError("sync parent folder", err)
+	}
 	unlock, err := f.Lock(s.path(lockName))
 	if err != nil {
 		return nil, storedState{}, storageError("lock folder", err)
--- a/pkg/replog/store_fuzz_test.go
+++ b/pkg/replog/store_fuzz_test.go
@@ -14,7 +14,7 @@
 // snapshot, and the content of the segments.
 func storeSeed(f *testing.F) (d *simDisk, segments [][]byte) {
 	d = newSimDisk(rand.New(rand.NewPCG(1, 1)))
-	s, _, err := openStore(d.files(), "", "g", func() Identity { return "id" })
+	s, _, err := openStore(d.files(), simFolder, "g", func() Identity { return "id" })
 	qt.Assert(f, err, qt.IsNil)
 	s.segmentLimit = 150
 	qt.Assert(f, s.write(&hardState{Term: 7, Vote: "id"}, nil, []Entry{{1, 7, EntryCommand, []byte("one")}}), qt.IsNil)
@@ -108,10 +108,10 @@
 		}
 	}
 	newIdentity := func() Identity { return "new" }
-	s, l, err := openStore(d.files(), "", "g", newIdentity)
+	s, l, err := openStore(d.files(), simFolder, "g", newIdentity)
 	if err != nil {
 		qt.Assert(t, errors.Is(err, ErrCorrupt), qt.IsTrue, qt.Commentf("%v", err))
-		_, _, secondErr := openStore(d.files(), "", "g", newIdentity)
+		_, _, secondErr := openStore(d.files(), simFolder, "g", newIdentity)
 		qt.Assert(t, errors.Is(secondErr, ErrCorrupt), qt.IsTrue, qt.Commentf("%v", secondErr))
 		return
 	}
@@ -124,7 +124,7 @@
 		e.snapshotHeader(n)
 		qt.Assert(t, bytes.Equal(addChecksum(append(e.b, n.Data...)), content[snapshotName(n.Index)]), qt.IsTrue)
 	}
-	s, second, err := openStore(d.files(), "", "g", newIdentity)
+	s, second, err := openStore(d.files(), simFolder, "g", newIdentity)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, reflect.DeepEqual(second.log, l.log) && second.state == l.state && second.identity == l.identity, qt.IsTrue,
 		qt.Commentf("%+v, %+v", l, second))
@@ -132,7 +132,7 @@
 	qt.Assert(t, s.write(&hardState{Term: 9, Vote: "v"}, nil, []Entry{next}), qt.IsNil)
 	s.close()
 	d.crash()
-	s, written, err := openStore(d.files(), "", "g", newIdentity)
+	s, written, err := openStore(d.files(), simFolder, "g", newIdentity)
 	qt.Assert(t, err, qt.IsNil)
 	defer s.close()
 	qt.Assert(t, written.log.last(), qt.Equals, next.Index)
--- a/pkg/replog/store_test.go
+++ b/pkg/replog/store_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"testing"
@@ -234,6 +235,22 @@
 	}
 }
 
+// Guards against a replica that comes back with an empty disk after it lost power, because
+// the name of its folder was never made durable.
+func TestStoreOutlivesPowerLoss(t *testing.T) {
+	for seed := range uint64(10) {
+		d := newSimDisk(rand.New(rand.NewPCG(seed, 1)))
+		s, _, err := openStore(d.files(), simFolder, "g", func() Identity { return "id" })
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, s.write(&hardState{Term: 7}, nil, []Entry{{1, 7, EntryCommand, []byte("one")}}), qt.IsNil)
+		d.crash()
+		_, l, err := openStore(d.files(), simFolder, "g", func() Identity { return "other" })
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, l.identity, qt.Equals, Identity("id"))
+		qt.Assert(t, l.log.last(), qt.Equals, Index(1))
+	}
+}
+
 // Guards against panics and large allocations caused by damaged messages, and against
 // fields that are lost in encoding and decoding.
 func FuzzDecodeMessage(f *testing.F) {
