gate, ingress: a limit outlives a restart of the sidecar beside the target

Cause: the gate beside a target keeps its limit in memory only. After a restart of its process the gate filled all slots of the target until the first response came back, though the hosts of the callers had been told the limit. Class of fault: state that a process learned from its peers is lost with it, while others still have it.

Change: hosts of callers remember the limit that a response has named and send it with each request to that target, in a field of its own that older sidecars ignore. A gate that has had no response from its target yet adopts it.

Measured: TestLimitOutlivesRestart has 18 requests at once without the adoption and at most 4 in the first second with it; TestLimitIsPassedToTargetsHost, TestRequestHeader. TestParseRateLimit is TestStatedRateLimit now, with the same cases and three more, since the parsing moved.

--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -259,6 +259,7 @@
 		return Rejection(reason, 0)
 	}
 	g.countKey(request)
+	g.adoptRateLimit(request.RateLimit)
 	ticket := &admission.Ticket{
 		Route: request.Route, Rank: request.Rank, Key: request.Key,
 		Deadline: start + request.RemainingMillis, Objective: start + request.ObjectiveMillis,
--- a/internal/traffic/gate/rate_limit.go
+++ b/internal/traffic/gate/rate_limit.go
@@ -1,9 +1,7 @@
 package gate
 
 import (
-	"math"
 	"net/http"
-	"strconv"
 
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
 	"github.com/gentiansail/gentiansail/internal/traffic/hop"
@@ -21,49 +19,77 @@
 	perSecond float64
 	// namedAt is when a response named the limit last.
 	namedAt clock.Millis
+	// known is true once a response to this process has stated whether there is a limit.
+	known bool
 }
 
-// parseRateLimit returns the limit that a response names. ok is false if it names none; a
-// value that is no number of requests is no limit.
-func parseRateLimit(h http.Header, name string) (perSecond float64, ok bool) {
-	text := h.Get(name)
+// minRateLimit stands for a limit of 0, which would mean no limit.
+const minRateLimit = 0.001
+
+// StatedRateLimit returns the limit that a response of a target states. ok is false if it
+// states nothing about a limit: it has no signature, or a value that is no number of requests.
+func StatedRateLimit(h http.Header, names hop.HeaderNames) (perSecond float64, ok bool) {
+	text := h.Get(names.RateLimit)
 	if text == "" {
+		return 0, h.Get(names.Signature) != ""
+	}
+	if perSecond, ok = hop.ParseRateLimit(text); !ok {
 		return 0, false
 	}
-	perSecond, err := strconv.ParseFloat(text, 64)
-	return perSecond, err == nil && perSecond >= 0 && perSecond <= math.MaxFloat32
+	return max(perSecond, minRateLimit), true
 }
 
-// observeRateLimit applies the limit that a response names. A response without one ends the
-// limit, if it has the signature of the target and its request began after the limit was
-// named last: responses may overtake each other.
+// observeRateLimit applies what a response states about the limit.
 func (g *Gate) observeRateLimit(incarnation message.Incarnation, h http.Header, begin clock.Millis) {
-	before, now := g.updateRateLimit(incarnation, h, begin)
-	if now != before && g.options.OnRateLimit != nil {
-		g.options.OnRateLimit(incarnation, before, now)
+	if perSecond, ok := StatedRateLimit(h, g.options.Names); ok {
+		g.changeRateLimit(incarnation, func(now clock.Millis) { g.rateLimit.update(perSecond, begin, now) })
 	}
 }
 
-// updateRateLimit returns the requests a second before and after a response.
-func (g *Gate) updateRateLimit(incarnation message.Incarnation, h http.Header, begin clock.Millis) (before, now float64) {
-	perSecond, named := parseRateLimit(h, g.options.Names.RateLimit)
+// adoptRateLimit applies the limit that is known on a caller's host, until a response states
+// it: this process may have started again beside a target that named its limit before.
+func (g *Gate) adoptRateLimit(perSecond float64) {
+	if perSecond <= 0 {
+		return
+	}
+	target, _ := g.Target()
+	g.changeRateLimit(target.Incarnation, func(now clock.Millis) {
+		if !g.rateLimit.known && g.rateLimit.perSecond == 0 {
+			g.rateLimit = rateLimit{perSecond: perSecond, namedAt: now - 1}
+		}
+	})
+}
+
+// changeRateLimit changes the limit of an incarnation. The change is made with g.mu held.
+func (g *Gate) changeRateLimit(incarnation message.Incarnation, change func(now clock.Millis)) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	before = g.rateLimit.perSecond
-	switch {
-	case g.target.Incarnation != incarnation:
-		return before, before
-	case named:
-		// A limit of 0 must not end the limit.
-		g.rateLimit = rateLimit{perSecond: max(perSecond, 0.001), namedAt: g.options.Clock.Now()}
-	case h.Get(g.options.Names.RateLimit) == "" && h.Get(g.options.Names.Signature) != "" && begin > g.rateLimit.namedAt:
-		g.rateLimit = rateLimit{}
+	if g.target.Incarnation != incarnation {
+		g.mu.Unlock()
+		return
 	}
-	now = g.rateLimit.perSecond
+	before := g.rateLimit.perSecond
+	change(g.options.Clock.Now())
+	now := g.rateLimit.perSecond
 	if now != before {
 		g.queue.SetRate(now)
 	}
-	return before, now
+	g.mu.Unlock()
+	if now != before && g.options.OnRateLimit != nil {
+		g.options.OnRateLimit(incarnation, before, now)
+	}
+}
+
+// update records what a response to a request that began at the given time states. A
+// response without a limit ends the limit only if its request began after the limit was named
+// last: responses may overtake each other.
+func (l *rateLimit) update(perSecond float64, begin, now clock.Millis) {
+	l.known = true
+	switch {
+	case perSecond > 0:
+		l.perSecond, l.namedAt = perSecond, now
+	case begin > l.namedAt:
+		l.perSecond = 0
+	}
 }
 
 // RateLimit returns the requests a second that the target takes; 0 if it names no limit.
--- a/internal/traffic/gate/rate_limit_test.go
+++ b/internal/traffic/gate/rate_limit_test.go
@@ -71,22 +71,66 @@
 	running.Wait()
 }
 
-func TestParseRateLimit(t *testing.T) {
+func TestStatedRateLimit(t *testing.T) {
+	names := hop.HeaderNames{RateLimit: "Test-Limit", Signature: "Test-Signature"}
 	tests := map[string]struct {
-		text string
-		want float64
-		ok   bool
+		text     string
+		unsigned bool
+		want     float64
+		ok       bool
 	}{
-		"whole number": {"25", 25, true}, "fraction": {"0.5", 0.5, true}, "zero": {"0", 0, true},
-		"none": {"", 0, false}, "negative": {"-1", -1, false}, "no number": {"many", 0, false}, "not a number": {"NaN", 0, false}, "infinite": {"Inf", 0, false},
+		"whole number": {text: "25", want: 25, ok: true}, "fraction": {text: "0.5", want: 0.5, ok: true}, "zero": {text: "0", want: minRateLimit, ok: true},
+		"unsigned number": {text: "25", unsigned: true, want: 25, ok: true}, "none": {ok: true}, "unsigned, none": {unsigned: true},
+		"negative": {text: "-1"}, "no number": {text: "many"}, "not a number": {text: "NaN"}, "infinite": {text: "Inf"},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			got, ok := parseRateLimit(http.Header{"Test-Limit": {tt.text}}, "Test-Limit")
-			qt.Assert(t, ok, qt.Equals, tt.ok)
-			if ok {
-				qt.Assert(t, got, qt.Equals, tt.want)
+			h := http.Header{"Test-Limit": {tt.text}}
+			if !tt.unsigned {
+				h.Set("Test-Signature", "signed")
 			}
+			got, ok := StatedRateLimit(h, names)
+			qt.Assert(t, ok, qt.Equals, tt.ok)
+			qt.Assert(t, got, qt.Equals, tt.want)
 		})
 	}
 }
+
+// Guards against a target that gets more than its limit after the sidecar beside it has
+// started again, because only the hosts of the callers know the limit.
+func TestLimitOutlivesRestart(t *testing.T) {
+	const perSecond, callers = 2, 18
+	var arrivals atomic.Int64
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		arrivals.Add(1)
+		<-release
+		w.Header().Set("Test-Id", r.Header.Get("Test-Id"))
+		w.Header().Set("Test-Signature", "signed")
+	}))
+	defer server.Close()
+	g := newGate(server.Listener.Addr().String())
+	target, _ := g.Target()
+	target.Slots = callers
+	g.SetTarget(target)
+	var running sync.WaitGroup
+	for range callers {
+		running.Go(func() {
+			request := newRequest(2000)
+			request.Header.Set("Test-Id", "q")
+			request.RateLimit = perSecond
+			g.Do(t.Context(), request).Close()
+		})
+	}
+	time.Sleep(time.Second)
+	qt.Check(t, arrivals.Load() <= perSecond*2, qt.IsTrue, qt.Commentf("%d requests", arrivals.Load()))
+	qt.Check(t, g.RateLimit(), qt.Equals, float64(perSecond))
+	close(release)
+	running.Wait()
+	// The target has stopped to name the limit, and callers' hosts do not know it yet.
+	request := newRequest(2000)
+	request.Header.Set("Test-Id", "q")
+	request.RateLimit = perSecond
+	g.Do(t.Context(), request).Close()
+	qt.Check(t, g.RateLimit(), qt.Equals, 0.0)
+}
--- a/internal/traffic/hop/hop.go
+++ b/internal/traffic/hop/hop.go
@@ -10,6 +10,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -24,6 +25,7 @@
 // with each request.
 const (
 	requestField = "Gs"
+	limitField   = "Gs-Limit"
 	reasonField  = "Gs-Reason"
 	loadField    = "Gs-Load"
 	retryField   = "Gs-Retry"
@@ -54,6 +56,9 @@
 	Key int
 	// Fingerprint identifies the content of the request.
 	Fingerprint string
+	// RateLimit is how many requests a second the target takes, if a response on the caller's
+	// host has said so; 0 if none has.
+	RateLimit float64
 }
 
 // SetHeader writes the request to the header fields.
@@ -63,13 +68,18 @@
 		repeatable = 1
 	}
 	h[requestField] = []string{fmt.Sprintf("%s %s %d %d %d %d %d %s", q.Service, q.Route, q.RemainingMillis, q.ObjectiveMillis, q.Rank, repeatable, q.Key, q.Fingerprint)}
+	delete(h, limitField) // a caller may have set it
+	if q.RateLimit > 0 {
+		h[limitField] = []string{strconv.FormatFloat(q.RateLimit, 'g', -1, 64)}
+	}
 }
 
-// ParseRequest reads the field that Request.SetHeader wrote, and removes it from the
+// ParseRequest reads the fields that Request.SetHeader wrote, and removes them from the
 // header.
 func ParseRequest(h http.Header) (Request, error) {
-	parts := strings.Split(h.Get(requestField), " ")
+	parts, limit := strings.Split(h.Get(requestField), " "), h.Get(limitField)
 	delete(h, requestField)
+	delete(h, limitField)
 	if len(parts) != 8 {
 		return Request{}, merry.Wrap(ErrInvalidField)
 	}
@@ -81,12 +91,26 @@
 		}
 		numbers[i] = n
 	}
+	rateLimit, ok := ParseRateLimit(limit)
+	if limit != "" && !ok {
+		return Request{}, merry.Wrap(ErrInvalidField)
+	}
 	return Request{
 		Service: message.ServiceName(parts[0]), Route: parts[1], RemainingMillis: clock.Millis(numbers[0]), ObjectiveMillis: clock.Millis(numbers[1]),
 		Rank: numbers[2], Repeatable: numbers[3] != 0, Key: numbers[4], Fingerprint: parts[7],
+		RateLimit: rateLimit,
 	}, nil
 }
 
+// ParseRateLimit parses a number of requests a second. ok is false if the text is none.
+func ParseRateLimit(text string) (perSecond float64, ok bool) {
+	perSecond, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(perSecond >= 0 && perSecond <= math.MaxFloat32) {
+		return 0, false
+	}
+	return perSecond, true
+}
+
 // Reason states why a request has no response of a target.
 type Reason string
 
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -98,6 +98,7 @@
 	throttle *throttle.Limiter
 	// departures are the targets that have said that they are leaving.
 	departures *departures
+	rateLimits *rateLimits
 
 	// closeConnections is true when callers are asked to close their connections.
 	closeConnections atomic.Bool
@@ -112,7 +113,7 @@
 
 // New returns an Ingress.
 func New(options Options) *Ingress {
-	return &Ingress{options: options, balancer: placement.New(options.Clock, options.Domain, rand.Float64), throttle: throttle.New(options.Clock, rand.Float64), departures: newDepartures(options.Clock, options.RejectDelay), retryBudgets: map[message.ServiceName]*retry.Budget{}}
+	return &Ingress{options: options, balancer: placement.New(options.Clock, options.Domain, rand.Float64), throttle: throttle.New(options.Clock, rand.Float64), departures: newDepartures(options.Clock, options.RejectDelay), rateLimits: newRateLimits(options.Names), retryBudgets: map[message.ServiceName]*retry.Budget{}}
 }
 
 // CloseConnections asks callers to close their connections after the next response.
@@ -342,6 +343,7 @@
 		Request: hop.Request{
 			Service: req.service, Route: req.route.Name, RemainingMillis: req.deadline - now, ObjectiveMillis: req.objective - now,
 			Rank: req.route.Rank, Repeatable: req.route.Repeatable, Key: req.key, Fingerprint: req.fingerprint,
+			RateLimit: in.rateLimits.limit(target.Incarnation),
 		},
 		ID: req.id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: req.header.Clone(), Length: req.length,
 	}
@@ -363,6 +365,7 @@
 	if gate.IsLeaving(result.Header, in.options.Names) {
 		in.departures.record(target.Incarnation)
 	}
+	in.rateLimits.record(target.Incarnation, result.Header)
 	in.updateBalancer(target.Incarnation.ID, result)
 	if req.keyed {
 		in.updateThrottle(target.Incarnation.ID, result)
@@ -443,10 +446,12 @@
 		_, ok := v.Instance(id)
 		return ok
 	}
-	in.departures.retain(func(i message.Incarnation) bool {
+	isCurrent := func(i message.Incarnation) bool {
 		instance, ok := v.Instance(i.ID)
 		return ok && instance.Incarnation == i
-	})
+	}
+	in.departures.retain(isCurrent)
+	in.rateLimits.retain(isCurrent)
 	in.balancer.Retain(known)
 	in.throttle.Retain(known)
 }
--- a/internal/traffic/ingress/ingress_test.go
+++ b/internal/traffic/ingress/ingress_test.go
@@ -26,7 +26,7 @@
 
 var names = hop.HeaderNames{
 	RequestID: "Test-Id", RemainingMillis: "Test-Left", Key: "Test-Key", CallerService: "Test-Caller",
-	Instance: "Test-Instance", Signature: "Test-Signature", NotRun: "Test-Not-Run",
+	Instance: "Test-Instance", Signature: "Test-Signature", NotRun: "Test-Not-Run", RateLimit: "Test-Limit",
 }
 
 // newKeyedIngress returns an ingress with a keyed service. All of its keys are owned by one
@@ -150,3 +150,29 @@
 	qt.Check(t, line.Status, qt.Equals, 0)
 	qt.Check(t, line.Sent, qt.Equals, 1)
 }
+
+// Guards against a sidecar that starts again beside a target and does not learn the limit
+// that the target has named on the callers' hosts.
+func TestLimitIsPassedToTargetsHost(t *testing.T) {
+	var got []float64
+	limit := "2.5"
+	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		request, err := hop.ParseRequest(r.Header)
+		qt.Check(t, err, qt.IsNil)
+		got = append(got, request.RateLimit)
+		hop.Reply{}.SetHeader(w.Header())
+		w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
+		w.Header().Set(names.Signature, "signed")
+		if limit != "" {
+			w.Header().Set(names.RateLimit, limit)
+		}
+	}))
+	defer peer.Close()
+	in := newKeyedIngress(t, clock.System(), exchange.NewPool(exchange.Options{}), peer.Listener.Addr().String())
+	serveBrowse(in, 1)
+	qt.Assert(t, serveBrowse(in, 2).Header().Get(names.RateLimit), qt.Equals, "2.5")
+	limit = ""
+	serveBrowse(in, 3)
+	serveBrowse(in, 4)
+	qt.Assert(t, got, qt.DeepEquals, []float64{0, 2.5, 2.5, 0})
+}
