sidecar: do not use a connection again after a refused grant

Operators of similar systems saw an earlier refusal, written once more on a kept connection, pass for the answer to a later request.

Cause: it can happen here. Refusals need no request id, and the connection of a refused grant was kept. A copy of the refusal, written when the next grant is due, passed for its response: the sidecar and the core then believe that the target does not have keys that it has, and the keys get a second owner (OWNER).

Change: the body of a refusal is not read, so its connection is closed. A refusal costs a new connection; grants are refused rarely.

Measured: all three cases fail on the code before and pass; tests of the package and the tests of grants by call in internal/integration/mesh pass with -race.

--- a/internal/traffic/sidecar/lease.go
+++ b/internal/traffic/sidecar/lease.go
@@ -396,15 +396,18 @@
 		return delivery.Outcome{Kind: delivery.Unanswered}, err
 	}
 	defer response.Body.Close()
-	if err := exchange.DiscardBody(response); err != nil {
-		return delivery.Outcome{Kind: delivery.Unanswered}, err
-	}
 	outcome := l.calls.Outcome(response)
 	outcome.WrittenAt = writtenAt
 	if outcome.Kind != delivery.Applied {
-		err = errors.New("status " + strconv.Itoa(response.StatusCode))
+		// The body is not read, which closes the connection. A faulty target may write the
+		// refusal once more, and on this connection that would pass for its response to a
+		// later grant, which it has applied.
+		return outcome, errors.New("status " + strconv.Itoa(response.StatusCode))
+	}
+	if err := exchange.DiscardBody(response); err != nil {
+		return delivery.Outcome{Kind: delivery.Unanswered}, err
 	}
-	return outcome, err
+	return outcome, nil
 }
 
 func (l *leaser) suspendedNow() clock.Millis {
--- a/internal/traffic/sidecar/target_test.go
+++ b/internal/traffic/sidecar/target_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 
@@ -105,3 +106,42 @@
 	request := &gate.TargetRequest{Request: hop.Request{Service: "finder", RemainingMillis: 1000, Key: hop.NoKey}, Header: http.Header{}}
 	qt.Assert(t, s.gate.Do(t.Context(), request).Reason, qt.Equals, hop.NoTarget)
 }
+
+// Guards against a grant that a target has applied and that counts as refused, so that the
+// keys get a second owner: a faulty target writes its earlier refusal once more.
+func TestRefusalOfGrantWrittenTwice(t *testing.T) {
+	refusals := map[string]int{"higher token": http.StatusConflict, "not applied": http.StatusNotFound, "no statement": http.StatusInternalServerError}
+	for name, status := range refusals {
+		t.Run(name, func(t *testing.T) {
+			refused := ""
+			target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if refused == "" || refused == r.RemoteAddr {
+					refused = r.RemoteAddr
+					w.WriteHeader(status)
+				}
+			}))
+			defer target.Close()
+			s, _ := newTestSidecar(t, clock.System())
+			s.options.Settings.Target.Address = target.Listener.Addr().String()
+			i := message.Incarnation{ID: "i-1", StartTime: 1}
+			l := s.leaser
+			l.incarnation, l.heardAt, l.ledger = i, clock.System().Now(), delivery.NewLedger(0)
+			l.calls = TargetCalls{
+				Request: func(address string, _ delivery.Call) (*http.Request, error) {
+					return http.NewRequest(http.MethodPost, "http://"+address+"/grant", http.NoBody)
+				},
+				Outcome: func(r *http.Response) delivery.Outcome {
+					kinds := map[int]delivery.OutcomeKind{http.StatusOK: delivery.Applied, http.StatusConflict: delivery.Refused, http.StatusNotFound: delivery.NotApplied, http.StatusInternalServerError: delivery.Unanswered}
+					return delivery.Outcome{Kind: kinds[r.StatusCode]}
+				},
+			}
+			call := delivery.Call{Kind: delivery.Grant, SendBy: l.heardAt + 60_000, EndBy: l.heardAt + 60_000}
+			first, err := l.send(t.Context(), i, call)
+			qt.Assert(t, err, qt.IsNotNil)
+			qt.Assert(t, first.Kind, qt.Not(qt.Equals), delivery.Applied)
+			second, err := l.send(t.Context(), i, call)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, second.Kind, qt.Equals, delivery.Applied)
+		})
+	}
+}
