node: a release to a target has a connection of its own

The calls to a target have no request id and shared kept connections. A late copy of the response to an earlier call passed for the response to a release, after which the partition gets a new owner while the target still works on it until its lease ends.

Change: a release is sent over a new connection, as the sidecar does. A copy of an error in place of the response to a grant or to a read of the clock delays that grant, and is harmless otherwise.

The cost is one connection for each released partition; not measured.

--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -76,7 +76,7 @@
 	}
 	if m.target.ChecksGrants {
 		grant := []wire.Grant{{Partition: p.Partition, FencingToken: p.FencingToken}}
-		if !m.postToTarget(ctx, "/gentiansail/release", releaseRequest{Incarnation: m.incarnation, Partitions: grant}) {
+		if !m.postToTarget(ctx, releasePath, releaseRequest{Incarnation: m.incarnation, Partitions: grant}) {
 			return false // retried after the next heartbeat
 		}
 	}
@@ -120,7 +120,7 @@
 		return
 	}
 	update.Incarnation = m.incarnation
-	if m.postToTarget(ctx, "/gentiansail/grant", update) {
+	if m.postToTarget(ctx, grantPath, update) {
 		m.grants.confirm(update)
 	}
 }
--- a/internal/node/target_protocol.go
+++ b/internal/node/target_protocol.go
@@ -13,6 +13,12 @@
 	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
+// Paths of the calls that grant partitions to a target and take them back.
+const (
+	grantPath   = "/gentiansail/grant"
+	releasePath = "/gentiansail/release"
+)
+
 // maxProtocolBytes is the maximum length of a body in the target protocol and in
 // calls about relayed requests.
 const maxProtocolBytes = 64 << 10
@@ -54,7 +60,9 @@
 	request.Body = exchange.Body(payload)
 	request.ContentLength = int64(len(payload))
 	request.Header.Set("Content-Type", "application/json")
-	response, err := m.protocolPool.Do(ctx, exchange.Request{Address: string(m.target.Address), HTTP: request})
+	// A release gets a connection of its own: its response must not be taken from a late copy
+	// of an earlier one, since the partition has a new owner after it.
+	response, err := m.protocolPool.Do(ctx, exchange.Request{Address: string(m.target.Address), HTTP: request, NewConnection: path == releasePath})
 	if err != nil {
 		return merry.Wrap(errTarget, merry.WithCause(err), merry.AppendMessage(path))
 	}
