registry: a departure outlives the removal of a silent target

The core remembers a departure with the registration of the target. A target that is removed as silent, or is not registered yet when it leaves, loses it; a late heartbeat from before the departure then registers it as one that takes requests, if the sidecar beside it has started again and does not know the order of its heartbeats.

Evidence: found while departures in answers were followed to the core; TestDepartureOutlivesRegistration.

Change: the replicated state keeps up to 1,024 incarnations that have left and are not registered; registering one of them marks it as draining. A replica of the version before ignores the list: while versions are mixed, it may publish such a target as taking requests, as it does now.

--- a/internal/coordination/registry/instances.go
+++ b/internal/coordination/registry/instances.go
@@ -57,10 +57,9 @@
 			return Outcome{Stale, "a target with a later start is registered at the same address"}
 		}
 	}
-	if known && old.Incarnation == instance.Incarnation {
-		// Draining ends only with a new incarnation.
-		instance.Draining = instance.Draining || old.Draining
-	}
+	// Draining ends only with a new incarnation.
+	wasDraining := known && old.Incarnation == instance.Incarnation && old.Draining
+	instance.Draining = instance.Draining || wasDraining || slices.Contains(s.Departed, instance.Incarnation)
 	for _, id := range slices.Sorted(maps.Keys(s.Instances)) {
 		other := s.Instances[id]
 		if other.Incarnation != instance.Incarnation && (id == instance.Incarnation.ID || other.Peer == instance.Peer) {
@@ -76,8 +75,21 @@
 	s.publish(message.ItemInstance+string(instance.Incarnation.ID), instance)
 }
 
+// rememberDeparture remembers an incarnation that has left. Its process may still run, and a
+// late heartbeat may register it again.
+func (s *state) rememberDeparture(incarnation message.Incarnation) {
+	if slices.Contains(s.Departed, incarnation) {
+		return
+	}
+	s.Departed = append(s.Departed, incarnation)
+	s.Departed = s.Departed[max(len(s.Departed)-maxDeparted, 0):]
+}
+
 // removeIncarnation removes an incarnation and unassigns its keys.
 func (s *state) removeIncarnation(incarnation message.Incarnation) {
+	if s.Instances[incarnation.ID].Draining {
+		s.rememberDeparture(incarnation)
+	}
 	delete(s.Instances, incarnation.ID)
 	s.unpublish(message.ItemInstance + string(incarnation.ID))
 	for _, service := range slices.Sorted(maps.Keys(s.Assignments)) {
@@ -108,6 +120,9 @@
 // drain marks the registered incarnation as draining.
 func (s *state) drain(c message.Leave) Outcome {
 	i, ok := s.Instances[c.Incarnation.ID]
+	if !ok || i.Incarnation.StartTime != c.Incarnation.StartTime {
+		s.rememberDeparture(c.Incarnation)
+	}
 	if !ok || i.Incarnation.StartTime > c.Incarnation.StartTime {
 		// The incarnation is not registered or has been replaced, so it gets no requests.
 		return Outcome{Status: Done}
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -33,6 +33,8 @@
 	maxRemovedItems = 8192
 	// maxSuspects bounds the requests whose crashes are counted.
 	maxSuspects = 4096
+	// maxDeparted bounds the departed incarnations that are remembered.
+	maxDeparted = 1024
 )
 
 // Status is the kind of an Outcome.
@@ -69,13 +71,15 @@
 
 // state is encoded in snapshots, with its fields under their JSON names.
 type state struct {
-	Index       message.Version
-	Revision    Revision
-	Routes      []message.Route
-	Services    []message.ServiceSpec
-	Limits      string
-	Digests     []string
-	Instances   map[message.InstanceID]message.Instance
+	Index     message.Version
+	Revision  Revision
+	Routes    []message.Route
+	Services  []message.ServiceSpec
+	Limits    string
+	Digests   []string
+	Instances map[message.InstanceID]message.Instance
+	// Departed are incarnations that have left and are not registered, oldest first.
+	Departed    []message.Incarnation
 	Assignments map[message.ServiceName]Assignments `json:"Rows"`
 	// Suspects counts, by fingerprint of a request, the targets that died while they
 	// processed it.
--- a/internal/coordination/registry/registry_test.go
+++ b/internal/coordination/registry/registry_test.go
@@ -144,6 +144,39 @@
 	qt.Assert(t, got.Draining, qt.IsFalse)
 }
 
+// Guards against a target that has left and gets requests again, because a late heartbeat
+// registers it when it is not registered any more, or not yet.
+func TestDepartureOutlivesRegistration(t *testing.T) {
+	left, earlier := instance("i-1", 10, "p1"), instance("i-1", 5, "p1")
+	leave := message.Command{Leave: &message.Leave{Incarnation: left.Incarnation}}
+	tests := map[string][]message.Command{
+		"removed as silent":                    {{Register: &left}, leave, {Expire: &left.Incarnation}},
+		"removed before":                       {{Register: &left}, {Expire: &left.Incarnation}, leave},
+		"never registered":                     {leave},
+		"an earlier incarnation is registered": {{Register: &earlier}, leave},
+	}
+	for name, commands := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := &log{t: t, machine: New()}
+			for _, c := range commands {
+				l.apply(c)
+			}
+			encode, err := l.machine.Capture()
+			qt.Assert(t, err, qt.IsNil)
+			snapshot, err := encode()
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, l.machine.Restore(snapshot), qt.IsNil)
+			l.apply(message.Command{Register: &left})
+			got, _ := l.machine.Instance("i-1")
+			qt.Assert(t, got.Draining, qt.IsTrue)
+			next := instance("i-1", 20, "p1")
+			l.apply(message.Command{Register: &next})
+			got, _ = l.machine.Instance("i-1")
+			qt.Assert(t, got.Draining, qt.IsFalse)
+		})
+	}
+}
+
 // Guards against accepted changes that were computed from outdated assignments, or whose
 // assignments overlap, are out of order or exceed the last key.
 func TestAssignmentsChangeIsRejected(t *testing.T) {
