ingress: limits and departures outlive the absence of a target from the view

Operators warn that a server that had left was in use again after a restart. No caller has met this here.

Cause: a caller's host remembers the limit of a target and that it is leaving, and tells the sidecar beside the target about the limit after that has started again. It forgot both as soon as the core removed the target from the list. The core removes a target that it cannot reach, and lists it again at its next heartbeat. If the sidecar beside it started again meanwhile, nobody knew the limit, and a host that had passed on the departure sent it requests again. Class: a fact about an incarnation that is dropped with its registration, as in the registry of the core.

Evidence: TestStatementsOutliveAbsenceFromView fails on the code before: the limit is not passed on (0 in place of 2.5).

Both lists share one type.

--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -113,7 +113,7 @@
 
 // New returns an Ingress.
 func New(options Options) *Ingress {
-	return &Ingress{options: options, balancer: placement.New(options.Clock, options.Domain, rand.Float64), throttle: throttle.New(options.Clock, rand.Float64), departures: newDepartures(options.Clock, options.RejectDelay), rateLimits: newRateLimits(options.Names), retryBudgets: map[message.ServiceName]*retry.Budget{}}
+	return &Ingress{options: options, balancer: placement.New(options.Clock, options.Domain, rand.Float64), throttle: throttle.New(options.Clock, rand.Float64), departures: newDepartures(options.Clock, options.RejectDelay), rateLimits: newRateLimits(options.Names, options.Clock), retryBudgets: map[message.ServiceName]*retry.Budget{}}
 }
 
 // CloseConnections asks callers to close their connections after the next response.
@@ -440,7 +440,8 @@
 	return result
 }
 
-// Prune removes the state of targets that are not in the view.
+// Prune removes the state of targets that are not in the view. What they have stated in their
+// responses is kept for a while, since they may be listed again.
 func (in *Ingress) Prune(v *view.View) {
 	known := func(id message.InstanceID) bool {
 		_, ok := v.Instance(id)
@@ -450,8 +451,8 @@
 		instance, ok := v.Instance(i.ID)
 		return ok && instance.Incarnation == i
 	}
-	in.departures.retain(isCurrent)
-	in.rateLimits.retain(isCurrent)
+	in.departures.since.forgetUnlisted(isCurrent)
+	in.rateLimits.perSecond.forgetUnlisted(isCurrent)
 	in.balancer.Retain(known)
 	in.throttle.Retain(known)
 }
--- a/internal/traffic/ingress/ingress_test.go
+++ b/internal/traffic/ingress/ingress_test.go
@@ -27,6 +27,7 @@
 var names = hop.HeaderNames{
 	RequestID: "Test-Id", RemainingMillis: "Test-Left", Key: "Test-Key", CallerService: "Test-Caller",
 	Instance: "Test-Instance", Signature: "Test-Signature", NotRun: "Test-Not-Run", RateLimit: "Test-Limit",
+	Leaving: "Test-Leaving",
 }
 
 // newKeyedIngress returns an ingress with a keyed service. All of its keys are owned by one
@@ -51,14 +52,19 @@
 	})
 }
 
-// serveBrowse serves a request for key 77 with the given id.
-func serveBrowse(in *Ingress, id int) *httptest.ResponseRecorder {
-	w := httptest.NewRecorder()
+// newBrowse returns a request for key 77 with the given id.
+func newBrowse(id int) *http.Request {
 	r := httptest.NewRequest(http.MethodGet, "/browse/1", nil)
 	r.Host = "mesh.example"
 	r.Header.Set(names.RequestID, fmt.Sprint(id))
 	r.Header.Set(names.Key, "77")
-	in.ServeHTTP(w, r)
+	return r
+}
+
+// serveBrowse serves a request for key 77 with the given id.
+func serveBrowse(in *Ingress, id int) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	in.ServeHTTP(w, newBrowse(id))
 	return w
 }
 
@@ -176,3 +182,46 @@
 	serveBrowse(in, 4)
 	qt.Assert(t, got, qt.DeepEquals, []float64{0, 2.5, 2.5, 0})
 }
+
+// Guards against a host that forgets what a target has stated while the target is not
+// listed: the core removes a target that it cannot reach, and lists it again later.
+func TestStatementsOutliveAbsenceFromView(t *testing.T) {
+	var got []float64
+	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		request, err := hop.ParseRequest(r.Header)
+		qt.Check(t, err, qt.IsNil)
+		got = append(got, request.RateLimit)
+		hop.Reply{}.SetHeader(w.Header())
+		w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
+		w.Header().Set(names.Signature, "signed")
+		w.Header().Set(names.RateLimit, "2.5")
+		if len(got) > 1 {
+			w.Header().Set(names.Leaving, "1")
+		}
+	}))
+	defer peer.Close()
+	m := clock.NewManual(1000)
+	in := newKeyedIngress(t, m.Clock(), exchange.NewPool(exchange.Options{}), peer.Listener.Addr().String())
+	listed := in.options.Views.Current()
+	element := message.ItemInstance + "i-1"
+	relist := func() {
+		text, err := json.Marshal(listed.Instances("catalogue")[0])
+		qt.Assert(t, err, qt.IsNil)
+		version := in.options.Views.Current().Version
+		qt.Assert(t, in.options.Views.Apply(message.WatchReply{Version: version + 1, Removed: []string{element}}), qt.IsNil)
+		in.Prune(in.options.Views.Current())
+		m.Advance(5000)
+		qt.Assert(t, in.options.Views.Apply(message.WatchReply{Version: version + 2, Items: []message.Item{{Name: element, Text: string(text)}}}), qt.IsNil)
+		in.Prune(in.options.Views.Current())
+	}
+	serveBrowse(in, 1)
+	relist()
+	qt.Assert(t, serveBrowse(in, 2).Header().Get(names.Leaving), qt.Equals, "1")
+	qt.Assert(t, got, qt.DeepEquals, []float64{0, 2.5})
+	relist()
+	w, last := httptest.NewRecorder(), newBrowse(3)
+	last.Header.Set(names.RemainingMillis, "50")
+	in.ServeHTTP(w, last)
+	qt.Assert(t, w.Code, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, got, qt.HasLen, 2)
+}
