replog: large entries are compacted by their size

An entry may have 8 MiB. Changes that replace a configuration of 1,640 routes have 0.7 MB each, so that 370 of them fill the disk of a core host (256 MB), and fewer its memory (280 MB), on all replicas at once and again after each restart. Class: a bound on a number where the resource is counted in bytes.

--- a/pkg/replog/applier.go
+++ b/pkg/replog/applier.go
@@ -15,8 +15,11 @@
 
 	appliedIndex      Index
 	lastSnapshotIndex Index
-	membership        Membership
-	initialMembers    []Member
+	// bytesSinceSnapshot is the size of the entries applied since the last snapshot.
+	bytesSinceSnapshot    int
+	maxBytesSinceSnapshot int
+	membership            Membership
+	initialMembers        []Member
 }
 
 // task is an input for the state machine and the proposal that waits for its
@@ -42,7 +45,7 @@
 }
 
 func newApplier(options Options) *applier {
-	return &applier{options: options, input: make(chan taskBatch), reports: make(chan applyReport)}
+	return &applier{options: options, input: make(chan taskBatch), reports: make(chan applyReport), maxBytesSinceSnapshot: maxBytesSinceSnapshot}
 }
 
 // run handles batches until ctx is cancelled or a batch fails.
@@ -75,18 +78,26 @@
 		}
 		a.apply(t)
 	}
-	if !b.canCapture || a.appliedIndex < a.lastSnapshotIndex+Index(a.options.SnapshotEvery) {
+	if !b.canCapture || !a.isSnapshotDue() {
 		return applyReport{appliedIndex: a.appliedIndex}
 	}
 	j, err := a.capture(b.tasks[len(b.tasks)-1].Entry.Term)
 	return applyReport{a.appliedIndex, j, err}
 }
 
+// maxBytesSinceSnapshot is the size of the applied entries after which a snapshot is
+// captured even if they are few.
+const maxBytesSinceSnapshot = 8 << 20
+
+func (a *applier) isSnapshotDue() bool {
+	return a.appliedIndex >= a.lastSnapshotIndex+Index(a.options.SnapshotEvery) || a.bytesSinceSnapshot >= a.maxBytesSinceSnapshot
+}
+
 func (a *applier) restore(s *Snapshot) error {
 	if err := a.options.Restore(s.Data); err != nil {
 		return merry.Wrap(ErrInconsistentState, merry.WithCause(err), merry.AppendMessagef("restore snapshot %d: %v", s.Index, err))
 	}
-	a.appliedIndex, a.lastSnapshotIndex = s.Index, s.Index
+	a.appliedIndex, a.lastSnapshotIndex, a.bytesSinceSnapshot = s.Index, s.Index, 0
 	a.membership, a.initialMembers = s.Membership, s.InitialMembers
 	return nil
 }
@@ -94,6 +105,7 @@
 func (a *applier) apply(t task) {
 	n := t.Entry
 	a.appliedIndex = n.Index
+	a.bytesSinceSnapshot += len(n.Data)
 	switch n.Kind {
 	case EntryMembership:
 		// The core has already decoded this entry without an error.
@@ -116,7 +128,7 @@
 	if err != nil {
 		return nil, merry.Wrap(ErrInconsistentState, merry.WithCause(err), merry.AppendMessagef("capture snapshot: %v", err))
 	}
-	a.lastSnapshotIndex = a.appliedIndex
+	a.lastSnapshotIndex, a.bytesSinceSnapshot = a.appliedIndex, 0
 	s := &Snapshot{Index: a.appliedIndex, Term: t, Membership: a.membership, InitialMembers: a.initialMembers}
 	return &saveJob{snapshot: s, encode: encode}, nil
 }
--- a/pkg/replog/core.go
+++ b/pkg/replog/core.go
@@ -23,6 +23,8 @@
 	chunkBytes  uint64
 	// longAppendBytes is the size of entries from which a message counts as long.
 	longAppendBytes int
+	// retainedBytes limits the size of the entries before a snapshot that stay in the log.
+	retainedBytes int
 
 	// state must be durable before any message of the same outputs is sent.
 	state      hardState
@@ -108,7 +110,7 @@
 	c := &core{
 		group: group, self: self, heartbeatEvery: heartbeat, electionTimeout: timeout,
 		random: random, now: now, state: l.state, log: l.log,
-		memberships: []indexedMembership{{}}, appendBytes: maxAppendBytes, chunkBytes: snapshotChunkBytes, longAppendBytes: longAppendBytes,
+		memberships: []indexedMembership{{}}, appendBytes: maxAppendBytes, chunkBytes: snapshotChunkBytes, longAppendBytes: longAppendBytes, retainedBytes: maxRetainedBytes,
 	}
 	c.stableIndex = c.log.last()
 	if s := l.snapshot; s != nil {
@@ -216,16 +218,20 @@
 	}
 }
 
+// maxRetainedBytes bounds the memory for entries that the snapshot covers. A restart reads
+// them again.
+const maxRetainedBytes = 4 * maxBytesSinceSnapshot
+
 // compact records a local snapshot and discards log entries that it covers. The
 // last keep entries before the snapshot stay in the log, and more if other
-// replicas need them.
+// replicas need them, up to retainedBytes.
 func (c *core) compact(s *Snapshot, keep Index) {
 	if c.snapshot != nil && s.Index <= c.snapshot.Index {
 		return
 	}
 	c.snapshot = s
 	c.cancelStaleSnapshotTransfers()
-	after := retentionIndex(s.Index, keep, c.neededIndexes())
+	after := max(retentionIndex(s.Index, keep, c.neededIndexes()), c.log.firstWithin(s.Index, c.retainedBytes))
 	if after <= c.log.base {
 		return
 	}
--- a/pkg/replog/log.go
+++ b/pkg/replog/log.go
@@ -49,6 +49,18 @@
 	return l.slice(after, end)
 }
 
+// firstWithin returns the lowest index after which the entries up to upTo have at most
+// maxBytes.
+func (l *entryLog) firstWithin(upTo Index, maxBytes int) Index {
+	after := upTo
+	for size := 0; after > l.base; after-- {
+		if size += len(l.entries[after-l.base-1].Data); size > maxBytes {
+			break
+		}
+	}
+	return after
+}
+
 func (l *entryLog) append(es ...Entry) { l.entries = append(l.entries, es...) }
 
 // truncate removes all entries after i.
--- a/pkg/replog/property_test.go
+++ b/pkg/replog/property_test.go
@@ -154,13 +154,14 @@
 	n.writes, n.reads, n.confirmedReads = map[Index]simWrite{}, map[uint64]int{}, map[uint64]simRead{}
 	n.saves, n.written = saveQueue{}, false
 	n.applier = newApplier(Options{SnapshotEvery: simKeep, Apply: n.apply, Snapshot: n.snapshot, Restore: n.restore})
+	n.applier.maxBytesSinceSnapshot = 80
 	if l.snapshot != nil {
 		g.applyInput(n, machineInput{Restore: l.snapshot})
 	}
 	self := Member{Name: n.name, Identity: l.identity}
 	c := newCore("g", self, l, simHeartbeat, simTimeout, g.random, g.now)
 	// Small limits, so that entries and snapshots need several messages.
-	c.appendBytes, c.chunkBytes, c.longAppendBytes = 64, 256, 32
+	c.appendBytes, c.chunkBytes, c.longAppendBytes, c.retainedBytes = 64, 256, 32, 160
 	n.engine = &engine{core: c, store: s, chunkReaders: map[Identity]*chunkReader{}, send: func(m Message) { g.network = append(g.network, m.Encode()) }}
 }
 
