sidecar: heartbeats repeat that a target is leaving

No caller has met this here.

Cause: a departure that a target states in a response was reported to the core for 10 s only. A core that is out of reach for longer, as it may be for 15 s after a loss of all of its hosts, never learned of it: a target whose heartbeats go on as ready kept its keys, and hosts went on to choose it, while the gate rejected every request. Class: a fact that is reported once to a party that may be away.

Evidence: TestHeartbeatsRepeatDeparture fails on the code before: the heartbeat after the response is passed on as that of a ready target.

Change: heartbeats of an incarnation that has said that it leaves are passed on as those of a draining target.

--- a/internal/traffic/sidecar/target.go
+++ b/internal/traffic/sidecar/target.go
@@ -88,7 +88,7 @@
 	reply, err := call[message.HeartbeatReply](ctx, s.core, message.MethodHeartbeat, message.Heartbeat{
 		Instance: message.Instance{
 			Incarnation: h.Incarnation, Service: h.Service, Target: h.Address, Peer: s.peerAddress(), Host: message.HostName(s.options.Settings.Name),
-			Domain: message.FailureDomain(s.options.Settings.FailureDomain), Slots: h.Slots, Draining: h.Draining, Stopping: s.stopping.Load(),
+			Domain: message.FailureDomain(s.options.Settings.FailureDomain), Slots: h.Slots, Draining: h.Draining || s.isLeaving(h.Incarnation), Stopping: s.stopping.Load(),
 		},
 		Sequence: h.Sequence, Grants: emptyIfNil(h.Grants), Released: emptyIfNil(h.Released), Loads: s.gate.TakeKeyLoads(), ServiceMillis: message.Millis(load.ServiceMillis),
 	}, coreCallTimeout)
@@ -206,10 +206,17 @@
 	}()
 }
 
-// leaveReportTime bounds the attempts to report to the core that the target is leaving. It
-// stops soon after that in any case.
+// leaveReportTime bounds the attempts to report to the core that the target is leaving.
+// Its later heartbeats are passed on as those of a draining target.
 const leaveReportTime clock.Millis = 10_000
 
+// isLeaving reports whether an incarnation has said in a response that it is leaving.
+func (s *Sidecar) isLeaving(incarnation message.Incarnation) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving == incarnation
+}
+
 // handleLeaving handles a response in which the target says that it is leaving. The target
 // may not say so in its heartbeats, or those may not reach the core.
 func (s *Sidecar) handleLeaving(incarnation message.Incarnation) {
--- a/internal/traffic/sidecar/target_test.go
+++ b/internal/traffic/sidecar/target_test.go
@@ -22,17 +22,28 @@
 	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
+// testCore is a core that accepts heartbeats and rejects reports of departures.
+type testCore struct {
+	heartbeats atomic.Int64
+	// draining is true if the last heartbeat said that the target is draining.
+	draining atomic.Bool
+}
+
 // newTestSidecar returns a sidecar that is not running, beside a target that takes its keys
-// by calls, and the number of heartbeats that its core has got.
-func newTestSidecar(t *testing.T, clk clock.Clock) (*Sidecar, *atomic.Int64) {
+// by calls, and its core.
+func newTestSidecar(t *testing.T, clk clock.Clock) (*Sidecar, *testCore) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	heartbeats := &atomic.Int64{}
+	core := &testCore{}
 	server := rpc.NewServer()
-	rpc.Handle(server, message.MethodHeartbeat, func(context.Context, message.Heartbeat) (message.HeartbeatReply, error) {
-		heartbeats.Add(1)
+	rpc.Handle(server, message.MethodHeartbeat, func(_ context.Context, h message.Heartbeat) (message.HeartbeatReply, error) {
+		core.heartbeats.Add(1)
+		core.draining.Store(h.Instance.Draining)
 		return message.HeartbeatReply{Grants: []message.RangeGrant{}}, nil
 	})
+	rpc.Handle(server, message.MethodLeave, func(context.Context, message.Leave) (struct{}, error) {
+		return struct{}{}, &rpc.Error{Code: rpc.CodeRejected}
+	})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(ctx, l) }()
@@ -46,7 +57,7 @@
 		Target: settings.HostTarget{Address: "127.0.0.1:9", Service: "finder"},
 	}})
 	t.Cleanup(s.core.close)
-	return s, heartbeats
+	return s, core
 }
 
 // publish gives the sidecar a state in which another incarnation of its target is listed.
@@ -73,7 +84,7 @@
 // day the core learned of the new one before the sidecar knew how its keys are granted.
 func TestNewIncarnationIsAnnouncedAfterThePredecessorsGrants(t *testing.T) {
 	m := clock.NewManual(1000)
-	s, heartbeats := newTestSidecar(t, m.Clock())
+	s, core := newTestSidecar(t, m.Clock())
 	beat := Heartbeat{Incarnation: message.Incarnation{ID: "i-2", StartTime: 2}, Service: "finder", Address: "127.0.0.1:9", Slots: 4, Sequence: 1}
 	send := func(ctx context.Context) error {
 		beat.Sequence++
@@ -83,14 +94,14 @@
 	noView, cancel := context.WithCancel(t.Context())
 	cancel()
 	qt.Check(t, send(noView), qt.ErrorIs, ErrCoreUnavailable)
-	qt.Check(t, heartbeats.Load(), qt.Equals, int64(0))
+	qt.Check(t, core.heartbeats.Load(), qt.Equals, int64(0))
 	publish(t, s, message.Incarnation{ID: "i-1", StartTime: 1})
 	m.Advance(delivery.LeaseDuration - 1)
 	qt.Check(t, send(t.Context()), qt.ErrorIs, ErrCoreUnavailable)
-	qt.Check(t, heartbeats.Load(), qt.Equals, int64(0))
+	qt.Check(t, core.heartbeats.Load(), qt.Equals, int64(0))
 	m.Advance(1)
 	qt.Check(t, send(t.Context()), qt.IsNil)
-	qt.Check(t, heartbeats.Load(), qt.Equals, int64(1))
+	qt.Check(t, core.heartbeats.Load(), qt.Equals, int64(1))
 }
 
 // Guards against requests for a target that has left, after a restart of the sidecar beside
@@ -107,6 +118,27 @@
 	qt.Assert(t, s.gate.Do(t.Context(), request).Reason, qt.Equals, hop.NoTarget)
 }
 
+// Guards against a core that never learns that a target is leaving, since it could not be
+// reached when a response said so.
+func TestHeartbeatsRepeatDeparture(t *testing.T) {
+	m := clock.NewManual(1000)
+	s, core := newTestSidecar(t, m.Clock())
+	publish(t, s, message.Incarnation{})
+	m.Advance(delivery.LeaseDuration)
+	for _, id := range []message.InstanceID{"i-1", "i-2"} {
+		i := message.Incarnation{ID: id, StartTime: message.StartTime(m.Clock().Now())}
+		for sequence, leaving := range []bool{false, true} {
+			if leaving {
+				s.handleLeaving(i)
+			}
+			_, err := s.HandleHeartbeat(t.Context(), Heartbeat{Incarnation: i, Service: "finder", Address: "127.0.0.1:9", Slots: 4, Sequence: sequence})
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, core.draining.Load(), qt.Equals, leaving, qt.Commentf("%s", id))
+		}
+		m.Advance(delivery.LeaseDuration)
+	}
+}
+
 // Guards against a grant that a target has applied and that counts as refused, so that the
 // keys get a second owner: a faulty target writes its earlier refusal once more.
 func TestRefusalOfGrantWrittenTwice(t *testing.T) {
