--- a/pkg/replog/applier.go
+++ b/pkg/replog/applier.go
@@ -16,10 +16,9 @@
 	appliedIndex      Index
 	lastSnapshotIndex Index
 	// bytesSinceSnapshot is the size of the entries applied since the last snapshot.
-	bytesSinceSnapshot    int
-	maxBytesSinceSnapshot int
-	membership            Membership
-	initialMembers        []Member
+	bytesSinceSnapshot int
+	membership         Membership
+	initialMembers     []Member
 }
 
 // task is an input for the state machine and the proposal that waits for its
@@ -34,6 +33,8 @@
 	tasks []task
 	// canCapture allows the applier to capture a snapshot after the tasks.
 	canCapture bool
+	// logBytes is the size of entries that makes a snapshot due.
+	logBytes int
 }
 
 // applyReport is the result of a taskBatch.
@@ -45,7 +46,7 @@
 }
 
 func newApplier(options Options) *applier {
-	return &applier{options: options, input: make(chan taskBatch), reports: make(chan applyReport), maxBytesSinceSnapshot: maxBytesSinceSnapshot}
+	return &applier{options: options, input: make(chan taskBatch), reports: make(chan applyReport)}
 }
 
 // run handles batches until ctx is cancelled or a batch fails.
@@ -78,19 +79,15 @@
 		}
 		a.apply(t)
 	}
-	if !b.canCapture || !a.isSnapshotDue() {
+	if !b.canCapture || !a.isSnapshotDue(b.logBytes) {
 		return applyReport{appliedIndex: a.appliedIndex}
 	}
 	j, err := a.capture(b.tasks[len(b.tasks)-1].Entry.Term)
 	return applyReport{a.appliedIndex, j, err}
 }
 
-// maxBytesSinceSnapshot is the size of the applied entries after which a snapshot is
-// captured even if they are few.
-const maxBytesSinceSnapshot = 8 << 20
-
-func (a *applier) isSnapshotDue() bool {
-	return a.appliedIndex >= a.lastSnapshotIndex+Index(a.options.SnapshotEvery) || a.bytesSinceSnapshot >= a.maxBytesSinceSnapshot
+func (a *applier) isSnapshotDue(logBytes int) bool {
+	return a.appliedIndex >= a.lastSnapshotIndex+Index(a.options.SnapshotEvery) || a.bytesSinceSnapshot >= logBytes
 }
 
 func (a *applier) restore(s *Snapshot) error {
--- a/pkg/replog/core.go
+++ b/pkg/replog/core.go
@@ -23,8 +23,8 @@
 	chunkBytes  uint64
 	// longAppendBytes is the size of entries from which a message counts as long.
 	longAppendBytes int
-	// retainedBytes limits the size of the entries before a snapshot that stay in the log.
-	retainedBytes int
+	// minLogBytes is the least value of logBytes.
+	minLogBytes int
 
 	// state must be durable before any message of the same outputs is sent.
 	state      hardState
@@ -110,7 +110,7 @@
 	c := &core{
 		group: group, self: self, heartbeatEvery: heartbeat, electionTimeout: timeout,
 		random: random, now: now, state: l.state, log: l.log,
-		memberships: []indexedMembership{{}}, appendBytes: maxAppendBytes, chunkBytes: snapshotChunkBytes, longAppendBytes: longAppendBytes, retainedBytes: maxRetainedBytes,
+		memberships: []indexedMembership{{}}, appendBytes: maxAppendBytes, chunkBytes: snapshotChunkBytes, longAppendBytes: longAppendBytes, minLogBytes: minLogBytes,
 	}
 	c.stableIndex = c.log.last()
 	if s := l.snapshot; s != nil {
@@ -218,20 +218,32 @@
 	}
 }
 
-// maxRetainedBytes bounds the memory for entries that the snapshot covers. A restart reads
-// them again.
-const maxRetainedBytes = 4 * maxBytesSinceSnapshot
+// minLogBytes is the size of entries that a log may have even if the state is small.
+const minLogBytes = 8 << 20
+
+// logBytes returns the size of applied entries that makes a snapshot due. It grows with the
+// snapshot, so that no more is written for snapshots than for entries.
+func (c *core) logBytes() int {
+	if c.snapshot == nil {
+		return c.minLogBytes
+	}
+	return max(c.minLogBytes, int(c.snapshot.fileInfo.dataSize))
+}
+
+// maxRetainedLogs limits the entries before a snapshot that stay in the log, as a multiple
+// of logBytes. They take memory, and a restart reads them again.
+const maxRetainedLogs = 4
 
 // compact records a local snapshot and discards log entries that it covers. The
 // last keep entries before the snapshot stay in the log, and more if other
-// replicas need them, up to retainedBytes.
+// replicas need them, within maxRetainedLogs.
 func (c *core) compact(s *Snapshot, keep Index) {
 	if c.snapshot != nil && s.Index <= c.snapshot.Index {
 		return
 	}
 	c.snapshot = s
 	c.cancelStaleSnapshotTransfers()
-	after := max(retentionIndex(s.Index, keep, c.neededIndexes()), c.log.firstWithin(s.Index, c.retainedBytes))
+	after := max(retentionIndex(s.Index, keep, c.neededIndexes()), c.log.firstWithin(s.Index, maxRetainedLogs*c.logBytes()))
 	if after <= c.log.base {
 		return
 	}
--- a/pkg/replog/loop.go
+++ b/pkg/replog/loop.go
@@ -140,7 +140,7 @@
 	case request := <-r.requests:
 		c.now = r.options.Clock.Now()
 		request(n)
-	case tasks <- taskBatch{n.tasks, n.saves.canCapture()}:
+	case tasks <- taskBatch{n.tasks, n.saves.canCapture(), n.engine.core.logBytes()}:
 		n.tasks = nil
 	case err := <-n.saver.reports:
 		n.handleSaveResult(err)
--- a/pkg/replog/property_test.go
+++ b/pkg/replog/property_test.go
@@ -22,6 +22,8 @@
 	// It is small so that snapshots are frequent and replicas often need one to catch
 	// up.
 	simKeep = 8
+	// simLogBytes is the size of entries that makes a snapshot due.
+	simLogBytes = 80
 )
 
 // simGroup simulates a group of replicas with simulated disks and a network that loses,
@@ -154,14 +156,13 @@
 	n.writes, n.reads, n.confirmedReads = map[Index]simWrite{}, map[uint64]int{}, map[uint64]simRead{}
 	n.saves, n.written = saveQueue{}, false
 	n.applier = newApplier(Options{SnapshotEvery: simKeep, Apply: n.apply, Snapshot: n.snapshot, Restore: n.restore})
-	n.applier.maxBytesSinceSnapshot = 80
 	if l.snapshot != nil {
 		g.applyInput(n, machineInput{Restore: l.snapshot})
 	}
 	self := Member{Name: n.name, Identity: l.identity}
 	c := newCore("g", self, l, simHeartbeat, simTimeout, g.random, g.now)
 	// Small limits, so that entries and snapshots need several messages.
-	c.appendBytes, c.chunkBytes, c.longAppendBytes, c.retainedBytes = 64, 256, 32, 160
+	c.appendBytes, c.chunkBytes, c.longAppendBytes, c.minLogBytes = 64, 256, 32, simLogBytes
 	n.engine = &engine{core: c, store: s, chunkReaders: map[Identity]*chunkReader{}, send: func(m Message) { g.network = append(g.network, m.Encode()) }}
 }
 
@@ -234,7 +235,7 @@
 			g.commands = append(g.commands, string(e.Data))
 		}
 	}
-	r := n.applier.handle(taskBatch{[]task{{machineInput: x}}, n.saves.canCapture()})
+	r := n.applier.handle(taskBatch{[]task{{machineInput: x}}, n.saves.canCapture(), simLogBytes})
 	if len(n.commands) > len(g.commands) || !slices.Equal(n.commands, g.commands[:len(n.commands)]) {
 		g.recordError(fmt.Errorf("state machine safety: %s differs after entry %d", n.identity, n.applier.appliedIndex))
 	}
