--- a/internal/coordination/quorum/replacement_test.go
+++ b/internal/coordination/quorum/replacement_test.go
@@ -1,13 +1,14 @@
 package quorum
 
 import (
-	qt "github.com/frankban/quicktest"
-	"github.com/gentiansail/gentiansail/pkg/replog"
-	"time"
-
 	"net"
 	"slices"
 	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/gentiansail/gentiansail/pkg/replog"
 )
 
 func threeListeners(t *testing.T) []net.Listener {
