--- a/pkg/replog/types.go
+++ b/pkg/replog/types.go
@@ -160,8 +160,8 @@
 	// timeout is drawn from [T, 2T).
 	ElectionTimeout clock.Millis
 	// SnapshotEvery is the number of applied entries after which a snapshot is captured.
-	// Fewer entries suffice if together they have 8 MiB and the size of the last
-	// snapshot. A snapshot is not captured before the previous one is written. The
+	// Fewer entries suffice if together they have at least 8 MiB and are as large as
+	// the last snapshot. A snapshot is not captured before the previous one is written. The
 	// log keeps this many entries before the snapshot, so that a restarted replica
 	// can catch up from the log, and up to 8 times as many while a responsive
 	// replica is further behind, but no more than 4 times the size above.
