--- a/internal/traffic/ingress/ingress_test.go
+++ b/internal/traffic/ingress/ingress_test.go
@@ -157,22 +157,30 @@
 	qt.Check(t, line.Sent, qt.Equals, 1)
 }
 
-// Guards against a sidecar that starts again beside a target and does not learn the limit
-// that the target has named on the callers' hosts.
-func TestLimitIsPassedToTargetsHost(t *testing.T) {
-	var got []float64
-	limit := "2.5"
-	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+// newStatingPeer returns the sidecar of a target that responds to each request with what
+// state adds to the header. It appends the limit that each request names to limits.
+func newStatingPeer(t *testing.T, limits *[]float64, state func(http.ResponseWriter)) *httptest.Server {
+	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		request, err := hop.ParseRequest(r.Header)
 		qt.Check(t, err, qt.IsNil)
-		got = append(got, request.RateLimit)
+		*limits = append(*limits, request.RateLimit)
 		hop.Reply{}.SetHeader(w.Header())
 		w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
 		w.Header().Set(names.Signature, "signed")
+		state(w)
+	}))
+}
+
+// Guards against a sidecar that starts again beside a target and does not learn the limit
+// that the target has named on the callers' hosts.
+func TestLimitIsPassedToTargetsHost(t *testing.T) {
+	var got []float64
+	limit := "2.5"
+	peer := newStatingPeer(t, &got, func(w http.ResponseWriter) {
 		if limit != "" {
 			w.Header().Set(names.RateLimit, limit)
 		}
-	}))
+	})
 	defer peer.Close()
 	in := newKeyedIngress(t, clock.System(), exchange.NewPool(exchange.Options{}), peer.Listener.Addr().String())
 	serveBrowse(in, 1)
@@ -187,18 +195,12 @@
 // listed: the core removes a target that it cannot reach, and lists it again later.
 func TestStatementsOutliveAbsenceFromView(t *testing.T) {
 	var got []float64
-	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		request, err := hop.ParseRequest(r.Header)
-		qt.Check(t, err, qt.IsNil)
-		got = append(got, request.RateLimit)
-		hop.Reply{}.SetHeader(w.Header())
-		w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
-		w.Header().Set(names.Signature, "signed")
+	peer := newStatingPeer(t, &got, func(w http.ResponseWriter) {
 		w.Header().Set(names.RateLimit, "2.5")
 		if len(got) > 1 {
 			w.Header().Set(names.Leaving, "1")
 		}
-	}))
+	})
 	defer peer.Close()
 	m := clock.NewManual(1000)
 	in := newKeyedIngress(t, m.Clock(), exchange.NewPool(exchange.Options{}), peer.Listener.Addr().String())
