--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -49,6 +49,8 @@
 	// Key is below 0 for a request without a key.
 	Key        int
 	DeadlineMs int
+	// LeaveAfterMs, if positive, is when the client leaves, before its time budget ends.
+	LeaveAfterMs int
 }
 
 // onlyReader hides the length of a body.
@@ -57,7 +59,11 @@
 // Send sends a request once and reads the whole answer.
 func (c *Client) Send(q Request) Answer {
 	a := Answer{ID: q.ID, Sent: time.Now()}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(q.DeadlineMs)*time.Millisecond)
+	patience := q.DeadlineMs
+	if q.LeaveAfterMs > 0 {
+		patience = q.LeaveAfterMs
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(patience)*time.Millisecond)
 	defer cancel()
 	var body io.Reader
 	if len(q.Body) > 0 {
@@ -110,3 +116,6 @@
 		}
 	}
 }
+
+// Drain reads the body of a request and returns its length.
+func Drain(r *http.Request) (int64, error) { return io.Copy(io.Discard, r.Body) }
--- a/review/harness/cluster.go
+++ b/review/harness/cluster.go
@@ -144,6 +144,17 @@
 
 // StartCores starts five core processes, of which the first three are the seeds.
 func (c *Cluster) StartCores() error {
+	c.PlanCores()
+	for _, p := range c.Cores {
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// PlanCores prepares five core processes without starting them.
+func (c *Cluster) PlanCores() {
 	for i := range 3 {
 		c.Seeds = append(c.Seeds, Address(c.IP(1+i), c.ControlPort))
 	}
@@ -154,11 +165,7 @@
 		p.Settings["DataFolder"] = filepath.Join(c.Folder, name)
 		c.Cores = append(c.Cores, p)
 		c.processes = append(c.processes, p)
-		if err := p.Start(); err != nil {
-			return err
-		}
 	}
-	return nil
 }
 
 // AddSidecar starts the sidecar of one more machine, whose upstream is of the given service.
@@ -327,3 +334,9 @@
 	}
 	return status, response, fmt.Errorf("no clear response to %s: status %d, %v", call, status, err)
 }
+
+// LastLines returns the last lines of a log.
+func LastLines(log []byte, n int) string {
+	lines := bytes.Split(bytes.TrimSpace(log), []byte("\n"))
+	return string(bytes.Join(lines[max(0, len(lines)-n):], []byte("\n")))
+}
