review: a scale-in that makes check-in answers too long

Cause: VacateTo moves the rows of a leaving upstream without regard to maxAssignments, so that answers to check-ins exceed 4 KiB and acknowledge nothing.

--- a/review/harness/upstream.go
+++ b/review/harness/upstream.go
@@ -180,6 +180,9 @@
 	}
 }
 
+// maxAnswer is the length of the longest answer that acknowledges a check-in.
+const maxAnswer = 4 << 10
+
 // CheckIn sends one check-in. It returns true if another one is due soon.
 func (u *Upstream) CheckIn() (soon bool) {
 	u.mu.Lock()
@@ -201,7 +204,10 @@
 	}
 	u.mu.Unlock()
 	status, answer := u.call("instances.heartbeat", body)
-	if status/100 != 2 || len(answer) > 4096 {
+	if status/100 == 2 && len(answer) > maxAnswer {
+		u.machine.cluster.Record.Printf("check-in of %s: the answer has %d bytes and acknowledges nothing", u.ID, len(answer))
+	}
+	if status/100 != 2 || len(answer) > maxAnswer {
 		return false
 	}
 	var reply struct {
@@ -297,9 +303,7 @@
 		}
 	}
 	for _, h := range u.held {
-		for _, part := range without(h, next) {
-			u.pending = append(u.pending, part)
-		}
+		u.pending = append(u.pending, without(h, next)...)
 	}
 	u.held, u.heldEnd = next, sent.Add(duration)
 	u.settle(time.Now())
