--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -15,9 +15,14 @@
 	os.Exit(run(play))
 }
 
+// timeLimit ends a case that takes too long, as one that cannot run.
+const timeLimit = 117 * time.Second
+
 func run(play func(context.Context, *Cluster) (int, error)) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, timeLimit)
+	defer cancel()
 	if len(os.Args) != 2 {
 		fmt.Fprintln(os.Stderr, "usage: case RECORD")
 		return CannotRun
