sidecar: the running incarnation is told by heartbeats, not by start times

Callers saw: a target that was born earlier, by the clock of its host, than its former incarnation had all its heartbeats answered 200 and none handled.

Cause: isNewest in the sidecar, and register and drain in the core, ordered incarnations by the start times that they state; the wall clock of a host may be set back between two starts. The same cause on related paths: another id at the same address, a restart of the sidecar in between, a late departure under the id of the running target, the departure of an incarnation that was never heard, late heartbeats and those rejected by the core answered 200.

Change: the sidecar keeps which incarnation runs. A new one follows the current one once that is silent or its process has ended, and proves by a second heartbeat that it runs if its stated start is not the later one. Followed incarnations are remembered by sidecar and core and never taken up again. A heartbeat that is not handled is answered 503.

--- a/internal/coordination/core/ownership.go
+++ b/internal/coordination/core/ownership.go
@@ -53,7 +53,7 @@
 	if err := c.requireLeader(); err != nil {
 		return message.HeartbeatReply{}, err
 	}
-	if err := c.register(ctx, h.Instance); err != nil {
+	if err := c.register(ctx, h.Instance, h.Before); err != nil {
 		return message.HeartbeatReply{}, err
 	}
 	if spec, _ := c.machine.Service(h.Instance.Service); !spec.Keyed || spec.GrantsByCall {
@@ -80,13 +80,13 @@
 }
 
 // register commits the registration of a target if it is new or has changed.
-func (c *Core) register(ctx context.Context, instance message.Instance) error {
+func (c *Core) register(ctx context.Context, instance message.Instance, before *message.Incarnation) error {
 	old, ok := c.machine.Instance(instance.Incarnation.ID)
 	instance.Draining = instance.Draining || ok && old.Incarnation == instance.Incarnation && old.Draining
 	if ok && old == instance {
 		return nil
 	}
-	out, err := c.propose(ctx, message.Command{Register: &instance})
+	out, err := c.propose(ctx, message.Command{Register: &instance, Before: before})
 	if err == nil && out.Status != registry.Done {
 		err = &rpc.Error{Code: rpc.CodeRejected, Message: out.Reason}
 	}
--- a/internal/coordination/message/message.go
+++ b/internal/coordination/message/message.go
@@ -61,8 +61,13 @@
 	Members []ReplicaMember `json:"Members"`
 }
 
-// Command is an entry of the replicated log. Exactly one of its fields is set.
+// Command is an entry of the replicated log. Exactly one of its fields is set, and
+// Before beside Register.
 type Command struct {
+	// Incarnation that ran at the address before the registered one, as far as its
+	// sidecar knows.
+	Before *Incarnation `json:"Before,omitempty"`
+
 	// Changes the configuration.
 	Change *ConfigurationChange `json:"Change,omitempty"`
 
@@ -141,6 +146,10 @@
 // Heartbeat is the periodic report of a target, together with measurements by the
 // sidecar on its host.
 type Heartbeat struct {
+	// Incarnation that ran at the same address before this one, as far as the sidecar
+	// knows.
+	Before *Incarnation `json:"Before,omitempty"`
+
 	// Ranges that the target owns or for which it still processes requests.
 	Grants []RangeGrant `json:"Holds"`
 
@@ -342,6 +351,10 @@
 
 // Leave announces that an incarnation takes no new requests.
 type Leave struct {
+	// Incarnation that ran at the same address before this one, as far as the sidecar
+	// knows.
+	Before *Incarnation `json:"Before,omitempty"`
+
 	// Whether the incarnation sends no more heartbeats.
 	Final bool `json:"Gone"`
 
--- a/internal/coordination/registry/instances.go
+++ b/internal/coordination/registry/instances.go
@@ -45,31 +45,42 @@
 	return slices.Clone(m.state.Services)
 }
 
-// register adds or updates an instance. A later start under the same id, or at the same
-// address, means that the earlier incarnation has ended; it is removed.
-func (s *state) register(instance message.Instance) Outcome {
+// register adds or updates an instance. The incarnation before it, and others under its id
+// or at its address, have ended; they are removed. Which of two incarnations came first is
+// told by the sidecar beside them: their start times are from a clock that may be set back.
+func (s *state) register(instance message.Instance, before *message.Incarnation) Outcome {
+	if slices.Contains(s.Followed, instance.Incarnation) {
+		return Outcome{Stale, "another incarnation of the target has started since"}
+	}
+	s.recordFollowed(before)
 	old, known := s.Instances[instance.Incarnation.ID]
-	if known && old.Incarnation.StartTime > instance.Incarnation.StartTime {
-		return Outcome{Stale, "a later incarnation of the target is registered"}
-	}
-	for _, other := range s.Instances {
-		if other.Peer == instance.Peer && other.Incarnation.ID != instance.Incarnation.ID && other.Incarnation.StartTime > instance.Incarnation.StartTime {
-			return Outcome{Stale, "a target with a later start is registered at the same address"}
-		}
-	}
 	// Draining ends only with a new incarnation.
 	wasDraining := known && old.Incarnation == instance.Incarnation && old.Draining
 	instance.Draining = instance.Draining || wasDraining || slices.Contains(s.Departed, instance.Incarnation)
 	for _, id := range slices.Sorted(maps.Keys(s.Instances)) {
-		other := s.Instances[id]
-		if other.Incarnation != instance.Incarnation && (id == instance.Incarnation.ID || other.Peer == instance.Peer) {
-			s.removeIncarnation(other.Incarnation)
+		other := s.Instances[id].Incarnation
+		if other != instance.Incarnation && (id == instance.Incarnation.ID || s.Instances[id].Peer == instance.Peer) {
+			s.recordFollowed(&other)
 		}
 	}
 	s.setInstance(instance)
 	return Outcome{Status: Done}
 }
 
+// recordFollowed removes an incarnation for good, since another one has started after it.
+func (s *state) recordFollowed(before *message.Incarnation) {
+	if before == nil {
+		return
+	}
+	if s.Instances[before.ID].Incarnation == *before {
+		s.removeIncarnation(*before)
+	}
+	if !slices.Contains(s.Followed, *before) {
+		s.Followed = append(s.Followed, *before)
+		s.Followed = s.Followed[max(len(s.Followed)-maxFollowed, 0):]
+	}
+}
+
 func (s *state) setInstance(instance message.Instance) {
 	s.Instances[instance.Incarnation.ID] = instance
 	s.publish(message.ItemInstance+string(instance.Incarnation.ID), instance)
@@ -117,14 +128,13 @@
 	}
 }
 
-// drain marks the registered incarnation as draining.
+// drain marks an incarnation as draining. One that is not registered may still be, by a late
+// heartbeat.
 func (s *state) drain(c message.Leave) Outcome {
+	s.recordFollowed(c.Before)
 	i, ok := s.Instances[c.Incarnation.ID]
-	if !ok || i.Incarnation.StartTime != c.Incarnation.StartTime {
+	if !ok || i.Incarnation != c.Incarnation {
 		s.rememberDeparture(c.Incarnation)
-	}
-	if !ok || i.Incarnation.StartTime > c.Incarnation.StartTime {
-		// The incarnation is not registered or has been replaced, so it gets no requests.
 		return Outcome{Status: Done}
 	}
 	i.Draining = true
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -33,8 +33,10 @@
 	maxRemovedItems = 8192
 	// maxSuspects bounds the requests whose crashes are counted.
 	maxSuspects = 4096
-	// maxDeparted bounds the departed incarnations that are remembered.
+	// maxDeparted bounds the departed incarnations that are remembered, and maxFollowed
+	// those that were followed by another one.
 	maxDeparted = 1024
+	maxFollowed = 1024
 )
 
 // Status is the kind of an Outcome.
@@ -47,8 +49,8 @@
 	Conflict
 	// Invalid: the command can never take effect.
 	Invalid
-	// Stale: the command names an incarnation that is not registered or is older than
-	// the registered one.
+	// Stale: the command names an incarnation that is not registered, or that was followed
+	// by another one.
 	Stale
 )
 
@@ -79,7 +81,10 @@
 	Digests   []string
 	Instances map[message.InstanceID]message.Instance
 	// Departed are incarnations that have left and are not registered, oldest first.
-	Departed    []message.Incarnation
+	Departed []message.Incarnation
+	// Followed are incarnations after which another one started at the same address or under
+	// the same id, oldest first. They are never registered again.
+	Followed    []message.Incarnation
 	Assignments map[message.ServiceName]Assignments `json:"Rows"`
 	// Suspects counts, by fingerprint of a request, the targets that died while they
 	// processed it.
@@ -155,7 +160,7 @@
 	case c.Change != nil:
 		return s.applyChange(*c.Change)
 	case c.Register != nil:
-		return s.register(*c.Register)
+		return s.register(*c.Register, c.Before)
 	case c.Leave != nil:
 		return s.drain(*c.Leave)
 	case c.HostStop != nil:
--- a/internal/traffic/sidecar/sidecar.go
+++ b/internal/traffic/sidecar/sidecar.go
@@ -106,17 +106,19 @@
 	stopStarted       atomic.Int64
 	crashCheckRunning atomic.Bool
 
+	// started is when this process started.
+	started      clock.Millis
+	incarnations *incarnations
+
 	mu sync.Mutex
-	// incarnation and sequence are those of the newest heartbeat.
-	incarnation message.Incarnation
-	sequence    int
 	// leaving is the incarnation that has said in a response that it is leaving.
 	leaving message.Incarnation
 }
 
 // New returns a sidecar that is not running yet.
 func New(options Options) *Sidecar {
-	s := &Sidecar{options: options, log: options.Log, views: view.NewStore(), logBudget: process.NewLineLimiter(options.Clock, logLinesPerSecond)}
+	s := &Sidecar{options: options, log: options.Log, views: view.NewStore(), logBudget: process.NewLineLimiter(options.Clock, logLinesPerSecond), started: options.Clock.Now()}
+	s.incarnations = newIncarnations(options.Settings.HeartbeatMillis)
 	var seeds []message.Address
 	for _, seed := range options.Settings.Seeds {
 		seeds = append(seeds, quorum.PeerAddress(seed, options.Settings.PeerPort))
@@ -153,7 +155,6 @@
 // target finishes its requests, and only then are the listeners closed.
 func (s *Sidecar) Run(ctx context.Context, l Listeners, control, readiness http.Handler) error {
 	defer s.core.close()
-	started := s.options.Clock.Now()
 	servingCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	callersCtx, stopCallers := context.WithCancel(servingCtx)
@@ -189,7 +190,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	s.log.Info().Str("Event", "stop").Int64("UpMillis", int64(s.options.Clock.Now()-started)).Msg("planned stop started")
+	s.log.Info().Str("Event", "stop").Int64("UpMillis", int64(s.options.Clock.Now()-s.started)).Msg("planned stop started")
 	s.drain(stopCallers)
 	stopServing()
 	return <-tree.Done()
--- a/internal/traffic/sidecar/target.go
+++ b/internal/traffic/sidecar/target.go
@@ -6,6 +6,7 @@
 	"syscall"
 
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
+	"github.com/gentiansail/gentiansail/internal/rpc"
 	"github.com/gentiansail/gentiansail/internal/traffic/gate"
 	"github.com/gentiansail/gentiansail/internal/traffic/link"
 	"github.com/gentiansail/gentiansail/pkg/clock"
@@ -53,13 +54,12 @@
 	if string(h.Service) != s.options.Settings.Target.Service || string(h.Address) != s.options.Settings.Target.Address || h.Slots <= 0 {
 		return message.HeartbeatReply{}, ErrWrongTarget
 	}
-	if !s.isNewest(h.Incarnation, h.Sequence) {
-		// A later heartbeat, of this or a later incarnation, has arrived before.
-		return message.HeartbeatReply{}, nil
-	}
 	if err := s.awaitView(ctx); err != nil {
 		return message.HeartbeatReply{}, errors.Join(ErrCoreUnavailable, err)
 	}
+	if err := s.admitHeartbeat(h, received); err != nil {
+		return message.HeartbeatReply{}, err
+	}
 	keyed, byCall := false, s.leaser.applies()
 	if byCall {
 		if err := s.leaser.heard(h.Incarnation, received); err != nil {
@@ -91,7 +91,12 @@
 			Domain: message.FailureDomain(s.options.Settings.FailureDomain), Slots: h.Slots, Draining: h.Draining || s.isLeaving(h.Incarnation), Stopping: s.stopping.Load(),
 		},
 		Sequence: h.Sequence, Grants: emptyIfNil(h.Grants), Released: emptyIfNil(h.Released), Loads: s.gate.TakeKeyLoads(), ServiceMillis: message.Millis(load.ServiceMillis),
+		Before: s.incarnations.predecessor(h.Incarnation),
 	}, coreCallTimeout)
+	if rpc.IsCode(err, rpc.CodeRejected) {
+		s.incarnations.withdraw(h.Incarnation)
+		return message.HeartbeatReply{}, errors.Join(errFollowed, err)
+	}
 	if err != nil {
 		if keyed && !byCall || h.Draining {
 			return message.HeartbeatReply{}, errors.Join(ErrCoreUnavailable, err)
@@ -143,35 +148,49 @@
 	return grants
 }
 
-// isNewest records a heartbeat and returns true, unless one of a later incarnation, or a
-// later one of the same incarnation, was recorded before.
-func (s *Sidecar) isNewest(incarnation message.Incarnation, sequence int) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if incarnation.StartTime < s.incarnation.StartTime || incarnation == s.incarnation && sequence < s.sequence {
-		return false
+// admitHeartbeat returns an error if a heartbeat must not be handled, because it is late or
+// because its incarnation is not known to run.
+func (s *Sidecar) admitHeartbeat(h Heartbeat, received clock.Millis) error {
+	for _, listed := range s.views.Current().Instances(h.Service) {
+		if listed.Peer == s.peerAddress() {
+			s.incarnations.expect(listed.Incarnation, s.started)
+		}
 	}
-	if incarnation != s.incarnation {
-		s.log.Info().Str("Event", "target-begins").Str("Target", string(incarnation.ID)).Int("Born", int(incarnation.StartTime)).Str("Before", string(s.incarnation.ID)).Msg("first heartbeat of a new incarnation of the target")
+	begins, err := s.incarnations.admit(h.Incarnation, h.Sequence, received)
+	switch {
+	case err != nil:
+		if skipped, ok := s.logBudget.Allow("heartbeat-refused"); ok {
+			s.log.Info().Err(err).Str("Event", "heartbeat-refused").Str("Target", string(h.Incarnation.ID)).Int("Born", int(h.Incarnation.StartTime)).Int("Sequence", h.Sequence).Bool("Draining", h.Draining).Int("Skipped", skipped).Msg("heartbeat is not acknowledged")
+		}
+	case begins:
+		line := s.log.Info().Str("Event", "target-begins").Str("Target", string(h.Incarnation.ID)).Int("Born", int(h.Incarnation.StartTime))
+		if before := s.incarnations.predecessor(h.Incarnation); before != nil {
+			line = line.Str("Before", string(before.ID)).Int("BeforeBorn", int(before.StartTime))
+		}
+		line.Msg("first heartbeat of a new incarnation of the target")
 	}
-	s.incarnation, s.sequence = incarnation, sequence
-	return true
+	return err
 }
 
 // Deregister reports that a target sends no more heartbeats and takes no new requests.
 func (s *Sidecar) Deregister(ctx context.Context, id message.InstanceID, startTime message.StartTime) error {
-	s.mu.Lock()
-	incarnation := s.incarnation
-	s.mu.Unlock()
-	if incarnation.ID != id {
-		incarnation = message.Incarnation{ID: id, StartTime: startTime}
+	incarnation, current, err := s.incarnations.admitDeparture(message.Incarnation{ID: id, StartTime: startTime}, s.options.Clock.Now())
+	if err != nil || !current {
+		s.log.Info().Err(err).Str("Event", "departure-ignored").Str("Target", string(id)).Int("Born", int(startTime)).Msg("an incarnation that is not the current one says that it is gone")
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, coreCallTimeout.Duration())
 	defer cancel()
-	if _, err := call[struct{}](ctx, s.core, message.MethodLeave, message.Leave{Incarnation: incarnation, Final: true}, coreCallTimeout); err != nil {
+	leave := message.Leave{Incarnation: incarnation, Final: true, Before: s.incarnations.predecessor(incarnation)}
+	if _, err := call[struct{}](ctx, s.core, message.MethodLeave, leave, coreCallTimeout); err != nil {
 		return errors.Join(ErrCoreUnavailable, err)
 	}
-	s.gate.RejectFrom(incarnation, s.options.Clock.Now()+s.rejectDelay())
+	rejectAt := s.options.Clock.Now() + s.rejectDelay()
+	s.gate.RejectFrom(incarnation, rejectAt)
+	if target, ok := s.gate.Target(); ok && target.Incarnation != incarnation {
+		// No heartbeat of the incarnation has been handled, so the gate knows the one before.
+		s.gate.RejectFrom(target.Incarnation, rejectAt)
+	}
 	return nil
 }
 
@@ -195,6 +214,7 @@
 		if !errors.Is(err, syscall.ECONNREFUSED) {
 			return
 		}
+		s.incarnations.markEnded(incarnation)
 		s.log.Warn().Str("Event", "target-down").Str("Target", string(incarnation.ID)).Int("InFlight", len(fingerprints)).Msg("target refuses connections")
 		if s.leaser.applies() {
 			s.leaser.markEnded(incarnation)
--- a/internal/traffic/sidecar/target_test.go
+++ b/internal/traffic/sidecar/target_test.go
@@ -22,11 +22,17 @@
 	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
-// testCore is a core that accepts heartbeats and rejects reports of departures.
+// testCore is a core that accepts heartbeats and, unless told otherwise, rejects reports of
+// departures.
 type testCore struct {
 	heartbeats atomic.Int64
 	// draining is true if the last heartbeat said that the target is draining.
 	draining atomic.Bool
+	// last is the last heartbeat, rejects the incarnation whose heartbeats are rejected for good.
+	last    atomic.Pointer[message.Heartbeat]
+	rejects message.Incarnation
+	// acceptsLeaves is true if reports of departures are accepted.
+	acceptsLeaves bool
 }
 
 // newTestSidecar returns a sidecar that is not running, beside a target that takes its keys
@@ -39,9 +45,16 @@
 	rpc.Handle(server, message.MethodHeartbeat, func(_ context.Context, h message.Heartbeat) (message.HeartbeatReply, error) {
 		core.heartbeats.Add(1)
 		core.draining.Store(h.Instance.Draining)
+		core.last.Store(&h)
+		if h.Instance.Incarnation == core.rejects {
+			return message.HeartbeatReply{}, &rpc.Error{Code: rpc.CodeRejected}
+		}
 		return message.HeartbeatReply{Grants: []message.RangeGrant{}}, nil
 	})
 	rpc.Handle(server, message.MethodLeave, func(context.Context, message.Leave) (struct{}, error) {
+		if core.acceptsLeaves {
+			return struct{}{}, nil
+		}
 		return struct{}{}, &rpc.Error{Code: rpc.CodeRejected}
 	})
 	ctx, cancel := context.WithCancel(t.Context())
