ingress: a request with a streamed body is sent again only if that is untouched

Cause: after not-owner or no-target, makeAttempts sent the request to the next owner without regard to the part of the body that is not in memory. The former attempt had read from it, or still did: the connection of an attempt goes on reading when the attempt has its result. So the end of the body was missing, or a part in its middle. The branch for services without keys refused each streamed body instead, also untouched ones.

Change: the streamed part knows which attempt may read and whether one has. A request is sent again only while it is untouched, on all branches, and an ended attempt reads nothing more.

--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -10,7 +10,8 @@
 //   - A request that a target rejected, or a repeatable one without a valid response, may
 //     be retried within the maximum number of attempts of its route and the retry budget
 //     that all sidecars share.
-//   - Any other request is never sent again.
+//   - Any other request is never sent again, and neither is one whose body is too long to be
+//     kept, once an attempt has read from the part that is streamed.
 //
 // # Usage
 //
@@ -19,11 +20,11 @@
 package ingress
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -216,8 +217,13 @@
 				// The target is tried again only if there is no other.
 				tried[target.Incarnation.ID] = len(tried)+1 < len(v.Instances(req.service))
 			}
+		case !req.endAttempt():
+			if req.keyed && !in.hasOtherOwner(req, target) {
+				result.RetryMillis = max(result.RetryMillis, ownerRetryAfter)
+			}
+			return result
 		case req.keyed && (result.Reason == hop.NotOwner || result.Reason == hop.NoTarget):
-			if owner, ok := in.options.Views.Current().Owner(req.service, message.Key(req.key)); ok && owner.Incarnation != target.Incarnation && targetsTried < maxTargetsTried {
+			if in.hasOtherOwner(req, target) && targetsTried < maxTargetsTried {
 				targetsTried++ // the key was moved while the request waited at its former owner
 				continue
 			}
@@ -225,7 +231,7 @@
 				result.RetryMillis = ownerRetryAfter
 				return result
 			}
-		case req.keyed || req.stream != nil:
+		case req.keyed:
 			return result
 		default:
 			tried[target.Incarnation.ID] = true
@@ -239,6 +245,13 @@
 	}
 }
 
+// hasOtherOwner reports whether the key of a request is owned by another target than the
+// given one.
+func (in *Ingress) hasOtherOwner(req *request, target message.Instance) bool {
+	owner, ok := in.options.Views.Current().Owner(req.service, message.Key(req.key))
+	return ok && owner.Incarnation != target.Incarnation
+}
+
 // rejectEarly rejects a request for a key whose owner could not be reached recently or
 // is expected to reject the request. No other target may run it. It returns nil if the
 // request should be sent to the owner.
@@ -313,7 +326,7 @@
 // mayRetry reports whether a request that may have reached a target may be sent again. If
 // so, it takes one retry from the budget.
 func (in *Ingress) mayRetry(ctx context.Context, req *request) bool {
-	if ctx.Err() != nil || req.stream != nil || req.reachedTargets >= max(req.route.MaxAttempts, 1) {
+	if ctx.Err() != nil || !req.endAttempt() || req.reachedTargets >= max(req.route.MaxAttempts, 1) {
 		return false
 	}
 	return in.retryBudget(req.service).Withdraw()
@@ -348,7 +361,7 @@
 		ID: req.id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: req.header.Clone(), Length: req.length,
 	}
 	if req.stream != nil {
-		targetRequest.Body = io.NopCloser(io.MultiReader(strings.NewReader(string(req.body)), req.stream))
+		targetRequest.Body = io.NopCloser(io.MultiReader(bytes.NewReader(req.body), req.stream.reader()))
 	} else if len(req.body) > 0 {
 		targetRequest.Body = exchange.Body(req.body)
 	}
