sidecar: heartbeats with a field out of range are rejected

Ids, ranges and handover tokens of any size were replicated and published.

Cause: only service, address and a positive number of slots were checked.

Change: each field has a limit; what exceeds one is answered 400 and logged with the field, and does not reach the core. The same for departures. ErrWrongTarget becomes ErrInvalidHeartbeat, and its text names what is wrong.

--- a/internal/traffic/sidecar/target.go
+++ b/internal/traffic/sidecar/target.go
@@ -40,9 +40,9 @@
 
 // Errors of HandleHeartbeat and Deregister.
 var (
-	// ErrWrongTarget means that the heartbeat is not from the target in the settings, or
-	// has no slots.
-	ErrWrongTarget = errors.New("service or address of the heartbeat differs from the settings, or slots is not positive")
+	// ErrInvalidHeartbeat means that the heartbeat is not from the target in the settings, or
+	// that one of its fields, or of a departure, is out of range.
+	ErrInvalidHeartbeat = errors.New("invalid heartbeat or departure")
 	// ErrCoreUnavailable means that the core did not acknowledge the call.
 	ErrCoreUnavailable = errors.New("the core did not respond")
 )
@@ -51,8 +51,9 @@
 // that are granted to the target. An error means that the heartbeat is not acknowledged.
 func (s *Sidecar) HandleHeartbeat(ctx context.Context, h Heartbeat) (message.HeartbeatReply, error) {
 	received := s.options.Clock.Now()
-	if string(h.Service) != s.options.Settings.Target.Service || string(h.Address) != s.options.Settings.Target.Address || h.Slots <= 0 {
-		return message.HeartbeatReply{}, ErrWrongTarget
+	if err := errors.Join(s.checkTarget(h), h.validate()); err != nil {
+		s.logRefused(h, err)
+		return message.HeartbeatReply{}, errors.Join(ErrInvalidHeartbeat, err)
 	}
 	if err := s.awaitView(ctx); err != nil {
 		return message.HeartbeatReply{}, errors.Join(ErrCoreUnavailable, err)
@@ -159,9 +160,7 @@
 	begins, err := s.incarnations.admit(h.Incarnation, h.Sequence, received)
 	switch {
 	case err != nil:
-		if skipped, ok := s.logBudget.Allow("heartbeat-refused"); ok {
-			s.log.Info().Err(err).Str("Event", "heartbeat-refused").Str("Target", string(h.Incarnation.ID)).Int("Born", int(h.Incarnation.StartTime)).Int("Sequence", h.Sequence).Bool("Draining", h.Draining).Int("Skipped", skipped).Msg("heartbeat is not acknowledged")
-		}
+		s.logRefused(h, err)
 	case begins:
 		line := s.log.Info().Str("Event", "target-begins").Str("Target", string(h.Incarnation.ID)).Int("Born", int(h.Incarnation.StartTime))
 		if before := s.incarnations.predecessor(h.Incarnation); before != nil {
@@ -172,8 +171,21 @@
 	return err
 }
 
+// logRefused logs a heartbeat that is not acknowledged.
+func (s *Sidecar) logRefused(h Heartbeat, err error) {
+	skipped, ok := s.logBudget.Allow("heartbeat-refused")
+	if !ok {
+		return
+	}
+	id := string(h.Incarnation.ID)
+	s.log.Info().Err(err).Str("Event", "heartbeat-refused").Str("Target", id[:min(len(id), maxIDBytes)]).Int("Born", int(h.Incarnation.StartTime)).Int("Sequence", h.Sequence).Bool("Draining", h.Draining).Int("Skipped", skipped).Msg("heartbeat is not acknowledged")
+}
+
 // Deregister reports that a target sends no more heartbeats and takes no new requests.
 func (s *Sidecar) Deregister(ctx context.Context, id message.InstanceID, startTime message.StartTime) error {
+	if err := validateIncarnation(message.Incarnation{ID: id, StartTime: startTime}); err != nil {
+		return errors.Join(ErrInvalidHeartbeat, err)
+	}
 	incarnation, current, err := s.incarnations.admitDeparture(message.Incarnation{ID: id, StartTime: startTime}, s.options.Clock.Now())
 	if err != nil || !current {
 		s.log.Info().Err(err).Str("Event", "departure-ignored").Str("Target", string(id)).Int("Born", int(startTime)).Msg("an incarnation that is not the current one says that it is gone")
