exchange: bound informational responses by their bytes

Cause of what was found: each of up to 10,000 informational responses to one request might have 64 KB.

Change: together they may have 1 MB.

--- a/internal/exchange/do.go
+++ b/internal/exchange/do.go
@@ -139,9 +139,13 @@
 // each second during two and a half hours.
 const maxInformational = 10_000
 
+// maxInformationalBytes bounds the informational responses to one request together.
+const maxInformationalBytes = 1 << 20
+
 // readHeader returns the final response header. Informational responses show
 // only that the server is alive.
 func (x *exchange) readHeader() (*http.Response, error) {
+	informationalBytes := int64(0)
 	for range maxInformational + 1 {
 		err := x.conn.checkPrefix()
 		var response *http.Response
@@ -157,6 +161,10 @@
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return nil, merry.Wrap(ErrResponse, merry.AppendMessage("status 101 without an upgrade request"))
 		}
+		informationalBytes += maxHeaderBytes - x.conn.readBudget
+		if informationalBytes > maxInformationalBytes {
+			return nil, merry.Wrap(ErrResponse, merry.AppendMessagef("more than %d bytes of informational responses", maxInformationalBytes))
+		}
 		x.conn.readBudget = maxHeaderBytes
 		if x.request.OnInformational != nil {
 			x.request.OnInformational(response.StatusCode, response.Header)
--- a/internal/exchange/endless_test.go
+++ b/internal/exchange/endless_test.go
@@ -78,6 +78,7 @@
 		"header fields":                 {begin: "HTTP/1.1 200 OK\r\n", repeat: "a:\r\n"},
 		"different header fields":       {begin: "HTTP/1.1 200 OK\r\n" + differentFields(200_000), repeat: "a:\r\n"},
 		"informational responses":       {repeat: "HTTP/1.1 102 Processing\r\n\r\n"},
+		"long informational responses":  {repeat: "HTTP/1.1 102 Processing\r\n" + strings.Repeat("A: "+strings.Repeat("x", 1000)+"\r\n", 50) + "\r\n"},
 		"response to another":           {begin: "HTTP/1.1 200 OK\r\nThe-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", repeat: "1\r\nx\r\n"},
 		"response to another, slowly":   {begin: "HTTP/1.1 200 OK\r\nThe-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", repeat: "1\r\nx\r\n", pause: 20 * time.Millisecond},
 		"responses to others":           {repeat: "HTTP/1.1 200 OK\r\nThe-Id: other\r\nContent-Length: 1\r\n\r\nx"},
