replog: the folder is synced when a log is opened again after a disk fault

Could happen: an acknowledged entry is lost.

Cause: if the sync of the folder fails after a new segment has been renamed, the replica opens its log again in the same process, appends to that segment and acknowledges entries. A power loss takes the segment, since its name is not durable.

Change: the store syncs its folder when it is opened. The simulated disk can be full for a while without losing power, which TestGroupProperties plays, one disk at a time.

--- a/pkg/replog/disk_test.go
+++ b/pkg/replog/disk_test.go
@@ -32,6 +32,9 @@
 	// failAfter is the number of operations until one fails partway. A negative number
 	// means that none fails.
 	failAfter int
+	// full makes most operations fail, until it is cleared. The process goes on then, so files
+	// keep what was written and not fsynced.
+	full bool
 	// ignoresSync makes fsync do nothing, to verify that the simulation detects lost
 	// writes.
 	ignoresSync bool
@@ -46,6 +49,9 @@
 
 // nextFails counts an operation and reports whether it must fail.
 func (d *simDisk) nextFails() bool {
+	if d.full {
+		return d.random.IntN(4) > 0
+	}
 	if d.failAfter < 0 {
 		return false
 	}
@@ -146,6 +152,9 @@
 		Append: func(p string) (writableFile, error) { return d.open(d.names[base(p)]), nil },
 		Truncate: func(p string, size int64) error {
 			f := d.names[base(p)]
+			if d.full && d.nextFails() {
+				return errDisk
+			}
 			f.content = f.content[:size:size]
 			return nil
 		},
--- a/pkg/replog/property_test.go
+++ b/pkg/replog/property_test.go
@@ -172,6 +172,10 @@
 	if !errors.Is(err, ErrStorage) {
 		g.recordError(err)
 	}
+	if n.disk.full {
+		n.engine = nil
+		return
+	}
 	g.crash(n)
 }
 
@@ -383,6 +387,7 @@
 			g.start(n)
 		}
 		n.paused = n.paused && g.random.IntN(3) > 0
+		n.disk.full = n.disk.full && g.random.IntN(3) > 0
 		if g.random.IntN(4) == 0 {
 			delete(g.isolated, n.identity)
 		}
@@ -473,7 +478,7 @@
 func (g *simGroup) clearFaults() {
 	g.isolated = map[Identity]bool{}
 	for _, n := range g.nodes {
-		n.paused, n.disk.failAfter = false, -1
+		n.paused, n.disk.full, n.disk.failAfter = false, false, -1
 		if n.engine == nil {
 			g.start(n)
 		}
@@ -528,8 +533,13 @@
 		"restart": func(t *rapid.T) { g.forEach(g.crash, g.start) },
 		"crash":   func(t *rapid.T) { g.crash(node(t)) },
 		"fail":    func(t *rapid.T) { node(t).disk.failAfter = rapid.IntRange(0, 12).Draw(t, "operations") },
-		"pause":   func(t *rapid.T) { n := node(t); n.paused = !n.paused },
-		"cut":     func(t *rapid.T) { g.isolated[node(t).identity] = true },
+		// One disk at a time is full.
+		"fill disk": func(t *rapid.T) {
+			g.forEach(func(n *simNode) { n.disk.full = false })
+			node(t).disk.full = true
+		},
+		"pause": func(t *rapid.T) { n := node(t); n.paused = !n.paused },
+		"cut":   func(t *rapid.T) { g.isolated[node(t).identity] = true },
 		"freeze": func(t *rapid.T) {
 			n := node(t)
 			n.paused = true
--- a/pkg/replog/store.go
+++ b/pkg/replog/store.go
@@ -146,6 +146,11 @@
 	if err != nil {
 		return storedState{}, err
 	}
+	// A disk fault may have left a file under its final name before that name was durable. What
+	// is acknowledged from now on must not depend on it.
+	if err := s.files.SyncFolder(s.folder); err != nil {
+		return storedState{}, storageError("sync folder", err)
+	}
 	if err := s.loadIdentity(contents, newIdentity); err != nil {
 		return storedState{}, err
 	}
--- a/pkg/replog/store_test.go
+++ b/pkg/replog/store_test.go
@@ -251,6 +251,40 @@
 	}
 }
 
+// Guards against acknowledged entries that a power loss takes, because the store was opened
+// again after a disk fault had left the name of a file that it goes on with not durable.
+func TestStoreOutlivesPowerLossAfterDiskFault(t *testing.T) {
+	for seed := range uint64(20) {
+		for operations := range 12 {
+			d := newSimDisk(rand.New(rand.NewPCG(seed, 1)))
+			open := func() (*store, storedState) {
+				s, l, err := openStore(d.files(), simFolder, "g", func() Identity { return "id" })
+				qt.Assert(t, err, qt.IsNil)
+				s.segmentLimit = 1 // each write seals its segment
+				return s, l
+			}
+			write := func(s *store, i Index) error {
+				return s.write(&hardState{Term: 7}, nil, []Entry{{i, 7, EntryCommand, []byte("data")}})
+			}
+			s, _ := open()
+			last := Index(0)
+			d.failAfter = operations
+			for write(s, last+1) == nil {
+				last++
+			}
+			d.failAfter = -1
+			s, l := open()
+			qt.Assert(t, l.log.last() >= last, qt.IsTrue)
+			last = l.log.last() + 1
+			s.segmentLimit = segmentBytes
+			qt.Assert(t, write(s, last), qt.IsNil)
+			d.crash()
+			_, l = open()
+			qt.Assert(t, l.log.last(), qt.Equals, last, qt.Commentf("seed %d, fault after %d operations", seed, operations))
+		}
+	}
+}
+
 // Guards against panics and large allocations caused by damaged messages, and against
 // fields that are lost in encoding and decoding.
 func FuzzDecodeMessage(f *testing.F) {
