ingress: Retry-After of a busy owner is passed on for long bodies too

Cause: since streamed requests are sent again only if untouched, each rejection of one by an owner that still has the key got a Retry-After of at least 400 ms, also a busy owner's own shorter one. Change: only a request whose owner has lost the key gets 400 ms. Tests share their set-up. Measured: TestRestOfBodyIsNoRequest checks the 250 ms of the peer, which failed for long bodies before.

--- a/internal/integration/mesh/endless_test.go
+++ b/internal/integration/mesh/endless_test.go
@@ -15,6 +15,13 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// awaitServed waits until requests of two hosts to pledges are served.
+func (s *testMesh) awaitServed(near, far *host) {
+	s.eventually("both hosts are served", func() bool {
+		return near.send(http.MethodGet, "/check/x", "x", -1, "").status == 200 && far.send(http.MethodGet, "/check/y", "y", -1, "").status == 200
+	})
+}
+
 // Guards against sidecars that run out of memory, or hold a request after its deadline,
 // while a target sends bodies without end, and against a cut body that looks complete.
 func TestBodiesWithoutEnd(t *testing.T) {
@@ -23,9 +30,7 @@
 	const maxHeapBytes = 184 << 20
 	s := startMesh(t, 1)
 	far, near := s.addHost(1, "pledges"), s.addHost(2, "catalogue")
-	s.eventually("both hosts know the target", func() bool {
-		return near.send(http.MethodGet, "/check/x", "x", -1, "").status == 200 && far.send(http.MethodGet, "/check/y", "y", -1, "").status == 200
-	})
+	s.awaitServed(near, far)
 	var cancelled atomic.Int32
 	far.target.setHandler(func(w http.ResponseWriter, r *http.Request, _ *target) {
 		part := make([]byte, 4096)
@@ -107,9 +112,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := startMesh(t, 1)
 			far, near := s.addHost(1, "pledges"), s.addHost(2, "catalogue")
-			s.eventually("both hosts know the target", func() bool {
-				return near.send(http.MethodGet, "/check/x", "x", -1, "").status == 200 && far.send(http.MethodGet, "/check/y", "y", -1, "").status == 200
-			})
+			s.awaitServed(near, far)
 			far.target.setHandler(func(w http.ResponseWriter, r *http.Request, _ *target) {
 				c, _, err := http.NewResponseController(w).Hijack()
 				if !qt.Check(t, err, qt.IsNil) {
@@ -141,9 +144,7 @@
 			})
 			callers.Wait()
 			far.target.setHandler(nil)
-			s.eventually("both hosts are served", func() bool {
-				return near.send(http.MethodGet, "/check/z", "z", -1, "").status == 200 && far.send(http.MethodGet, "/check/z", "z2", -1, "").status == 200
-			})
+			s.awaitServed(near, far)
 		})
 	}
 }
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -212,6 +212,7 @@
 		}
 		result := in.attempt(ctx, r, req, target)
 		req.attempts = append(req.attempts, string(target.Incarnation.ID)+":"+string(result.Reason))
+		lostKey := req.keyed && (result.Reason == hop.NotOwner || result.Reason == hop.NoTarget)
 		switch {
 		case result.Reason == "":
 			return result
@@ -224,11 +225,11 @@
 				tried[target.Incarnation.ID] = len(tried)+1 < len(v.Instances(req.service))
 			}
 		case !req.endAttempt():
-			if req.keyed && !in.hasOtherOwner(req, target) {
-				result.RetryMillis = max(result.RetryMillis, ownerRetryAfter)
+			if lostKey && !in.hasOtherOwner(req, target) {
+				result.RetryMillis = ownerRetryAfter
 			}
 			return result
-		case req.keyed && (result.Reason == hop.NotOwner || result.Reason == hop.NoTarget):
+		case lostKey:
 			if in.hasOtherOwner(req, target) && targetsTried < maxTargetsTried {
 				targetsTried++ // the key was moved while the request waited at its former owner
 				continue
--- a/internal/traffic/ingress/smuggle_test.go
+++ b/internal/traffic/ingress/smuggle_test.go
@@ -30,7 +30,7 @@
 	}
 	peers := map[string]func(w http.ResponseWriter){
 		"rejected": func(w http.ResponseWriter) {
-			hop.Reply{Reason: hop.Busy}.SetHeader(w.Header())
+			hop.Reply{Reason: hop.Busy, RetryMillis: 250}.SetHeader(w.Header())
 			w.WriteHeader(http.StatusServiceUnavailable)
 		},
 		"early response": func(w http.ResponseWriter) {
@@ -68,6 +68,9 @@
 				_, err = io.Copy(io.Discard, response.Body)
 				qt.Check(t, err, qt.IsNil)
 				qt.Check(t, response.Close, qt.IsTrue)
+				if response.StatusCode == http.StatusServiceUnavailable {
+					qt.Check(t, response.Header.Get("Retry-After"), qt.Equals, "0.250")
+				}
 				_, _ = io.WriteString(c, inside)
 				qt.Assert(t, c.SetReadDeadline(time.Now().Add(5*time.Second)), qt.IsNil)
 				rest, _ := io.ReadAll(reader)
--- a/internal/traffic/ingress/stream_test.go
+++ b/internal/traffic/ingress/stream_test.go
@@ -79,6 +79,19 @@
 	qt.Check(t, in.options.Views.Apply(message.WatchReply{Version: 2, Items: items}), qt.IsNil)
 }
 
+// upload sends a request for key 77 with a body of the given length, or in chunks if that is -1.
+func upload(t *testing.T, server *httptest.Server, body io.Reader, length int64) *http.Response {
+	r, err := http.NewRequest(http.MethodPost, server.URL+"/browse/1", body)
+	qt.Assert(t, err, qt.IsNil)
+	r.ContentLength, r.Host = length, "mesh.example"
+	r.Header.Set(names.RequestID, "1")
+	r.Header.Set(names.Key, "77")
+	response, err := http.DefaultClient.Do(r)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
+
 // Guards against a request that is run with a part of its body and answered with success,
 // because it is sent to the next owner of its key after the former one has used up the part of
 // the body that is not in memory.
@@ -111,17 +124,11 @@
 			server := httptest.NewServer(in)
 			defer server.Close()
 			body := bytes.Repeat([]byte("0123456789abcdef"), tt.bodyBytes/16)
-			r, err := http.NewRequest(http.MethodPost, server.URL+"/browse/1", pausingReader{bytes.NewReader(body), tt.pause})
-			qt.Assert(t, err, qt.IsNil)
-			if !tt.chunked {
-				r.ContentLength = int64(len(body))
+			length := int64(len(body))
+			if tt.chunked {
+				length = -1
 			}
-			r.Host = "mesh.example"
-			r.Header.Set(names.RequestID, "1")
-			r.Header.Set(names.Key, "77")
-			response, err := http.DefaultClient.Do(r)
-			qt.Assert(t, err, qt.IsNil)
-			defer response.Body.Close()
+			response := upload(t, server, pausingReader{bytes.NewReader(body), tt.pause}, length)
 			next.mu.Lock()
 			defer next.mu.Unlock()
 			for _, got := range next.bodies {
@@ -156,14 +163,7 @@
 	}))
 	defer server.Close()
 	body := strings.Repeat("x", 150<<10)
-	r, err := http.NewRequest(http.MethodPost, server.URL+"/browse/1", strings.NewReader(body))
-	qt.Assert(t, err, qt.IsNil)
-	r.Host = "mesh.example"
-	r.Header.Set(names.RequestID, "1")
-	r.Header.Set(names.Key, "77")
-	response, err := http.DefaultClient.Do(r)
-	qt.Assert(t, err, qt.IsNil)
-	defer response.Body.Close()
+	response := upload(t, server, strings.NewReader(body), int64(len(body)))
 	qt.Assert(t, response.StatusCode, qt.Equals, http.StatusOK)
 	qt.Assert(t, next.bodies, qt.HasLen, 1)
 	qt.Assert(t, string(next.bodies[0]) == body, qt.IsTrue)
