--- a/internal/traffic/ingress/smuggle_test.go
+++ b/internal/traffic/ingress/smuggle_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -36,6 +37,7 @@
 		"early response": func(w http.ResponseWriter) {
 			hop.Reply{}.SetHeader(w.Header())
 			w.Header().Set(names.Signature, "s")
+			w.Header().Set("Content-Length", "0")
 			w.WriteHeader(http.StatusOK)
 		},
 	}
@@ -49,18 +51,21 @@
 					_, _ = io.CopyN(io.Discard, r.Body, readFirst)
 					w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
 					respond(w)
+					_ = http.NewResponseController(w).Flush()
+					_, _ = io.Copy(io.Discard, r.Body)
 				}))
 				defer peer.Close()
 				in := newKeyedIngress(t, clock.System(), exchange.NewPool(exchange.Options{}), peer.Listener.Addr().String())
 				front := pipeline.New(pipeline.Options{Handler: in, MayRunAhead: in.MayRunAhead, Clock: clock.System()})
 				server := httptest.NewUnstartedServer(front)
 				server.Listener, server.Config.ConnContext = front.Listener(server.Listener), front.ConnContext
+				server.Config.ErrorLog = log.New(t.Output(), "", 0)
 				server.Start()
 				defer server.Close()
 				c, err := net.Dial("tcp", server.Listener.Addr().String())
 				qt.Assert(t, err, qt.IsNil)
 				defer c.Close()
-				_, err = io.WriteString(c, "POST /browse/1 HTTP/1.1\r\nHost: mesh.example\r\nTest-Id: outside\r\nTest-Key: 77\r\n"+header+strings.Repeat("x", sentFirst))
+				_, err = io.WriteString(c, "POST /browse/1 HTTP/1.1\r\nHost: mesh.example\r\nTest-Id: outside\r\nTest-Key: 77\r\nTest-Left: 3000\r\n"+header+strings.Repeat("x", sentFirst))
 				qt.Assert(t, err, qt.IsNil)
 				reader := bufio.NewReader(c)
 				response, err := http.ReadResponse(reader, nil)
