gate: a response that breaks off ends its connection while a body is being sent

Callers saw: with a body of over 64 KB not sent to its end, a response that had broken off looked as if it went on, until the caller sent more or gave up.

Cause: the handler panics to abort the response, and net/http reads up to 256 KB of the body, without a time limit, before it closes the connection.

Change: BodyStream.Serve wraps the writing of a response. When that panics, it sets a read deadline and waits until nothing reads from the body; net/http, which would clear the deadline for a read that is under way, then fails at once. The stand-in of TestLongBodyWhileKeyMoves reads the rest of a body, as a sidecar does.

--- a/internal/traffic/gate/body_stream.go
+++ b/internal/traffic/gate/body_stream.go
@@ -27,7 +27,7 @@
 // The connection of an attempt may go on reading after the attempt has its result. net/http
 // neither allows that once a handler has returned, nor notices that the rest of the body is
 // still due: it would take that for the next request. So a handler of a request with a
-// BodyStream adds SetHeader to the header of its response, and calls Finish before it returns.
+// BodyStream writes its response within Serve, and adds SetHeader to its header.
 type BodyStream struct {
 	source io.Reader
 
@@ -66,20 +66,38 @@
 	}
 }
 
-// Finish sends the response that the handler has written, and returns once nothing reads from
-// the body any more. It does nothing if s is nil.
-func (s *BodyStream) Finish(w http.ResponseWriter) {
+// Serve calls respond, which writes the response, and returns once nothing reads from the
+// body any more. If s is nil, it only calls respond.
+func (s *BodyStream) Serve(w http.ResponseWriter, respond func()) {
 	if s == nil {
+		respond()
 		return
 	}
+	written := false
+	defer func() {
+		if !written {
+			// respond has panicked to abort the connection. net/http reads the rest of the body
+			// before it closes that, so the caller would not notice until it has sent the rest.
+			s.skipRest(w, 0)
+		}
+	}()
+	respond()
+	written = true
+	if !s.isComplete() {
+		// An error means that the connection has ended, and so does reading.
+		_ = http.NewResponseController(w).Flush()
+	}
+	s.skipRest(w, drainTime)
+}
+
+// skipRest ends the current attempt and skips the rest of the body for a time. After that,
+// nothing can be read from the connection.
+func (s *BodyStream) skipRest(w http.ResponseWriter, limit clock.Millis) {
 	s.EndAttempt()
 	if s.isComplete() {
 		return
 	}
-	control := http.NewResponseController(w)
-	// Errors mean that the connection has ended; then reading ends as well.
-	_ = control.Flush()
-	_ = control.SetReadDeadline(time.Now().Add(drainTime.Duration()))
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(limit.Duration()))
 	_, _ = io.CopyN(io.Discard, s.source, maxDrainedBody)
 }
 
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -173,8 +173,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), (req.deadline - in.options.Clock.Now()).Duration())
 	defer cancel()
-	in.serve(ctx, w, r, req)
-	req.stream.Finish(w)
+	req.stream.Serve(w, func() { in.serve(ctx, w, r, req) })
 }
 
 // serve sends the request until there is a response for the caller, and writes that.
--- a/internal/traffic/ingress/stream_test.go
+++ b/internal/traffic/ingress/stream_test.go
@@ -40,6 +40,8 @@
 		p.onRequest()
 		hop.Reply{Reason: p.reject}.SetHeader(w.Header())
 		w.WriteHeader(http.StatusServiceUnavailable)
+		_ = http.NewResponseController(w).Flush()
+		_, _ = io.Copy(io.Discard, r.Body)
 		return
 	}
 	body, err := io.ReadAll(r.Body)
--- a/internal/traffic/sidecar/peer.go
+++ b/internal/traffic/sidecar/peer.go
@@ -25,8 +25,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), hopRequest.RemainingMillis.Duration())
 	defer cancel()
-	s.respondPeer(w, request, stream, s.gate.Do(ctx, request))
-	stream.Finish(w)
+	stream.Serve(w, func() { s.respondPeer(w, request, stream, s.gate.Do(ctx, request)) })
 }
 
 // respondPeer writes the result of a request to the other sidecar. The stream is nil for a
