sidecar: a target that starts together with its sidecar is known at once

Cause: since a new incarnation has to wait until the current one has been silent for 1.5 heartbeat intervals, also if only an earlier process of the sidecar has heard from that. After a loss of power each target starts with its sidecar, and was refused 3 to 5 times.

Change: if this process of the sidecar has not heard from the current incarnation, a later stated start suffices. An earlier one still has to prove that it runs.

TestTargetThatStartsWithItsSidecar, two of whose four cases failed on that code.

--- a/internal/traffic/sidecar/incarnations.go
+++ b/internal/traffic/sidecar/incarnations.go
@@ -40,7 +40,9 @@
 // So the order of start times decides nothing: an incarnation that is new to the sidecar
 // follows the current one if that has fallen silent. It must prove that it runs by a second
 // heartbeat if its start time is not the later one, because its first may have been delayed
-// since before the current incarnation started.
+// since before the current incarnation started. If only an earlier process of the sidecar has
+// heard from the current one, a later start time suffices: after a loss of power the target
+// starts together with the sidecar and serves nobody before it is known.
 type incarnations struct {
 	interval clock.Millis // between heartbeats
 
@@ -52,6 +54,9 @@
 	sequence int
 	heardAt  clock.Millis
 	ended    bool
+	// heard is false while only an earlier process of this sidecar has heard from the current
+	// incarnation.
+	heard bool
 	// before is the incarnation that the current one followed.
 	before message.Incarnation
 	// followed are incarnations that were followed by others, oldest first.
@@ -89,7 +94,7 @@
 	case i == s.current && sequence < s.sequence:
 		return false, errLate
 	case i == s.current:
-		s.sequence, s.heardAt, s.ended, s.candidate = sequence, now, false, message.Incarnation{}
+		s.sequence, s.heardAt, s.heard, s.ended, s.candidate = sequence, now, true, false, message.Incarnation{}
 		return false, nil
 	case slices.Contains(s.followed, i):
 		return false, errFollowed
@@ -104,10 +109,14 @@
 // mayFollow reports whether an incarnation that has not been current may follow the current
 // one. The caller must hold s.mu.
 func (s *incarnations) mayFollow(i message.Incarnation, sequence int, now clock.Millis) bool {
+	startedLater := i.StartTime > s.current.StartTime
+	if startedLater && !s.heard {
+		return true
+	}
 	if !s.isSilent(now) {
 		return false
 	}
-	if i.StartTime > s.current.StartTime {
+	if startedLater {
 		return true
 	}
 	if i != s.candidate {
@@ -128,7 +137,7 @@
 		s.followed = s.followed[max(len(s.followed)-maxFollowed, 0):]
 	}
 	s.before, s.current, s.candidate = s.current, i, message.Incarnation{}
-	s.sequence, s.heardAt, s.ended = 0, now, false
+	s.sequence, s.heardAt, s.heard, s.ended = 0, now, true, false
 }
 
 // admitDeparture records that an incarnation says that it is gone, and returns that
--- a/internal/traffic/sidecar/incarnations_test.go
+++ b/internal/traffic/sidecar/incarnations_test.go
@@ -171,6 +171,29 @@
 	qt.Assert(t, h.core.last.Load().Instance.Incarnation, qt.Equals, runs)
 }
 
+// Guards against a target that is not served for seconds after a loss of power, because it
+// starts together with its sidecar and the core lists the incarnation before.
+func TestTargetThatStartsWithItsSidecar(t *testing.T) {
+	listed := message.Incarnation{ID: "i-1", StartTime: 9000}
+	tests := map[string]struct {
+		starts message.Incarnation
+		err    error
+	}{
+		"another id":                   {message.Incarnation{ID: "i-2", StartTime: 9500}, nil},
+		"same id":                      {message.Incarnation{ID: "i-1", StartTime: 9500}, nil},
+		"the listed one still runs":    {listed, nil},
+		"late heartbeat of an earlier": {message.Incarnation{ID: "i-0", StartTime: 8000}, errUnproven},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newIncarnations(1000)
+			s.expect(listed, 0)
+			_, err := s.admit(tt.starts, 1, 100)
+			qt.Assert(t, err, qt.Equals, tt.err)
+		})
+	}
+}
+
 // Guards against an incarnation that runs and is not admitted for long, and against one that
 // is admitted again after another one followed it, over random start times and late heartbeats.
 func TestIncarnationsUnderClockSteps(t *testing.T) {
