core: the log tells from which state keys are granted

Cause: no line tells which replica granted keys, in which term and from which index of the state, so the hypotheses on the incident with two owners cannot be told apart. Both are as rare as moves of keys and disk faults.

--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -229,7 +229,7 @@
 			c.leases.RecordLoads(reported.Service, reported.Loads)
 		}
 	}
-	if err := c.quorum.Confirm(ctx); err != nil {
+	if _, err := c.quorum.Confirm(ctx); err != nil {
 		return message.WatchReply{}, err
 	}
 	for {
--- a/internal/coordination/core/lease.go
+++ b/internal/coordination/core/lease.go
@@ -53,7 +53,7 @@
 	if err := c.requireLeader(); err != nil {
 		return message.LeaseReply{}, err
 	}
-	if err := c.quorum.Confirm(ctx); err != nil {
+	if _, err := c.quorum.Confirm(ctx); err != nil {
 		return message.LeaseReply{}, err
 	}
 	c.leases.SeedLoads(r.Service, c.machine.Assignments(r.Service).Loads)
--- a/internal/coordination/core/operator.go
+++ b/internal/coordination/core/operator.go
@@ -115,7 +115,7 @@
 	if err := c.requireLeader(); err != nil {
 		return registry.Configuration{}, err
 	}
-	if err := c.quorum.Confirm(ctx); err != nil {
+	if _, err := c.quorum.Confirm(ctx); err != nil {
 		return registry.Configuration{}, err
 	}
 	return c.machine.Configuration(), nil
--- a/internal/coordination/core/operator_test.go
+++ b/internal/coordination/core/operator_test.go
@@ -46,7 +46,8 @@
 
 // lastIndex returns the index of the last entry that the replica has applied.
 func (c *Core) lastIndex(t *testing.T) replog.Index {
-	qt.Assert(t, c.quorum.Confirm(t.Context()), qt.IsNil)
+	_, err := c.quorum.Confirm(t.Context())
+	qt.Assert(t, err, qt.IsNil)
 	s, ok := c.quorum.Status()
 	qt.Assert(t, ok, qt.IsTrue)
 	return s.AppliedIndex
--- a/internal/coordination/core/ownership.go
+++ b/internal/coordination/core/ownership.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
+	"github.com/gentiansail/gentiansail/internal/coordination/quorum"
 	"github.com/gentiansail/gentiansail/internal/coordination/registry"
 	"github.com/gentiansail/gentiansail/internal/ownership/keyrange"
 	"github.com/gentiansail/gentiansail/internal/rpc"
@@ -64,7 +65,8 @@
 		c.leases.PresumeLease(h.Instance.Incarnation, arrival, c.leaseDuration(h.Instance.Service))
 		return message.HeartbeatReply{Grants: []message.RangeGrant{}}, nil
 	}
-	if err := c.quorum.Confirm(ctx); err != nil {
+	confirmed, err := c.quorum.Confirm(ctx)
+	if err != nil {
 		return message.HeartbeatReply{}, err
 	}
 	c.leases.SeedLoads(h.Instance.Service, c.machine.Assignments(h.Instance.Service).Loads)
@@ -76,7 +78,26 @@
 	}
 	c.delayOverloadedOwner(ctx, h.Instance, arrival+maxResponseDelay)
 	c.awaitIncomingKeys(ctx, h.Instance, arrival+maxResponseDelay)
-	return c.grant(h, arrival), nil
+	reply := c.grant(h, arrival)
+	c.logNewGrants(h, reply.Grants, confirmed, arrival)
+	return reply, nil
+}
+
+// logNewGrants logs the ranges that a response grants and the heartbeat did not report.
+func (c *Core) logNewGrants(h message.Heartbeat, grants []message.RangeGrant, confirmed quorum.Confirmation, arrival clock.Millis) {
+	var added []message.Assignment
+	for _, g := range grants {
+		a := message.Assignment{From: g.From, To: g.To, FencingToken: g.FencingToken, Owner: h.Instance.Incarnation}
+		if !keyrange.Covered(h.Grants, a) {
+			added = append(added, a)
+		}
+	}
+	if len(added) == 0 {
+		return
+	}
+	c.log.Info().Str("Event", "grant").Str("Service", string(h.Instance.Service)).Str("Target", string(h.Instance.Incarnation.ID)).Int("Heartbeat", h.Sequence).
+		Str("Rows", describe(added)).Uint64("Term", uint64(confirmed.Term)).Uint64("ConfirmedIndex", uint64(confirmed.Index)).Uint64("StateIndex", uint64(c.machine.Index())).
+		Int64("TookMillis", int64(c.options.Clock.Now()-arrival)).Msg("granting keys that the heartbeat does not report")
 }
 
 // register commits the registration of a target if it is new or has changed.
--- a/internal/coordination/quorum/quorum.go
+++ b/internal/coordination/quorum/quorum.go
@@ -175,6 +175,9 @@
 	if err != nil {
 		return err
 	}
+	s := r.Status()
+	q.options.Log.Info().Str("Event", "log-opened").Uint64("Term", uint64(s.Term)).Uint64("SnapshotIndex", uint64(s.SnapshotIndex)).Uint64("LastIndex", uint64(s.LastIndex)).
+		Msg("replicated log opened, state restored from its snapshot")
 	q.replica.Store(r)
 	defer q.replica.Store(nil)
 	var membership sync.WaitGroup
@@ -397,15 +400,22 @@
 	return out, q.rpcError(err)
 }
 
+// Confirmation states in which term this replica was confirmed to lead, and the index up to
+// which entries were applied by then.
+type Confirmation struct {
+	Term  replog.Term
+	Index replog.Index
+}
+
 // Confirm confirms, by a round of messages that begins after the call, that this replica
 // leads. It returns once all entries that were acknowledged before the call are applied.
-func (q *Quorum) Confirm(ctx context.Context) error {
+func (q *Quorum) Confirm(ctx context.Context) (Confirmation, error) {
 	r := q.replica.Load()
 	if r == nil {
-		return unavailable(ErrNotOpen)
+		return Confirmation{}, unavailable(ErrNotOpen)
 	}
-	_, _, err := r.ReadIndex(ctx)
-	return q.rpcError(err)
+	term, index, err := r.ReadIndex(ctx)
+	return Confirmation{Term: term, Index: index}, q.rpcError(err)
 }
 
 // rpcError converts an error of the log.
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -198,6 +198,13 @@
 	return nil
 }
 
+// Index returns the index of the last entry that was applied.
+func (m *Machine) Index() message.Version {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Index
+}
+
 // Changed returns a channel that is closed when the next command is applied.
 func (m *Machine) Changed() <-chan struct{} {
 	m.mu.Lock()
--- a/internal/ownership/keyrange/keyrange.go
+++ b/internal/ownership/keyrange/keyrange.go
@@ -408,7 +408,7 @@
 			continue
 		}
 		g := message.RangeGrant{From: a.From, To: a.To, FencingToken: a.FencingToken, HandoverToken: a.HandoverToken}
-		if covered(reported, a) {
+		if Covered(reported, a) {
 			g.HandoverToken = ""
 		}
 		out = append(out, g)
@@ -416,9 +416,9 @@
 	return out
 }
 
-// covered reports whether one of the ranges that an owner reports contains the whole
+// Covered reports whether one of the ranges that an owner reports contains the whole
 // assignment, with the same or a higher fencing token.
-func covered(reported []message.RangeGrant, a message.Assignment) bool {
+func Covered(reported []message.RangeGrant, a message.Assignment) bool {
 	for _, g := range reported {
 		if g.From <= a.From && g.To >= a.To && g.FencingToken >= a.FencingToken {
 			return true
