core: what a leader reads and decides belongs to one term and one opening of the log

Callers saw: two targets held the same keys and both ran requests for them; or a target gave up all of its keys at once. Cause: a leader whose disk failed opened its log again in the same process. A target takes a range that it had before under the old token, as it has never seen the newer one. The class: a check of something mutable before a wait, and its use after it. The same shape was in the leases of targets that take keys by calls, in watch, in the read of the configuration, and in the planner, whose decisions could be committed in a later term than that of the lease table they rest on. Change: each opening of the log has a state machine of its own, which never goes back. A quorum.Leadership belongs to one opening and one term; state, confirmation and proposals are reached through it only, so a proposal is appended in its own term or not at all (replog.ProposeInTerm). In the core, the lease table, the plans and the pending changes are part of the leadership as well, and a call is handled by the one in which it arrived. Waits end with the leadership, and nothing is granted after it. The unit tests of quorum reach proposals through the leadership now; the call that must be answered as unavailable while the log is not open is the one of other replicas for the identity. Why this works: a response can only be of a state that is at least as new as what was confirmed after the heartbeat arrived, and the target has reported nothing since.

--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -1,9 +1,12 @@
 // Package core implements a replica of the mesh's core. The leader serves sidecars and
 // operators from the replicated registry and assigns keys to targets.
 //
-// Followers serve no state; their responses name the leader. Before each response that
-// renews a lease, publishes state or returns the configuration, the leader confirms its
-// leadership with a round of the log.
+// Followers serve no state; their responses name the leader. What a leader knows and decides
+// belongs to one leadership: one term, of one opening of the log. A call is handled by the
+// leadership in which it arrived, and by no later one. Before each response that renews a
+// lease, publishes state or returns the configuration, the leadership is confirmed with a
+// round of the log; the state that is read then is never older than that, however long the
+// call waits.
 //
 // # Usage
 //
@@ -13,9 +16,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
-	"sync"
 	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -24,7 +25,6 @@
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
 	"github.com/gentiansail/gentiansail/internal/coordination/quorum"
 	"github.com/gentiansail/gentiansail/internal/coordination/registry"
-	"github.com/gentiansail/gentiansail/internal/ownership/grant"
 	"github.com/gentiansail/gentiansail/internal/rpc"
 	"github.com/gentiansail/gentiansail/internal/settings"
 	"github.com/gentiansail/gentiansail/internal/supervisor"
@@ -56,49 +56,17 @@
 	options Options
 	log     zerolog.Logger
 	quorum  *quorum.Quorum
-	machine *registry.Machine
-	leases  *grant.LeaseTable
 	metrics *metrics
-	// leaseTableTerm is the log's term to which the lease table belongs. The status of the
-	// log shows a new term before onRole is called; until then, the table still has the
-	// leases of an earlier term.
-	leaseTableTerm atomic.Uint64
-
-	// changesMu guards pendingChanges, which are the changes being committed by digest.
-	changesMu      sync.Mutex
-	pendingChanges map[string]*pendingChange
-
-	// mu serializes decisions about keys: grants, moves and expiries.
-	mu sync.Mutex
-	// unassignedSince is when all keys of a service were first seen to be unassigned.
-	unassignedSince map[message.ServiceName]clock.Millis
-	// leavingSince is when an owner was first seen to be leaving.
-	leavingSince map[message.Incarnation]clock.Millis
-	// moveWantedSince is when a service was first seen to need a planned move.
-	moveWantedSince map[message.ServiceName]clock.Millis
-	// loadsCommittedAt is when the loads of a service were last committed.
-	loadsCommittedAt map[message.ServiceName]clock.Millis
-	// delayedOwners are overloaded targets whose heartbeat responses are delayed until
-	// another target sends a heartbeat.
-	delayedOwners map[message.Incarnation]bool
-	// rebalancedAt is when a move between targets of a service that takes grants by calls was
-	// last scheduled.
-	rebalancedAt map[message.ServiceName]clock.Millis
-	// settled and settling are log indexes. Grants up to settled are old enough to be joined.
-	settled, settling message.FencingToken
-	settlingSince     clock.Millis
+	// current is the latest leadership of this replica; nil before the first, and while
+	// another replica leads.
+	current atomic.Pointer[leadership]
 	// planNow wakes the planner.
 	planNow chan struct{}
 }
 
 // New returns a Core that is not running yet.
 func New(options Options) *Core {
-	leaseDuration := min(defaultLeaseDuration, max(options.Settings.Bounds.MaxLeaseMillis, 1))
-	if options.Settings.Bounds.MaxLeaseMillis == 0 {
-		leaseDuration = defaultLeaseDuration
-	}
-	c := &Core{options: options, log: options.Log, machine: registry.New(), pendingChanges: map[string]*pendingChange{}, planNow: make(chan struct{}, 1), leases: grant.NewLeaseTable(options.Clock, leaseDuration)}
-	c.resetPlans()
+	c := &Core{options: options, log: options.Log, planNow: make(chan struct{}, 1)}
 	var seeds []message.Address
 	for _, a := range options.Settings.Seeds {
 		seeds = append(seeds, quorum.PeerAddress(a, options.Settings.PeerPort))
@@ -106,9 +74,9 @@
 	c.quorum = quorum.New(quorum.Options{
 		Name: options.Settings.Name, Address: c.peerAddress(), DataFolder: options.Settings.DataFolder,
 		Seeds: seeds, FirstStart: options.Settings.FirstStart, VoterCount: c.voterCount(),
-		Machine: quorum.StateMachine{
-			Apply: c.machine.Apply, Capture: c.machine.Capture, Restore: c.machine.Restore,
-			Reset: func() { _ = c.machine.Restore([]byte("{}")) },
+		NewMachine: func() quorum.StateMachine {
+			m := registry.New()
+			return quorum.StateMachine{Apply: m.Apply, Capture: m.Capture, Restore: m.Restore, State: m}
 		},
 		Clock: options.Clock, Log: options.Log, OnRole: c.onRole,
 	})
@@ -124,45 +92,42 @@
 	return quorum.PeerAddress(c.options.Settings.Listen.Control, c.options.Settings.PeerPort)
 }
 
-// resetPlans drops the state on which pending decisions are based.
-func (c *Core) resetPlans() {
-	c.unassignedSince = map[message.ServiceName]clock.Millis{}
-	c.leavingSince = map[message.Incarnation]clock.Millis{}
-	c.moveWantedSince = map[message.ServiceName]clock.Millis{}
-	c.loadsCommittedAt = map[message.ServiceName]clock.Millis{}
-	c.delayedOwners = map[message.Incarnation]bool{}
-	c.rebalancedAt = map[message.ServiceName]clock.Millis{}
-	c.settled, c.settling, c.settlingSince = 0, 0, 0
+// onRole is called from the event loop of the log and must not block.
+func (c *Core) onRole(r replog.Role, t replog.Term, l *quorum.Leadership) {
+	c.log.Info().Str("Event", "role").Str("LogRole", r.String()).Uint64("Term", uint64(t)).Msg("role changed")
+	if l == nil {
+		c.current.Store(nil)
+		return
+	}
+	c.current.Store(c.newLeadership(l, l.State().(*registry.Machine)))
 }
 
-// onRole is called from the event loop of the log and must not block. The lock of the lease
-// table is held only briefly, and the planner resets the plans later.
-func (c *Core) onRole(r replog.Role, t replog.Term) {
-	c.log.Info().Str("Event", "role").Str("LogRole", r.String()).Uint64("Term", uint64(t)).Msg("role changed")
-	if r == replog.Leader {
-		c.leases.BeginTerm()
-		c.leaseTableTerm.Store(uint64(t))
+// lead returns the current leadership, or an error with the address of the leader if another
+// replica leads.
+func (c *Core) lead() (*leadership, error) {
+	if l := c.current.Load(); l != nil && l.Err() == nil {
+		return l, nil
 	}
+	return nil, &rpc.Error{Code: rpc.CodeNotLeader, Message: "another replica leads", Leader: c.quorum.Leader()}
 }
 
-// isLeader reports whether this replica leads and its lease table belongs to the current
-// term.
+// isLeader reports whether this replica leads as far as it knows.
 func (c *Core) isLeader() bool {
-	s, ok := c.quorum.Status()
-	return ok && s.Role == replog.Leader && uint64(s.Term) == c.leaseTableTerm.Load()
+	_, err := c.lead()
+	return err == nil
 }
 
 // Run serves the other processes of the mesh and runs the log until ctx ends.
 func (c *Core) Run(ctx context.Context, l net.Listener) error {
 	server := rpc.NewServer()
 	c.quorum.Register(server)
-	rpc.Handle(server, message.MethodWatch, c.watch)
+	handle(c, server, message.MethodWatch, (*leadership).watch)
 	rpc.Handle(server, message.MethodHeartbeat, c.heartbeat)
 	rpc.Handle(server, message.MethodLease, c.lease)
-	rpc.Handle(server, message.MethodLeaseWatch, c.watchLease)
-	rpc.Handle(server, message.MethodLeave, c.leave)
-	rpc.Handle(server, message.MethodHostStop, c.hostStop)
-	rpc.Handle(server, message.MethodCrash, c.crash)
+	handle(c, server, message.MethodLeaseWatch, (*leadership).watchLease)
+	handle(c, server, message.MethodLeave, (*leadership).leave)
+	handle(c, server, message.MethodHostStop, (*leadership).hostStop)
+	handle(c, server, message.MethodCrash, (*leadership).crash)
 	// On shutdown, the log transfers its leadership, so the server that carries its messages
 	// must stop after it.
 	serverCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -186,102 +151,32 @@
 	return err
 }
 
-// propose commits a command and returns its outcome.
-func (c *Core) propose(ctx context.Context, command message.Command) (registry.Outcome, error) {
-	return c.proposeWithin(ctx, command, proposeTimeout)
+// handle registers a method that the current leadership handles.
+func handle[Request, Response any](c *Core, s *rpc.Server, method string, f func(*leadership, context.Context, Request) (Response, error)) {
+	rpc.Handle(s, method, func(ctx context.Context, r Request) (Response, error) { return serve(ctx, c, r, f) })
 }
 
-func (c *Core) proposeWithin(ctx context.Context, command message.Command, timeout clock.Millis) (registry.Outcome, error) {
-	data, err := json.Marshal(command)
+// serve passes a call to the current leadership.
+func serve[Request, Response any](ctx context.Context, c *Core, r Request, f func(*leadership, context.Context, Request) (Response, error)) (Response, error) {
+	l, err := c.lead()
 	if err != nil {
-		return registry.Outcome{}, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
-	defer cancel()
-	out, err := c.quorum.Propose(ctx, data)
-	if err != nil {
-		return registry.Outcome{}, err
-	}
-	return out.(registry.Outcome), nil
-}
-
-// requireLeader returns an error with the address of the leader if another replica leads.
-func (c *Core) requireLeader() error {
-	if c.isLeader() {
-		return nil
-	}
-	return &rpc.Error{Code: rpc.CodeNotLeader, Message: "another replica leads", Leader: c.quorum.Leader()}
-}
-
-// maxWatchWait bounds how long a watch stays open without a change. The sidecar needs the
-// response to know that its copy of the state is still current.
-const maxWatchWait clock.Millis = 1000
-
-// watch returns the changes after the known version, or waits for them.
-func (c *Core) watch(ctx context.Context, r message.WatchRequest) (message.WatchReply, error) {
-	end := c.options.Clock.Now() + min(clock.Millis(r.WaitMillis), maxWatchWait)
-	if err := c.requireLeader(); err != nil {
-		return message.WatchReply{}, err
-	}
-	for _, reported := range append(r.RejectedLoads, message.ServiceLoads{Service: r.Service, Loads: r.Loads}) {
-		if len(reported.Loads) > 0 {
-			c.leases.SeedLoads(reported.Service, c.machine.Assignments(reported.Service).Loads)
-			c.leases.RecordLoads(reported.Service, reported.Loads)
-		}
-	}
-	if _, err := c.quorum.Confirm(ctx); err != nil {
-		return message.WatchReply{}, err
-	}
-	for {
-		changed := c.machine.Changed()
-		out := c.machine.ChangesSince(r.KnownVersion)
-		if len(out.Items)+len(out.Removed) > 0 || out.Packed != nil || out.Full || c.options.Clock.Now() >= end {
-			out.CoreAddresses = c.voterAddresses()
-			return out, nil
-		}
-		waitCtx, cancel := context.WithTimeout(ctx, (end - c.options.Clock.Now()).Duration())
-		select {
-		case <-changed:
-		case <-waitCtx.Done():
-		}
-		cancel()
-		if ctx.Err() != nil {
-			return message.WatchReply{}, ctx.Err()
-		}
-		if err := c.requireLeader(); err != nil {
-			return message.WatchReply{}, err
-		}
+		var none Response
+		return none, err
 	}
+	return f(l, ctx, r)
 }
 
-func (c *Core) voterAddresses() []message.Address {
-	out := []message.Address{}
-	if s, ok := c.quorum.Status(); ok {
-		for _, m := range s.Voters {
-			out = append(out, message.Address(m.Address))
-		}
-	}
-	return out
-}
-
-func (c *Core) leave(ctx context.Context, l message.Leave) (struct{}, error) {
-	out, err := c.propose(ctx, message.Command{Leave: &l})
-	c.log.Info().Err(err).Str("Event", "target-leaves").Str("Target", string(l.Incarnation.ID)).Bool("Gone", l.Final).Int("Status", int(out.Status)).Msg("target is draining")
-	return struct{}{}, err
+// heartbeat responds to the heartbeat of a target.
+func (c *Core) heartbeat(ctx context.Context, h message.Heartbeat) (message.HeartbeatReply, error) {
+	out, err := serve(ctx, c, h, (*leadership).heartbeat)
+	c.metrics.countResult(c.metrics.heartbeats, err)
+	return out, err
 }
 
-func (c *Core) hostStop(ctx context.Context, h message.HostStop) (struct{}, error) {
-	_, err := c.propose(ctx, message.Command{HostStop: &h})
-	return struct{}{}, err
-}
-
-func (c *Core) crash(ctx context.Context, r message.Crash) (struct{}, error) {
-	_, err := c.propose(ctx, message.Command{Crash: &r})
-	if i, ok := c.machine.Instance(r.Incarnation.ID); err == nil && r.Ended && ok && i.Incarnation == r.Incarnation && c.grantsByCall(i.Service) {
-		// The keys of a process that has ended need not wait for its lease.
-		_, err = c.propose(ctx, message.Command{Expire: &r.Incarnation})
-		c.wakePlanner()
-	}
-	c.log.Warn().Err(err).Str("Event", "target-crashed").Str("Target", string(r.Incarnation.ID)).Bool("Ended", r.Ended).Strs("Fingerprints", r.Fingerprints).Msg("a target died while it processed requests")
-	return struct{}{}, err
+// lease gives the sidecar of a target a lease of the target's keys, and completes the moves
+// of the keys that the target has released.
+func (c *Core) lease(ctx context.Context, r message.LeaseRequest) (message.LeaseReply, error) {
+	out, err := serve(ctx, c, r, (*leadership).lease)
+	c.metrics.countResult(c.metrics.leases, err)
+	return out, err
 }
--- a/internal/coordination/core/lease_test.go
+++ b/internal/coordination/core/lease_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
+	"github.com/gentiansail/gentiansail/internal/coordination/registry"
 	"github.com/gentiansail/gentiansail/internal/ownership/delivery"
 	"github.com/gentiansail/gentiansail/internal/ownership/keyrange"
 	"github.com/gentiansail/gentiansail/internal/settings"
@@ -16,25 +17,26 @@
 	"github.com/gentiansail/gentiansail/pkg/replog"
 )
 
-// newTestCore returns a core that is not running, with one service whose targets take their
+// newTestLeadership returns what the leader of a core that is not running knows, with one service whose targets take their
 // keys by calls, and targets that sent a heartbeat just now.
-func newTestCore(t *testing.T, targets ...message.Incarnation) (*Core, *clock.Manual) {
+func newTestLeadership(t *testing.T, targets ...message.Incarnation) (*leadership, *clock.Manual) {
 	m := clock.NewManual(1000)
 	c := New(Options{Settings: settings.Host{Listen: settings.HostListeners{Control: "127.0.0.1:1"}, PeerPort: 2}, Clock: m.Clock(), Log: zerolog.Nop(), Metrics: prometheus.NewRegistry()})
+	l := c.newLeadership(nil, registry.New())
 	index := replog.Index(0)
 	apply := func(command message.Command) {
 		data, err := json.Marshal(command)
 		qt.Assert(t, err, qt.IsNil)
 		index++
-		c.machine.Apply(replog.Entry{Index: index, Data: data})
+		l.machine.Apply(replog.Entry{Index: index, Data: data})
 	}
 	apply(message.Command{Change: &message.ConfigurationChange{Version: 1, Replace: true, Digest: "d", Services: []message.ServiceSpec{{Name: "finder", Keyed: true, GrantsByCall: true, Source: "{}"}}}})
 	for _, i := range targets {
 		instance := message.Instance{Incarnation: i, Service: "finder", Peer: message.Address(i.ID), Slots: 4}
 		apply(message.Command{Register: &instance})
-		c.leases.RecordHeartbeat(message.Heartbeat{Instance: instance}, m.Clock().Now())
+		l.leases.RecordHeartbeat(message.Heartbeat{Instance: instance}, m.Clock().Now())
 	}
-	return c, m
+	return l, m
 }
 
 var (
@@ -45,39 +47,39 @@
 // Guards against keys that are moved to a target that has already fallen silent: in a
 // recorded day they came to a host 0.8 s after it was lost, and waited for its lease.
 func TestSilentTargetGetsNoKeys(t *testing.T) {
-	c, m := newTestCore(t, first, second)
+	l, m := newTestLeadership(t, first, second)
 	m.Advance(maxLeaseSilence / 2)
-	c.leases.RecordCallLease(first, m.Clock().Now(), delivery.LeaseDuration)
+	l.leases.RecordCallLease(first, m.Clock().Now(), delivery.LeaseDuration)
 	m.Advance(maxLeaseSilence/2 + 1)
 	eligible := map[message.Incarnation]bool{}
-	for _, x := range c.targets("finder") {
+	for _, x := range l.targets("finder") {
 		eligible[x.Incarnation] = x.Eligible
 	}
 	qt.Check(t, eligible, qt.DeepEquals, map[message.Incarnation]bool{first: true, second: false})
-	qt.Check(t, c.leases.Expired(second, m.Clock().Now(), delivery.LeaseDuration), qt.IsFalse, qt.Commentf("its lease may still be in force"))
+	qt.Check(t, l.leases.Expired(second, m.Clock().Now(), delivery.LeaseDuration), qt.IsFalse, qt.Commentf("its lease may still be in force"))
 }
 
 // Guards against keys that wait for heartbeats after a loss of power everywhere, when all
 // targets are back: they took 1.2 s more to be served than the registration of the targets.
 func TestKeysAreAssignedSoonAfterRestart(t *testing.T) {
-	c, m := newTestCore(t, first, second)
-	qt.Check(t, c.readyToAssign("finder", c.machine.Assignments("finder")), qt.IsFalse)
+	l, m := newTestLeadership(t, first, second)
+	qt.Check(t, l.readyToAssign("finder", l.machine.Assignments("finder")), qt.IsFalse)
 	m.Advance(firstAssignmentMargin)
-	qt.Check(t, c.readyToAssign("finder", c.machine.Assignments("finder")), qt.IsTrue)
+	qt.Check(t, l.readyToAssign("finder", l.machine.Assignments("finder")), qt.IsTrue)
 }
 
 // Guards against keys that are divided evenly after a restart of the core although busy ones
 // are known: in a recorded day of 80 hosts, two thirds of the requests for keys were rejected
 // for 8 s after a loss of power, until the busy keys had been moved.
 func TestBusyKeysAreDividedAfterRestart(t *testing.T) {
-	c, m := newTestCore(t, first, second)
-	committed := c.machine.Assignments("finder")
+	l, m := newTestLeadership(t, first, second)
+	committed := l.machine.Assignments("finder")
 	for bucket := range 8 {
 		committed.Loads = append(committed.Loads, message.Load{Bucket: bucket, Requests: 20_000})
 	}
-	c.nextAssignments("finder", committed)
+	l.nextAssignments("finder", committed)
 	m.Advance(firstAssignmentMargin)
-	list, kinds := c.nextAssignments("finder", committed)
+	list, kinds := l.nextAssignments("finder", committed)
 	qt.Assert(t, kinds["taken"], qt.IsTrue)
 	busy := map[message.Incarnation]int{}
 	for _, a := range list {
--- a/internal/coordination/core/operator.go
+++ b/internal/coordination/core/operator.go
@@ -25,7 +25,7 @@
 // may still take effect.
 func (c *Core) ApplyChange(ctx context.Context, change message.ConfigurationChange) (registry.Outcome, error) {
 	start := c.options.Clock.Now()
-	out, err := c.applyChange(ctx, change)
+	out, err := serve(ctx, c, change, (*leadership).applyChange)
 	c.metrics.changes.WithLabelValues(outcomeName(out, err)).Inc()
 	c.log.Info().Err(err).Str("Event", "change").Int("Version", change.Version).Int("Base", change.BaseVersion).Str("Digest", change.Digest).
 		Int("Status", int(out.Status)).Str("Reason", out.Reason).Int("Routes", len(change.Routes)).Int64("TookMillis", int64(c.options.Clock.Now()-start)).
@@ -33,14 +33,11 @@
 	return out, err
 }
 
-func (c *Core) applyChange(ctx context.Context, change message.ConfigurationChange) (registry.Outcome, error) {
-	if err := c.requireLeader(); err != nil {
-		return registry.Outcome{}, err
-	}
-	if c.machine.Configuration().Revision.Version == 0 && c.tooFewReplicas() {
+func (l *leadership) applyChange(ctx context.Context, change message.ConfigurationChange) (registry.Outcome, error) {
+	if l.machine.Configuration().Revision.Version == 0 && l.tooFewReplicas() {
 		return registry.Outcome{}, merry.Wrap(ErrTooFewReplicas)
 	}
-	return c.commitChange(ctx, change)
+	return l.commitChange(ctx, change)
 }
 
 // commitTimeout bounds the commit of a change, which goes on after its sender has given up.
@@ -57,26 +54,26 @@
 
 // commitChange commits a change, or waits for the commit of the same change if an operator
 // has sent it before. Each copy in the log would delay the first one.
-func (c *Core) commitChange(ctx context.Context, change message.ConfigurationChange) (registry.Outcome, error) {
-	c.changesMu.Lock()
-	p := c.pendingChanges[change.Digest]
+func (l *leadership) commitChange(ctx context.Context, change message.ConfigurationChange) (registry.Outcome, error) {
+	l.changesMu.Lock()
+	p := l.pendingChanges[change.Digest]
 	switch {
 	case p != nil:
-	case c.machine.Accepted(change.Digest):
-		c.changesMu.Unlock()
+	case l.machine.Accepted(change.Digest):
+		l.changesMu.Unlock()
 		return registry.Outcome{Status: registry.Done}, nil
 	default:
 		p = &pendingChange{done: make(chan struct{})}
-		c.pendingChanges[change.Digest] = p
+		l.pendingChanges[change.Digest] = p
 		go func() {
 			defer close(p.done)
-			p.outcome, p.err = c.proposeWithin(context.WithoutCancel(ctx), message.Command{Change: &change}, commitTimeout)
-			c.changesMu.Lock()
-			defer c.changesMu.Unlock()
-			delete(c.pendingChanges, change.Digest)
+			p.outcome, p.err = l.proposeWithin(context.WithoutCancel(ctx), message.Command{Change: &change}, commitTimeout)
+			l.changesMu.Lock()
+			defer l.changesMu.Unlock()
+			delete(l.pendingChanges, change.Digest)
 		}()
 	}
-	c.changesMu.Unlock()
+	l.changesMu.Unlock()
 	select {
 	case <-p.done:
 		return p.outcome, p.err
@@ -86,8 +83,8 @@
 }
 
 // tooFewReplicas reports whether a first configuration has to wait for more replicas.
-func (c *Core) tooFewReplicas() bool {
-	return c.TolerableLosses() < c.options.Settings.TolerateHosts && c.options.Clock.Now()-c.leases.TermStart() < maxReplicaWait
+func (l *leadership) tooFewReplicas() bool {
+	return l.core.TolerableLosses() < l.options.Settings.TolerateHosts && l.options.Clock.Now()-l.leases.TermStart() < maxReplicaWait
 }
 
 // TolerableLosses returns how many replicas the group can lose at once and still have a
@@ -112,13 +109,14 @@
 // ReadConfiguration returns the latest configuration. It returns an error if this replica
 // cannot confirm that its configuration is the latest.
 func (c *Core) ReadConfiguration(ctx context.Context) (registry.Configuration, error) {
-	if err := c.requireLeader(); err != nil {
-		return registry.Configuration{}, err
-	}
-	if _, err := c.quorum.Confirm(ctx); err != nil {
+	return serve(ctx, c, struct{}{}, (*leadership).readConfiguration)
+}
+
+func (l *leadership) readConfiguration(ctx context.Context, _ struct{}) (registry.Configuration, error) {
+	if _, err := l.Confirm(ctx); err != nil {
 		return registry.Configuration{}, err
 	}
-	return c.machine.Configuration(), nil
+	return l.machine.Configuration(), nil
 }
 
 // LeaderControlAddress returns the address on which the leader listens for operators. The
--- a/internal/coordination/core/operator_test.go
+++ b/internal/coordination/core/operator_test.go
@@ -46,7 +46,7 @@
 
 // lastIndex returns the index of the last entry that the replica has applied.
 func (c *Core) lastIndex(t *testing.T) replog.Index {
-	_, err := c.quorum.Confirm(t.Context())
+	_, err := c.current.Load().Confirm(t.Context())
 	qt.Assert(t, err, qt.IsNil)
 	s, ok := c.quorum.Status()
 	qt.Assert(t, ok, qt.IsTrue)
@@ -102,7 +102,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	_, err = c.ApplyChange(t.Context(), changeWithRoutes(4, 0, 2))
 	qt.Assert(t, err, qt.IsNil)
-	c.leaseTableTerm.Store(0) // as on a replica that does not lead
+	c.current.Store(nil) // as on a replica that does not lead
 	_, err = c.ApplyChange(t.Context(), changeWithRoutes(5, 3, 2))
 	qt.Assert(t, err, qt.Not(qt.IsNil))
 	for _, want := range []string{
--- a/internal/coordination/core/ownership.go
+++ b/internal/coordination/core/ownership.go
@@ -5,11 +5,11 @@
 	"fmt"
 
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
-	"github.com/gentiansail/gentiansail/internal/coordination/quorum"
 	"github.com/gentiansail/gentiansail/internal/coordination/registry"
 	"github.com/gentiansail/gentiansail/internal/ownership/keyrange"
 	"github.com/gentiansail/gentiansail/internal/rpc"
 	"github.com/gentiansail/gentiansail/pkg/clock"
+	"github.com/gentiansail/gentiansail/pkg/replog"
 )
 
 const (
@@ -43,48 +43,42 @@
 )
 
 // heartbeat responds to the heartbeat of a target.
-func (c *Core) heartbeat(ctx context.Context, h message.Heartbeat) (message.HeartbeatReply, error) {
-	out, err := c.processHeartbeat(ctx, h)
-	c.metrics.countResult(c.metrics.heartbeats, err)
-	return out, err
-}
-
-func (c *Core) processHeartbeat(ctx context.Context, h message.Heartbeat) (message.HeartbeatReply, error) {
-	arrival := c.options.Clock.Now()
-	if err := c.requireLeader(); err != nil {
-		return message.HeartbeatReply{}, err
-	}
-	if err := c.register(ctx, h.Instance, h.Before); err != nil {
+func (l *leadership) heartbeat(ctx context.Context, h message.Heartbeat) (message.HeartbeatReply, error) {
+	arrival := l.options.Clock.Now()
+	if err := l.register(ctx, h.Instance, h.Before); err != nil {
 		return message.HeartbeatReply{}, err
 	}
-	if spec, _ := c.machine.Service(h.Instance.Service); !spec.Keyed || spec.GrantsByCall {
+	if spec, _ := l.machine.Service(h.Instance.Service); !spec.Keyed || spec.GrantsByCall {
 		if spec.Keyed {
-			c.leases.SeedLoads(h.Instance.Service, c.machine.Assignments(h.Instance.Service).Loads)
+			l.leases.SeedLoads(h.Instance.Service, l.machine.Assignments(h.Instance.Service).Loads)
 		}
-		c.leases.RecordHeartbeat(h, arrival)
-		c.leases.PresumeLease(h.Instance.Incarnation, arrival, c.leaseDuration(h.Instance.Service))
+		l.leases.RecordHeartbeat(h, arrival)
+		l.leases.PresumeLease(h.Instance.Incarnation, arrival, l.leaseDuration(h.Instance.Service))
 		return message.HeartbeatReply{Grants: []message.RangeGrant{}}, nil
 	}
-	confirmed, err := c.quorum.Confirm(ctx)
+	confirmed, err := l.Confirm(ctx)
 	if err != nil {
 		return message.HeartbeatReply{}, err
 	}
-	c.leases.SeedLoads(h.Instance.Service, c.machine.Assignments(h.Instance.Service).Loads)
-	if !c.leases.RecordHeartbeat(h, arrival) {
+	l.leases.SeedLoads(h.Instance.Service, l.machine.Assignments(h.Instance.Service).Loads)
+	if !l.leases.RecordHeartbeat(h, arrival) {
 		return message.HeartbeatReply{Keyed: true, Grants: []message.RangeGrant{}}, nil
 	}
-	if err := c.updateAssignments(ctx, h); err != nil {
+	if err := l.updateAssignments(ctx, h); err != nil {
+		return message.HeartbeatReply{}, err
+	}
+	l.delayOverloadedOwner(ctx, h.Instance, arrival+maxResponseDelay)
+	l.awaitIncomingKeys(ctx, h.Instance, arrival+maxResponseDelay)
+	reply := l.grant(h, arrival)
+	if err := l.Err(); err != nil {
 		return message.HeartbeatReply{}, err
 	}
-	c.delayOverloadedOwner(ctx, h.Instance, arrival+maxResponseDelay)
-	c.awaitIncomingKeys(ctx, h.Instance, arrival+maxResponseDelay)
-	reply := c.grant(h, arrival)
-	c.logNewGrants(h, reply.Grants, confirmed, arrival)
+	l.logNewGrants(h, reply.Grants, confirmed, arrival)
 	return reply, nil
 }
 
 // logNewGrants logs the ranges that a response grants and the heartbeat did not report.
-func (c *Core) logNewGrants(h message.Heartbeat, grants []message.RangeGrant, confirmed quorum.Confirmation, arrival clock.Millis) {
+func (l *leadership) logNewGrants(h message.Heartbeat, grants []message.RangeGrant, confirmed replog.Index, arrival clock.Millis) {
 	var added []message.Assignment
 	for _, g := range grants {
 		a := message.Assignment{From: g.From, To: g.To, FencingToken: g.FencingToken, Owner: h.Instance.Incarnation}
@@ -95,23 +89,23 @@
 	if len(added) == 0 {
 		return
 	}
-	c.log.Info().Str("Event", "grant").Str("Service", string(h.Instance.Service)).Str("Target", string(h.Instance.Incarnation.ID)).Int("Heartbeat", h.Sequence).
-		Str("Rows", describe(added)).Uint64("Term", uint64(confirmed.Term)).Uint64("ConfirmedIndex", uint64(confirmed.Index)).Uint64("StateIndex", uint64(c.machine.Index())).
-		Int64("TookMillis", int64(c.options.Clock.Now()-arrival)).Msg("granting keys that the heartbeat does not report")
+	l.log.Info().Str("Event", "grant").Str("Service", string(h.Instance.Service)).Str("Target", string(h.Instance.Incarnation.ID)).Int("Heartbeat", h.Sequence).
+		Str("Rows", describe(added)).Uint64("Term", uint64(l.Term)).Uint64("ConfirmedIndex", uint64(confirmed)).Uint64("StateIndex", uint64(l.machine.Index())).
+		Int64("TookMillis", int64(l.options.Clock.Now()-arrival)).Msg("granting keys that the heartbeat does not report")
 }
 
 // register commits the registration of a target if it is new or has changed.
-func (c *Core) register(ctx context.Context, instance message.Instance, before *message.Incarnation) error {
-	old, ok := c.machine.Instance(instance.Incarnation.ID)
+func (l *leadership) register(ctx context.Context, instance message.Instance, before *message.Incarnation) error {
+	old, ok := l.machine.Instance(instance.Incarnation.ID)
 	instance.Draining = instance.Draining || ok && old.Incarnation == instance.Incarnation && old.Draining
 	if ok && old == instance {
 		return nil
 	}
-	out, err := c.propose(ctx, message.Command{Register: &instance, Before: before})
+	out, err := l.propose(ctx, message.Command{Register: &instance, Before: before})
 	if err == nil && out.Status != registry.Done {
 		err = &rpc.Error{Code: rpc.CodeRejected, Message: out.Reason}
 	}
-	c.log.Info().Err(err).Str("Event", "target").Str("Service", string(instance.Service)).Str("Target", string(instance.Incarnation.ID)).Int("Born", int(instance.Incarnation.StartTime)).
+	l.log.Info().Err(err).Str("Event", "target").Str("Service", string(instance.Service)).Str("Target", string(instance.Incarnation.ID)).Int("Born", int(instance.Incarnation.StartTime)).
 		Str("Peer", string(instance.Peer)).Int("Slots", instance.Slots).Bool("Draining", instance.Draining).Bool("Stopping", instance.Stopping).Msg("target registered")
 	return err
 }
@@ -119,17 +113,17 @@
 // updateAssignments commits the changes of assignments that follow from a heartbeat: keys
 // that the target has released go to their next owner, and the target may get unassigned
 // keys or become the next owner in a planned move.
-func (c *Core) updateAssignments(ctx context.Context, h message.Heartbeat) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+func (l *leadership) updateAssignments(ctx context.Context, h message.Heartbeat) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	target, service := h.Instance.Incarnation, h.Instance.Service
-	current := c.machine.Assignments(service)
+	current := l.machine.Assignments(service)
 	list, released := keyrange.CompleteMoves(current.List, target, h.Grants, h.Released)
-	loads, targets := c.leases.Loads(service), c.targets(service)
+	loads, targets := l.leases.Loads(service), l.targets(service)
 	assigned, scheduled := false, false
-	if isEligible(targets, target) && c.readyToAssign(service, current) {
+	if isEligible(targets, target) && l.readyToAssign(service, current) {
 		list, assigned = keyrange.AssignUnassigned(list, loads, targets, target)
-		list, scheduled = c.scheduleMoves(service, list, loads, targets, target)
+		list, scheduled = l.scheduleMoves(service, list, loads, targets, target)
 	}
 	if !released && !assigned && !scheduled {
 		return nil
@@ -137,22 +131,22 @@
 	changed := registry.ChangedAssignments(current.List, list)
 	for kind, happened := range map[string]bool{"released": released, "taken": assigned, "move": scheduled} {
 		if happened {
-			c.metrics.keyDecisions.WithLabelValues(kind).Inc()
+			l.metrics.keyDecisions.WithLabelValues(kind).Inc()
 		}
 	}
-	c.log.Info().Str("Event", "keys").Str("Service", string(service)).Str("Target", string(target.ID)).Bool("Released", released).Bool("Taken", assigned).Bool("MoveBegan", scheduled).
+	l.log.Info().Str("Event", "keys").Str("Service", string(service)).Str("Target", string(target.ID)).Bool("Released", released).Bool("Taken", assigned).Bool("MoveBegan", scheduled).
 		Str("Rows", describe(changed)).Msg("changing key assignments")
-	return c.commitAssignments(ctx, service, current, changed)
+	return l.commitAssignments(ctx, service, current, changed)
 }
 
 // commitAssignments commits changed assignments, provided that the old ones are still
 // current.
-func (c *Core) commitAssignments(ctx context.Context, service message.ServiceName, old registry.Assignments, changed []message.Assignment) error {
+func (l *leadership) commitAssignments(ctx context.Context, service message.ServiceName, old registry.Assignments, changed []message.Assignment) error {
 	change := message.AssignmentsChange{Service: service, ExpectedVersion: old.Version, Assignments: changed, Loads: []message.Load{}}
-	if now := c.options.Clock.Now(); now-c.loadsCommittedAt[service] >= loadsCommitInterval {
-		change.Loads, c.loadsCommittedAt[service] = c.leases.BusiestBuckets(service), now
+	if now := l.options.Clock.Now(); now-l.loadsCommittedAt[service] >= loadsCommitInterval {
+		change.Loads, l.loadsCommittedAt[service] = l.leases.BusiestBuckets(service), now
 	}
-	out, err := c.propose(ctx, message.Command{Assignments: &change})
+	out, err := l.propose(ctx, message.Command{Assignments: &change})
 	if err == nil && out.Status != registry.Done {
 		err = &rpc.Error{Code: rpc.CodeUnavailable, Message: out.Reason}
 	}
@@ -176,22 +170,22 @@
 }
 
 // targets returns the targets of a keyed service with their capacity.
-func (c *Core) targets(service message.ServiceName) []keyrange.Target {
+func (l *leadership) targets(service message.ServiceName) []keyrange.Target {
 	var instances []message.Instance
-	for _, i := range c.machine.Instances() {
+	for _, i := range l.machine.Instances() {
 		if i.Service == service {
 			instances = append(instances, i)
 		}
 	}
-	now, mean, silenceLimit := c.options.Clock.Now(), c.leases.MeanServiceMillis(instances), c.leases.LeaseDuration()
-	if c.grantsByCall(service) {
+	now, mean, silenceLimit := l.options.Clock.Now(), l.leases.MeanServiceMillis(instances), l.leases.LeaseDuration()
+	if l.grantsByCall(service) {
 		silenceLimit = maxLeaseSilence
 	}
 	var out []keyrange.Target
 	for _, i := range instances {
-		unresponsive := c.leases.SinceLastHeartbeat(i.Incarnation, now) > silenceLimit
+		unresponsive := l.leases.SinceLastHeartbeat(i.Incarnation, now) > silenceLimit
 		out = append(out, keyrange.Target{
-			Incarnation: i.Incarnation, Capacity: c.leases.Capacity(i, mean), Eligible: !i.Draining && !i.Stopping && !unresponsive,
+			Incarnation: i.Incarnation, Capacity: l.leases.Capacity(i, mean), Eligible: !i.Draining && !i.Stopping && !unresponsive,
 		})
 	}
 	return out
@@ -211,26 +205,26 @@
 // are assigned already, otherwise once all targets have had time to send a heartbeat. Keys
 // that are granted by calls are moved soon after, so that they wait only for targets that
 // were all started at the same time.
-func (c *Core) readyToAssign(service message.ServiceName, assignments registry.Assignments) bool {
+func (l *leadership) readyToAssign(service message.ServiceName, assignments registry.Assignments) bool {
 	for _, a := range assignments.List {
 		if a.Owner.ID != "" {
 			return true
 		}
 	}
-	now := c.options.Clock.Now()
-	since, known := c.unassignedSince[service]
+	now := l.options.Clock.Now()
+	since, known := l.unassignedSince[service]
 	if !known {
-		c.unassignedSince[service] = now
+		l.unassignedSince[service] = now
 		return false
 	}
-	if c.grantsByCall(service) {
+	if l.grantsByCall(service) {
 		return now-since >= firstAssignmentMargin
 	}
-	return now-since >= c.heartbeatInterval()+firstAssignmentMargin
+	return now-since >= l.heartbeatInterval()+firstAssignmentMargin
 }
 
-func (c *Core) heartbeatInterval() clock.Millis {
-	if h := c.options.Settings.HeartbeatMillis; h > 0 {
+func (l *leadership) heartbeatInterval() clock.Millis {
+	if h := l.options.Settings.HeartbeatMillis; h > 0 {
 		return h
 	}
 	return defaultHeartbeatInterval
@@ -240,11 +234,11 @@
 // most overloaded one. Moves from a leaving target are scheduled if its heartbeat is due
 // soon; vacateOverdue schedules the remaining ones. Moves from an overloaded target are
 // also scheduled while its response is delayed, or if they are overdue.
-func (c *Core) scheduleMoves(service message.ServiceName, list []message.Assignment, loads *keyrange.Loads, targets []keyrange.Target, to message.Incarnation) ([]message.Assignment, bool) {
-	now := c.options.Clock.Now()
+func (l *leadership) scheduleMoves(service message.ServiceName, list []message.Assignment, loads *keyrange.Loads, targets []keyrange.Target, to message.Incarnation) ([]message.Assignment, bool) {
+	now := l.options.Clock.Now()
 	scheduled := false
 	for _, t := range targets {
-		if c.mustVacate(t, list, now) && c.heartbeatDueSoon(t.Incarnation, now) {
+		if l.mustVacate(t, list, now) && l.heartbeatDueSoon(t.Incarnation, now) {
 			others := []keyrange.Target{}
 			for _, x := range targets {
 				x.Eligible = x.Eligible && x.Incarnation != t.Incarnation
@@ -257,34 +251,34 @@
 	}
 	from, ok := keyrange.MostOverloaded(list, loads, targets)
 	if !ok {
-		delete(c.moveWantedSince, service)
+		delete(l.moveWantedSince, service)
 		return list, scheduled
 	}
-	if _, known := c.moveWantedSince[service]; !known {
-		c.moveWantedSince[service] = now
+	if _, known := l.moveWantedSince[service]; !known {
+		l.moveWantedSince[service] = now
 	}
-	if overdue := now-c.moveWantedSince[service] > maxMoveDelay; !overdue && !c.delayedOwners[from] && !c.heartbeatDueSoon(from, now) {
+	if overdue := now-l.moveWantedSince[service] > maxMoveDelay; !overdue && !l.delayedOwners[from] && !l.heartbeatDueSoon(from, now) {
 		return list, scheduled
 	}
 	rebalanced, moved := keyrange.RebalanceTo(list, loads, targets, from, to)
 	if moved {
-		delete(c.moveWantedSince, service)
+		delete(l.moveWantedSince, service)
 	}
 	return rebalanced, scheduled || moved
 }
 
 // mustVacate reports whether a target is leaving and has keys without a scheduled move. If
 // so, it records in leavingSince when this was first seen.
-func (c *Core) mustVacate(t keyrange.Target, list []message.Assignment, now clock.Millis) bool {
-	i, ok := c.machine.Instance(t.Incarnation.ID)
+func (l *leadership) mustVacate(t keyrange.Target, list []message.Assignment, now clock.Millis) bool {
+	i, ok := l.machine.Instance(t.Incarnation.ID)
 	if !ok || !i.Draining && !i.Stopping {
-		delete(c.leavingSince, t.Incarnation)
+		delete(l.leavingSince, t.Incarnation)
 		return false
 	}
 	for _, a := range list {
 		if a.Owner == t.Incarnation && a.NextOwner.ID == "" {
-			if _, known := c.leavingSince[t.Incarnation]; !known {
-				c.leavingSince[t.Incarnation] = now
+			if _, known := l.leavingSince[t.Incarnation]; !known {
+				l.leavingSince[t.Incarnation] = now
 			}
 			return true
 		}
@@ -294,13 +288,13 @@
 
 // grant returns the response that renews the lease of a target and grants its keys. The
 // lease is recorded before the grants are read.
-func (c *Core) grant(h message.Heartbeat, arrival clock.Millis) message.HeartbeatReply {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+func (l *leadership) grant(h message.Heartbeat, arrival clock.Millis) message.HeartbeatReply {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	owner := h.Instance.Incarnation
-	c.leases.RecordLease(owner, arrival)
+	l.leases.RecordLease(owner, arrival)
 	return message.HeartbeatReply{
-		Keyed: true, Renewed: true, LeaseDurationMillis: message.Millis(c.leases.LeaseDuration()),
-		Grants: keyrange.Grants(c.machine.Assignments(h.Instance.Service).List, owner, h.Grants),
+		Keyed: true, Renewed: true, LeaseDurationMillis: message.Millis(l.leases.LeaseDuration()),
+		Grants: keyrange.Grants(l.machine.Assignments(h.Instance.Service).List, owner, h.Grants),
 	}
 }
--- a/internal/coordination/core/reopened_log_test.go
+++ b/internal/coordination/core/reopened_log_test.go
@@ -20,7 +20,7 @@
 func (c *Core) commit(t *testing.T, command message.Command) replog.Index {
 	data, err := json.Marshal(command)
 	qt.Assert(t, err, qt.IsNil)
-	_, err = c.quorum.Propose(t.Context(), data)
+	_, err = c.current.Load().Propose(t.Context(), data)
 	qt.Assert(t, err, qt.IsNil)
 	return c.lastIndex(t)
 }
@@ -32,7 +32,7 @@
 	var senders sync.WaitGroup
 	for n := c.lastIndex(t); n < last; n++ {
 		senders.Go(func() {
-			_, err := c.quorum.Propose(t.Context(), data)
+			_, err := c.current.Load().Propose(t.Context(), data)
 			qt.Check(t, err, qt.IsNil)
 		})
 	}
@@ -65,7 +65,7 @@
 }
 
 // decisions is the lock under which keys are granted.
-func (c *Core) decisions() *sync.Mutex { return &c.mu }
+func (c *Core) decisions() *sync.Mutex { return &c.current.Load().mu }
 
 // Guards against two owners of a key: a heartbeat that waits while the log of the leader is
 // closed and opened again was answered from the snapshot, with keys given away since then.
@@ -122,7 +122,7 @@
 		answers <- answer{reply, err}
 	}()
 	time.Sleep(100 * time.Millisecond) // The heartbeat is confirmed meanwhile, and waits.
-	_, _ = c.quorum.Propose(t.Context(), []byte("{}"))
+	_, _ = c.current.Load().Propose(t.Context(), []byte("{}"))
 	eventually(t, "the log is closed", func() bool { _, open := c.quorum.Status(); return !open })
 	repair()
 	eventually(t, "the log is open again", func() bool { _, open := c.quorum.Status(); return open })
--- a/internal/coordination/quorum/group_test.go
+++ b/internal/coordination/quorum/group_test.go
@@ -31,16 +31,38 @@
 	return startReplica(t, l, options)
 }
 
-// startReplica runs a replica until it is stopped or the test ends. The other options are
-// those of a state machine without state.
+// stateless returns state machines without state, which apply entries by the given function,
+// if there is one.
+func stateless(apply func(replog.Entry) any) func() StateMachine {
+	if apply == nil {
+		apply = func(replog.Entry) any { return nil }
+	}
+	return func() StateMachine {
+		return StateMachine{
+			Apply:   apply,
+			Capture: func() (func() ([]byte, error), error) { return func() ([]byte, error) { return nil, nil }, nil },
+			Restore: func([]byte) error { return nil },
+		}
+	}
+}
+
+// propose commits a command in the current leadership.
+func (q *Quorum) propose(ctx context.Context, data []byte) (any, error) {
+	l := q.leadership.Load()
+	if l == nil {
+		return nil, q.notLeader()
+	}
+	return l.Propose(ctx, data)
+}
+
+// startReplica runs a replica until it is stopped or the test ends. By default, its state
+// machine does nothing.
 func startReplica(t *testing.T, l net.Listener, options Options) *testReplica {
 	options.Address = message.Address(l.Addr().String())
-	if options.Machine.Apply == nil {
-		options.Machine.Apply = func(replog.Entry) any { return nil }
+	if options.NewMachine == nil {
+		options.NewMachine = stateless(nil)
 	}
-	options.Machine.Capture = func() (func() ([]byte, error), error) { return func() ([]byte, error) { return nil, nil }, nil }
-	options.Machine.Restore, options.Machine.Reset = func([]byte) error { return nil }, func() {}
-	options.Clock, options.Log, options.OnRole = clock.System(), zerolog.New(zerolog.NewTestWriter(t)).With().Timestamp().Str("Name", options.Name).Logger(), func(replog.Role, replog.Term) {}
+	options.Clock, options.Log, options.OnRole = clock.System(), zerolog.New(zerolog.NewTestWriter(t)).With().Timestamp().Str("Name", options.Name).Logger(), func(replog.Role, replog.Term, *Leadership) {}
 	r := &testReplica{Quorum: New(options), ended: make(chan error, 1)}
 	server := rpc.NewServer()
 	r.Register(server)
@@ -92,7 +114,7 @@
 	for i, l := range listeners {
 		name := replog.ReplicaID(rune('a' + i))
 		g.replicas[name] = startReplica(t, l, Options{
-			Name: string(name), DataFolder: t.TempDir(), Seeds: g.seeds, FirstStart: true, VoterCount: g.voters, Machine: StateMachine{Apply: apply},
+			Name: string(name), DataFolder: t.TempDir(), Seeds: g.seeds, FirstStart: true, VoterCount: g.voters, NewMachine: stateless(apply),
 		})
 	}
 	eventually(t, "all replicas are caught-up voters", func() bool { return len(g.caughtUp()) == g.voters })
--- a/internal/coordination/quorum/large_entry_test.go
+++ b/internal/coordination/quorum/large_entry_test.go
@@ -82,7 +82,7 @@
 	_, _ = random.Read(data)
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
-	_, err := leader.Propose(ctx, data)
+	_, err := leader.propose(ctx, data)
 	qt.Assert(t, err, qt.IsNil)
 	eventually(t, "all replicas have applied the entry", func() bool { return copies.Load() == 3 })
 	after, _ := leader.Status()
--- a/internal/coordination/quorum/quorum.go
+++ b/internal/coordination/quorum/quorum.go
@@ -16,11 +16,22 @@
 // be lost. Quorum closes it, waits, and opens the folder again in the same process. While
 // a disk stays full, the replica does not take part in the group, but its process runs on.
 //
+// Each opening of the log has a state machine of its own, which starts from the last
+// snapshot. Callers read state and propose commands through a Leadership, which belongs to
+// one opening and one term. So what they read never goes back to an older state, and what
+// they decided on in one term is not committed in another.
+//
 // # Usage
 //
 //	q := quorum.New(quorum.Options{...})
 //	q.Register(server)
 //	err := q.Run(ctx)
+//
+// In a handler, with the Leadership that OnRole was last called with:
+//
+//	index, err := leadership.Confirm(ctx)
+//	state := leadership.State()
+//	result, err := leadership.Propose(ctx, command)
 package quorum
 
 import (
@@ -76,8 +87,8 @@
 	Apply   func(replog.Entry) any
 	Capture func() (func() ([]byte, error), error)
 	Restore func([]byte) error
-	// Reset clears the state. It is called before the log is opened.
-	Reset func()
+	// State is the state that these functions change.
+	State any
 }
 
 // Options configure a Quorum.
@@ -91,11 +102,13 @@
 	// VoterCount is the number of voters that the group needs to tolerate the required
 	// loss of hosts.
 	VoterCount int
-	Machine    StateMachine
+	// NewMachine returns an empty state machine. It is called each time the log is opened.
+	NewMachine func() StateMachine
 	Clock      clock.Clock
 	Log        zerolog.Logger
-	// OnRole is called with each change of role. It must not block.
-	OnRole func(replog.Role, replog.Term)
+	// OnRole is called with each change of role, and with a Leadership if this replica leads
+	// now. It must not block.
+	OnRole func(replog.Role, replog.Term, *Leadership)
 }
 
 // Quorum is one replica. It outlives its log, which is closed and opened again after a
@@ -104,6 +117,8 @@
 	options Options
 	// replica is nil while the log is not open.
 	replica atomic.Pointer[replog.Replica]
+	// leadership is the current or last one; nil before the first.
+	leadership atomic.Pointer[Leadership]
 	// parts joins the parts of long messages from other replicas.
 	parts *replication.Assembler
 
@@ -159,7 +174,7 @@
 	if err := q.markFirstStart(); err != nil {
 		return err
 	}
-	q.options.Machine.Reset()
+	o := &opening{machine: q.options.NewMachine()}
 	membershipCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	replicaCtx, stopReplica := context.WithCancel(context.WithoutCancel(ctx))
@@ -169,12 +184,13 @@
 		Name: replog.ReplicaID(q.options.Name), Address: string(q.options.Address), Clock: q.options.Clock,
 		Random:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		HeartbeatEvery: heartbeatInterval, ElectionTimeout: electionTimeout, SnapshotEvery: snapshotInterval,
-		Send: q.send, Apply: q.options.Machine.Apply, Snapshot: q.options.Machine.Capture, Restore: q.options.Machine.Restore,
-		OnRoleChange: q.options.OnRole,
+		Send: q.send, Apply: o.machine.Apply, Snapshot: o.machine.Capture, Restore: o.machine.Restore,
+		OnRoleChange: func(role replog.Role, term replog.Term) { q.changeRole(o, role, term) },
 	})
 	if err != nil {
 		return err
 	}
+	o.replica.Store(r)
 	s := r.Status()
 	q.options.Log.Info().Str("Event", "log-opened").Uint64("Term", uint64(s.Term)).Uint64("SnapshotIndex", uint64(s.SnapshotIndex)).Uint64("LastIndex", uint64(s.LastIndex)).
 		Msg("replicated log opened, state restored from its snapshot")
@@ -185,6 +201,7 @@
 	membership.Go(func() { q.removeSilentMembers(membershipCtx, r) })
 	select {
 	case err = <-r.Done():
+		q.endLeadership()
 		cancel()
 		membership.Wait()
 	case <-ctx.Done():
@@ -192,6 +209,7 @@
 		q.leaveGroup(replicaCtx, r)
 		stopReplica()
 		err = <-r.Done()
+		q.endLeadership()
 	}
 	return err
 }
@@ -390,34 +408,6 @@
 	return ok && isVoter(s)
 }
 
-// Propose commits a command and returns the result of Apply.
-func (q *Quorum) Propose(ctx context.Context, data []byte) (any, error) {
-	r := q.replica.Load()
-	if r == nil {
-		return nil, unavailable(ErrNotOpen)
-	}
-	out, err := r.Propose(ctx, data)
-	return out, q.rpcError(err)
-}
-
-// Confirmation states in which term this replica was confirmed to lead, and the index up to
-// which entries were applied by then.
-type Confirmation struct {
-	Term  replog.Term
-	Index replog.Index
-}
-
-// Confirm confirms, by a round of messages that begins after the call, that this replica
-// leads. It returns once all entries that were acknowledged before the call are applied.
-func (q *Quorum) Confirm(ctx context.Context) (Confirmation, error) {
-	r := q.replica.Load()
-	if r == nil {
-		return Confirmation{}, unavailable(ErrNotOpen)
-	}
-	term, index, err := r.ReadIndex(ctx)
-	return Confirmation{Term: term, Index: index}, q.rpcError(err)
-}
-
 // rpcError converts an error of the log.
 func (q *Quorum) rpcError(err error) error {
 	switch {
--- a/internal/coordination/quorum/quorum_test.go
+++ b/internal/coordination/quorum/quorum_test.go
@@ -68,7 +68,7 @@
 	qt.Assert(t, os.WriteFile(obstacle, nil, 0o600), qt.IsNil)
 	qt.Assert(t, os.WriteFile(filepath.Join(folder, firstStartFile), nil, 0o600), qt.IsNil)
 	q := start(t, folder, false)
-	_, err := q.Propose(t.Context(), []byte("x"))
+	_, err := q.identity(t.Context(), message.IdentityRequest{})
 	qt.Assert(t, rpc.IsCode(err, rpc.CodeUnavailable), qt.IsTrue)
 	qt.Assert(t, os.Remove(obstacle), qt.IsNil)
 	eventually(t, "the log is open again", q.isLeader)
--- a/pkg/replog/loop.go
+++ b/pkg/replog/loop.go
@@ -193,6 +193,10 @@
 }
 
 func (n *loop) propose(p *proposal) {
+	if p.term != 0 && p.term != n.engine.core.state.Term {
+		p.finish(nil, merry.Wrap(ErrNotLeader, merry.AppendMessagef("term %d has ended", p.term)))
+		return
+	}
 	i, t, err := n.engine.core.propose(p.data)
 	if err != nil {
 		p.finish(nil, err)
--- a/pkg/replog/replica.go
+++ b/pkg/replog/replica.go
@@ -37,9 +37,11 @@
 	stopped chan struct{}
 }
 
-// proposal is a pending call of Propose.
+// proposal is a pending call of Propose or ProposeInTerm.
 type proposal struct {
-	data   []byte
+	data []byte
+	// term is the only term in which the command may be appended; 0 for any.
+	term   Term
 	result any
 	err    error
 	done   chan struct{}
@@ -137,13 +139,20 @@
 // command will never be applied; ErrOutcomeUnknown means that it may or may not be
 // applied.
 func (r *Replica) Propose(ctx context.Context, data []byte) (any, error) {
+	return r.ProposeInTerm(ctx, 0, data)
+}
+
+// ProposeInTerm is Propose for a command that rests on what the leader of a term knows. If
+// this replica no longer leads in that term, the error is ErrNotLeader, even if it has been
+// elected again since.
+func (r *Replica) ProposeInTerm(ctx context.Context, t Term, data []byte) (any, error) {
 	if len(data) > MaxEntryBytes {
 		return nil, merry.Wrap(ErrTooLarge, merry.AppendMessagef("%d bytes", len(data)))
 	}
 	if r.isStopped() {
 		return nil, merry.Wrap(ErrNotLeader)
 	}
-	p := &proposal{data: append([]byte(nil), data...), done: make(chan struct{})}
+	p := &proposal{data: append([]byte(nil), data...), term: t, done: make(chan struct{})}
 	if r.proposals.Put(ctx, p) != nil {
 		return nil, merry.Wrap(ErrNotLeader, merry.AppendMessage("context ended before the proposal was queued"))
 	}
