core, replog: tests of answers and proposals that outlive a leadership

Cause: the fix of answers from an older state had a test for heartbeats only. Change: TestCallIsNotAnsweredFromOlderState takes the place of TestHeartbeatIsNotAnsweredFromOlderState; both of its forms are kept, and the lease of a target that takes keys by calls is added. TestCommandOfEarlierTermIsNotAppended for replog.

--- a/internal/coordination/core/reopened_log_test.go
+++ b/internal/coordination/core/reopened_log_test.go
@@ -16,6 +16,9 @@
 	"github.com/gentiansail/gentiansail/pkg/replog"
 )
 
+// snapshotInterval is the number of entries between two snapshots of the log.
+const snapshotInterval = 500
+
 // commit commits a command and returns the index of its entry.
 func (c *Core) commit(t *testing.T, command message.Command) replog.Index {
 	data, err := json.Marshal(command)
@@ -25,6 +28,14 @@
 	return c.lastIndex(t)
 }
 
+// assign commits assignments of the service catalogue and returns the index of the entry.
+func (c *Core) assign(t *testing.T, list ...message.Assignment) replog.Index {
+	current := c.current.Load().machine.Assignments("catalogue")
+	index := c.commit(t, message.Command{Assignments: &message.AssignmentsChange{Service: "catalogue", ExpectedVersion: current.Version, Assignments: list}})
+	qt.Assert(t, c.current.Load().machine.Assignments("catalogue").Version, qt.Equals, message.Version(index))
+	return index
+}
+
 // fill commits entries without effect up to an index.
 func (c *Core) fill(t *testing.T, last replog.Index) {
 	data, err := json.Marshal(message.Command{HostStop: &message.HostStop{}})
@@ -67,37 +78,57 @@
 // decisions is the lock under which keys are granted.
 func (c *Core) decisions() *sync.Mutex { return &c.current.Load().mu }
 
-// Guards against two owners of a key: a heartbeat that waits while the log of the leader is
-// closed and opened again was answered from the snapshot, with keys given away since then.
-func TestHeartbeatIsNotAnsweredFromOlderState(t *testing.T) {
-	for name, begin := range map[string]func(c *Core) (end func()){
-		"waits for keys": func(*Core) func() { return func() {} },
-		"waits for another decision": func(c *Core) func() {
-			lock := c.decisions()
-			lock.Lock()
-			return lock.Unlock
-		},
+// holdDecisions makes each decision about keys wait until the returned function is called.
+func holdDecisions(c *Core) (end func()) {
+	lock := c.decisions()
+	lock.Lock()
+	return lock.Unlock
+}
+
+// Guards against two owners of a key: a call that waits while the log of the leader is closed
+// and opened again was answered from the snapshot, with keys given away since then.
+func TestCallIsNotAnsweredFromOlderState(t *testing.T) {
+	heartbeat := func(c *Core, owned message.RangeGrant) ([]message.RangeGrant, error) {
+		reply, err := c.heartbeat(t.Context(), heartbeatOf(first, 3, owned))
+		return reply.Grants, err
+	}
+	lease := func(c *Core, _ message.RangeGrant) ([]message.RangeGrant, error) {
+		reply, err := c.lease(t.Context(), message.LeaseRequest{Incarnation: first, Service: "catalogue"})
+		var grants []message.RangeGrant
+		for _, r := range reply.Ranges {
+			grants = append(grants, message.RangeGrant{From: r.From, To: r.To, FencingToken: r.FencingToken})
+		}
+		return grants, err
+	}
+	for name, test := range map[string]struct {
+		byCall bool
+		hold   func(c *Core) (end func())
+		call   func(c *Core, owned message.RangeGrant) ([]message.RangeGrant, error)
+	}{
+		"heartbeat waits for keys":             {hold: func(*Core) func() { return func() {} }, call: heartbeat},
+		"heartbeat waits for another decision": {hold: holdDecisions, call: heartbeat},
+		"lease waits for another decision":     {byCall: true, hold: holdDecisions, call: lease},
 	} {
-		t.Run(name, func(t *testing.T) { testHeartbeatOverReopenedLog(t, begin) })
+		t.Run(name, func(t *testing.T) { testCallOverReopenedLog(t, test.byCall, test.hold, test.call) })
 	}
 }
 
-func testHeartbeatOverReopenedLog(t *testing.T, beginWait func(*Core) (endWait func())) {
-	const snapshotInterval = 500
+func heartbeatOf(i message.Incarnation, sequence int, reported ...message.RangeGrant) message.Heartbeat {
+	return message.Heartbeat{Instance: message.Instance{Incarnation: i, Service: "catalogue", Peer: message.Address(i.ID), Slots: 4}, Sequence: sequence, Grants: reported}
+}
+
+func testCallOverReopenedLog(t *testing.T, byCall bool, hold func(*Core) (end func()), call func(*Core, message.RangeGrant) ([]message.RangeGrant, error)) {
 	c := startLeader(t, zerolog.Nop())
-	_, err := c.ApplyChange(t.Context(), message.ConfigurationChange{Version: 1, Replace: true, Digest: "d", Services: []message.ServiceSpec{{Name: "catalogue", Keyed: true, Source: "{}"}}})
+	_, err := c.ApplyChange(t.Context(), message.ConfigurationChange{Version: 1, Replace: true, Digest: "d", Services: []message.ServiceSpec{{Name: "catalogue", Keyed: true, GrantsByCall: byCall, Source: "{}"}}})
 	qt.Assert(t, err, qt.IsNil)
-	heartbeat := func(i message.Incarnation, sequence int, reported ...message.RangeGrant) (message.HeartbeatReply, error) {
-		return c.heartbeat(t.Context(), message.Heartbeat{Instance: message.Instance{Incarnation: i, Service: "catalogue", Peer: message.Address(i.ID), Slots: 4}, Sequence: sequence, Grants: reported})
-	}
 	for _, i := range []message.Incarnation{first, second} {
-		_, err := heartbeat(i, 1)
+		_, err := c.heartbeat(t.Context(), heartbeatOf(i, 1))
 		qt.Assert(t, err, qt.IsNil)
 	}
 	// The first target owns two ranges and waits for a third one.
 	moved, kept := message.Assignment{From: 0, To: 99, Owner: first}, message.Assignment{From: 100, To: 199, Owner: first}
 	incoming, rest := message.Assignment{From: 200, To: 299, Owner: second, NextOwner: first}, message.Assignment{From: 300, To: keyrange.Keys - 1, Owner: second}
-	assigned := c.commit(t, message.Command{Assignments: &message.AssignmentsChange{Service: "catalogue", Assignments: []message.Assignment{moved, kept, incoming, rest}}})
+	assigned := c.assign(t, moved, kept, incoming, rest)
 	owned := message.RangeGrant{From: kept.From, To: kept.To, FencingToken: message.FencingToken(assigned)}
 	c.fill(t, snapshotInterval)
 	snapshot := func() replog.Index {
@@ -107,29 +138,29 @@
 	eventually(t, "there is a snapshot", func() bool { return snapshot() > 0 })
 	// After the snapshot, one of the ranges goes to the second target.
 	moved.Owner = second
-	c.commit(t, message.Command{Assignments: &message.AssignmentsChange{Service: "catalogue", ExpectedVersion: message.Version(assigned), Assignments: []message.Assignment{moved}}})
+	c.assign(t, moved)
 	c.fill(t, snapshot()+snapshotInterval-1)
 
 	repair := c.breakLog(t)
-	endWait := beginWait(c)
+	release := hold(c)
 	type answer struct {
-		reply message.HeartbeatReply
-		err   error
+		grants []message.RangeGrant
+		err    error
 	}
 	answers := make(chan answer, 1)
 	go func() {
-		reply, err := heartbeat(first, 2, owned)
-		answers <- answer{reply, err}
+		grants, err := call(c, owned)
+		answers <- answer{grants, err}
 	}()
-	time.Sleep(100 * time.Millisecond) // The heartbeat is confirmed meanwhile, and waits.
+	time.Sleep(100 * time.Millisecond) // The call is confirmed meanwhile, and waits.
 	_, _ = c.current.Load().Propose(t.Context(), []byte("{}"))
 	eventually(t, "the log is closed", func() bool { _, open := c.quorum.Status(); return !open })
 	repair()
 	eventually(t, "the log is open again", func() bool { _, open := c.quorum.Status(); return open })
-	endWait()
+	release()
 	got := <-answers
 	if got.err == nil {
-		qt.Check(t, got.reply.Grants, qt.DeepEquals, []message.RangeGrant{owned})
+		qt.Check(t, got.grants, qt.DeepEquals, []message.RangeGrant{owned})
 	}
 	eventually(t, "the replica leads again", c.isLeader)
 }
--- a/pkg/replog/replica_test.go
+++ b/pkg/replog/replica_test.go
@@ -164,6 +164,26 @@
 	}
 }
 
+// Guards against a command that is appended in a later term than the one it was decided in,
+// by a replica that has been elected again.
+func TestCommandOfEarlierTermIsNotAppended(t *testing.T) {
+	n := newLocalNetwork()
+	leader, _ := n.openGroup(t, "a", "b", "c")
+	term := leader.Status().Term
+	_, err := leader.ProposeInTerm(t.Context(), term, []byte("first"))
+	qt.Assert(t, err, qt.IsNil)
+	for next := leader; next != leader || leader.Status().Term == term; next = <-n.leaders {
+		_, _, err := next.ReadIndex(t.Context())
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, next.TransferLeadership(t.Context()), qt.IsNil)
+	}
+	_, err = leader.ProposeInTerm(t.Context(), term, []byte("late"))
+	qt.Assert(t, errors.Is(err, ErrNotLeader), qt.IsTrue)
+	_, err = leader.ProposeInTerm(t.Context(), leader.Status().Term, []byte("second"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, leader.allCommands(), qt.DeepEquals, []string{"first", "second"})
+}
+
 // Guards against entries that are lost or applied twice when a replica stops and
 // restarts from its snapshot and log.
 func TestRestartKeepsState(t *testing.T) {
