core: a target whose removal has no known outcome gets no lease

Callers would see: two targets that hold the same keys for up to a lease. Cause: the leader removes a target whose lease has expired by a command of the log, and waits 900 ms for it. If the disk of the leader hangs, the command is applied after that. A heartbeat of the target that was confirmed before the hang was answered in between, with a new lease of keys that were then taken away. Change: from the proposal on, the leadership grants the target nothing until a command that was proposed later is applied: a repeated removal or a new registration. Commands are applied in the order in which they were proposed. The same for leases of targets that take their keys by calls, and for reported crashes.

--- a/internal/coordination/core/leadership.go
+++ b/internal/coordination/core/leadership.go
@@ -25,6 +25,8 @@
 	// machine has the state of the opening of the log to which the term belongs.
 	machine *registry.Machine
 	leases  *grant.LeaseTable
+	// commit commits an encoded command in the term.
+	commit func(context.Context, []byte) (any, error)
 
 	// changesMu guards pendingChanges, which are the changes being committed by digest.
 	changesMu      sync.Mutex
@@ -46,6 +48,8 @@
 	// rebalancedAt is when a move between targets of a service that takes grants by calls was
 	// last scheduled.
 	rebalancedAt map[message.ServiceName]clock.Millis
+	// expiring are targets whose removal was proposed, with an outcome that is not known.
+	expiring map[message.Incarnation]bool
 	// settled and settling are log indexes. Grants up to settled are old enough to be joined.
 	settled, settling message.FencingToken
 	settlingSince     clock.Millis
@@ -60,10 +64,11 @@
 	}
 	return &leadership{
 		Leadership: l, core: c, options: c.options, log: c.log, metrics: c.metrics,
-		machine: machine, leases: grant.NewLeaseTable(c.options.Clock, leaseDuration), pendingChanges: map[string]*pendingChange{},
+		machine: machine, commit: l.Propose, leases: grant.NewLeaseTable(c.options.Clock, leaseDuration), pendingChanges: map[string]*pendingChange{},
 		unassignedSince: map[message.ServiceName]clock.Millis{}, leavingSince: map[message.Incarnation]clock.Millis{},
 		moveWantedSince: map[message.ServiceName]clock.Millis{}, loadsCommittedAt: map[message.ServiceName]clock.Millis{},
 		delayedOwners: map[message.Incarnation]bool{}, rebalancedAt: map[message.ServiceName]clock.Millis{},
+		expiring: map[message.Incarnation]bool{},
 	}
 }
 
@@ -79,7 +84,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
-	out, err := l.Propose(ctx, data)
+	out, err := l.commit(ctx, data)
 	if err != nil {
 		return registry.Outcome{}, err
 	}
@@ -101,7 +106,9 @@
 	_, err := l.propose(ctx, message.Command{Crash: &r})
 	if i, ok := l.machine.Instance(r.Incarnation.ID); err == nil && r.Ended && ok && i.Incarnation == r.Incarnation && l.grantsByCall(i.Service) {
 		// The keys of a process that has ended need not wait for its lease.
-		_, err = l.propose(ctx, message.Command{Expire: &r.Incarnation})
+		l.mu.Lock()
+		err = l.expire(ctx, r.Incarnation)
+		l.mu.Unlock()
 		l.core.wakePlanner()
 	}
 	l.log.Warn().Err(err).Str("Event", "target-crashed").Str("Target", string(r.Incarnation.ID)).Bool("Ended", r.Ended).Strs("Fingerprints", r.Fingerprints).Msg("a target died while it processed requests")
--- a/internal/coordination/core/lease.go
+++ b/internal/coordination/core/lease.go
@@ -45,22 +45,27 @@
 		return message.LeaseReply{}, err
 	}
 	l.leases.SeedLoads(r.Service, l.machine.Assignments(r.Service).Loads)
+	return l.answerLease(ctx, r, arrival)
+}
+
+// answerLease answers a request for a lease that arrived at the given time.
+func (l *leadership) answerLease(ctx context.Context, r message.LeaseRequest, arrival clock.Millis) (message.LeaseReply, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	i, ok := l.machine.Instance(r.Incarnation.ID)
 	if !ok || i.Incarnation != r.Incarnation || !l.grantsByCall(i.Service) {
 		return message.LeaseReply{Ranges: []message.LeasedRange{}}, nil
 	}
+	if l.expiring[r.Incarnation] {
+		return message.LeaseReply{}, errExpiring()
+	}
 	duration := l.leaseDuration(i.Service)
 	l.leases.RecordCallLease(r.Incarnation, arrival, duration)
 	if err := l.recordReleases(ctx, i, r); err != nil {
 		return message.LeaseReply{}, err
 	}
-	if err := l.Err(); err != nil {
-		return message.LeaseReply{}, err
-	}
 	ranges := keyrange.Leased(l.machine.Assignments(i.Service).List, r.Incarnation)
-	return message.LeaseReply{Renewed: true, DurationMillis: message.Millis(duration), Ranges: ranges, Digest: digestOf(ranges)}, nil
+	return message.LeaseReply{Renewed: true, DurationMillis: message.Millis(duration), Ranges: ranges, Digest: digestOf(ranges)}, l.Err()
 }
 
 // recordReleases commits what a sidecar reports: keys that its target has released go to
--- a/internal/coordination/core/lease_test.go
+++ b/internal/coordination/core/lease_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
+	"github.com/gentiansail/gentiansail/internal/coordination/quorum"
 	"github.com/gentiansail/gentiansail/internal/coordination/registry"
 	"github.com/gentiansail/gentiansail/internal/ownership/delivery"
 	"github.com/gentiansail/gentiansail/internal/ownership/keyrange"
@@ -20,9 +21,14 @@
 // newTestLeadership returns what the leader of a core that is not running knows, with one service whose targets take their
 // keys by calls, and targets that sent a heartbeat just now.
 func newTestLeadership(t *testing.T, targets ...message.Incarnation) (*leadership, *clock.Manual) {
+	return newTestLeadershipFor(t, message.ServiceSpec{Name: "finder", Keyed: true, GrantsByCall: true, Source: "{}"}, targets...)
+}
+
+// newTestLeadershipFor does the same with the given service.
+func newTestLeadershipFor(t *testing.T, spec message.ServiceSpec, targets ...message.Incarnation) (*leadership, *clock.Manual) {
 	m := clock.NewManual(1000)
 	c := New(Options{Settings: settings.Host{Listen: settings.HostListeners{Control: "127.0.0.1:1"}, PeerPort: 2}, Clock: m.Clock(), Log: zerolog.Nop(), Metrics: prometheus.NewRegistry()})
-	l := c.newLeadership(nil, registry.New())
+	l := c.newLeadership(&quorum.Leadership{}, registry.New())
 	index := replog.Index(0)
 	apply := func(command message.Command) {
 		data, err := json.Marshal(command)
@@ -30,9 +36,9 @@
 		index++
 		l.machine.Apply(replog.Entry{Index: index, Data: data})
 	}
-	apply(message.Command{Change: &message.ConfigurationChange{Version: 1, Replace: true, Digest: "d", Services: []message.ServiceSpec{{Name: "finder", Keyed: true, GrantsByCall: true, Source: "{}"}}}})
+	apply(message.Command{Change: &message.ConfigurationChange{Version: 1, Replace: true, Digest: "d", Services: []message.ServiceSpec{spec}}})
 	for _, i := range targets {
-		instance := message.Instance{Incarnation: i, Service: "finder", Peer: message.Address(i.ID), Slots: 4}
+		instance := message.Instance{Incarnation: i, Service: spec.Name, Peer: message.Address(i.ID), Slots: 4}
 		apply(message.Command{Register: &instance})
 		l.leases.RecordHeartbeat(message.Heartbeat{Instance: instance}, m.Clock().Now())
 	}
--- a/internal/coordination/core/ownership.go
+++ b/internal/coordination/core/ownership.go
@@ -69,8 +69,8 @@
 	}
 	l.delayOverloadedOwner(ctx, h.Instance, arrival+maxResponseDelay)
 	l.awaitIncomingKeys(ctx, h.Instance, arrival+maxResponseDelay)
-	reply := l.grant(h, arrival)
-	if err := l.Err(); err != nil {
+	reply, err := l.grant(h, arrival)
+	if err != nil {
 		return message.HeartbeatReply{}, err
 	}
 	l.logNewGrants(h, reply.Grants, confirmed, arrival)
@@ -101,10 +101,14 @@
 	if ok && old == instance {
 		return nil
 	}
+	expiring := l.isExpiring(instance.Incarnation)
 	out, err := l.propose(ctx, message.Command{Register: &instance, Before: before})
 	if err == nil && out.Status != registry.Done {
 		err = &rpc.Error{Code: rpc.CodeRejected, Message: out.Reason}
 	}
+	if err == nil && expiring {
+		l.endExpiry(instance.Incarnation)
+	}
 	l.log.Info().Err(err).Str("Event", "target").Str("Service", string(instance.Service)).Str("Target", string(instance.Incarnation.ID)).Int("Born", int(instance.Incarnation.StartTime)).
 		Str("Peer", string(instance.Peer)).Int("Slots", instance.Slots).Bool("Draining", instance.Draining).Bool("Stopping", instance.Stopping).Msg("target registered")
 	return err
@@ -288,13 +292,17 @@
 
 // grant returns the response that renews the lease of a target and grants its keys. The
 // lease is recorded before the grants are read.
-func (l *leadership) grant(h message.Heartbeat, arrival clock.Millis) message.HeartbeatReply {
+func (l *leadership) grant(h message.Heartbeat, arrival clock.Millis) (message.HeartbeatReply, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	owner := h.Instance.Incarnation
+	if l.expiring[owner] {
+		return message.HeartbeatReply{}, errExpiring()
+	}
 	l.leases.RecordLease(owner, arrival)
-	return message.HeartbeatReply{
+	reply := message.HeartbeatReply{
 		Keyed: true, Renewed: true, LeaseDurationMillis: message.Millis(l.leases.LeaseDuration()),
 		Grants: keyrange.Grants(l.machine.Assignments(h.Instance.Service).List, owner, h.Grants),
 	}
+	return reply, l.Err()
 }
--- a/internal/coordination/core/planner.go
+++ b/internal/coordination/core/planner.go
@@ -6,6 +6,7 @@
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
 	"github.com/gentiansail/gentiansail/internal/coordination/registry"
 	"github.com/gentiansail/gentiansail/internal/ownership/keyrange"
+	"github.com/gentiansail/gentiansail/internal/rpc"
 )
 
 // runPlanner removes lost targets and schedules overdue moves, periodically and only while
@@ -70,14 +71,43 @@
 	for _, a := range l.machine.Assignments(i.Service).List {
 		hasKeys = hasKeys || a.Owner == i.Incarnation || a.NextOwner == i.Incarnation
 	}
-	if sinceHeartbeat < deregisterAfter && !(hasKeys && l.leases.Expired(i.Incarnation, now, l.leaseDuration(i.Service))) {
+	if !l.expiring[i.Incarnation] && sinceHeartbeat < deregisterAfter && !(hasKeys && l.leases.Expired(i.Incarnation, now, l.leaseDuration(i.Service))) {
 		return nil
 	}
 	l.log.Info().Str("Event", "target-expired").Str("Service", string(i.Service)).Str("Target", string(i.Incarnation.ID)).Int64("SilentMillis", int64(sinceHeartbeat)).Bool("HeldKeys", hasKeys).Msg("removing target that sends no heartbeats")
 	l.metrics.keyDecisions.WithLabelValues("expired").Inc()
-	incarnation := i.Incarnation
-	_, err := l.propose(ctx, message.Command{Expire: &incarnation})
-	return err
+	return l.expire(ctx, i.Incarnation)
+}
+
+// expire removes a target. If the outcome is not known, the removal may still be committed.
+// The target then gets no lease until a later command was applied: commands are applied in
+// the order in which they were proposed. The caller must hold l.mu.
+func (l *leadership) expire(ctx context.Context, i message.Incarnation) error {
+	l.expiring[i] = true
+	if _, err := l.propose(ctx, message.Command{Expire: &i}); err != nil {
+		return err
+	}
+	delete(l.expiring, i)
+	return nil
+}
+
+// isExpiring reports whether the removal of a target was proposed and has no known outcome.
+func (l *leadership) isExpiring(i message.Incarnation) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.expiring[i]
+}
+
+// endExpiry records that a command was applied that was proposed after the removal of a
+// target.
+func (l *leadership) endExpiry(i message.Incarnation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.expiring, i)
+}
+
+func errExpiring() error {
+	return &rpc.Error{Code: rpc.CodeUnavailable, Message: "the target is being removed because its lease has expired"}
 }
 
 // vacateOverdue schedules moves of the remaining keys of targets that have been leaving
