core: a late heartbeat releases no keys

Callers saw: two targets held the same keys. Cause: the keys of a scheduled move counted as released when a heartbeat of their owner did not report them. A heartbeat that was sent before the owner was granted the keys does not report them either. The sequence numbers do not keep it out: a new leader knows none, and a copy has the same one. Bytes of a call that its sender has given up may still be delivered, by the kernel's retransmissions after the connection was closed or by a process that was paused. Change: the response to a heartbeat states the version of the assignments that it was read from. The sidecar states in each heartbeat the version of the newest response that it had passed on before the heartbeat came. A release counts only if the move was scheduled in that version. Assignment.Move, which has been kept for grants by calls, identifies the move. A heartbeat of a sidecar of an earlier release, which states no version, is taken as before. Why this works: no response of that version or a later one grants the keys while the move stands, so a target that was answered from it and does not report the keys has released them, or never had them. It does not matter by which leader it was answered, or when and how often the heartbeat arrives. After a restart of the sidecar a move takes one heartbeat longer, and so does the move of keys that their owner was never told of.

--- a/internal/coordination/core/ownership.go
+++ b/internal/coordination/core/ownership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
 	"github.com/gentiansail/gentiansail/internal/coordination/registry"
@@ -122,7 +123,7 @@
 	defer l.mu.Unlock()
 	target, service := h.Instance.Incarnation, h.Instance.Service
 	current := l.machine.Assignments(service)
-	list, released := keyrange.CompleteMoves(current.List, target, h.Grants, h.Released)
+	list, released := keyrange.CompleteMoves(current.List, target, answeredVersion(h), h.Grants, h.Released)
 	loads, targets := l.leases.Loads(service), l.targets(service)
 	assigned, scheduled := false, false
 	if isEligible(targets, target) && l.readyToAssign(service, current) {
@@ -143,6 +144,16 @@
 	return l.commitAssignments(ctx, service, current, changed)
 }
 
+// answeredVersion returns the version of the assignments from which the target was answered
+// before it sent a heartbeat. Sidecars of earlier releases do not state it; what their targets
+// do not report counts as released.
+func answeredVersion(h message.Heartbeat) message.Version {
+	if h.Answered == nil {
+		return math.MaxInt
+	}
+	return *h.Answered
+}
+
 // commitAssignments commits changed assignments, provided that the old ones are still
 // current.
 func (l *leadership) commitAssignments(ctx context.Context, service message.ServiceName, old registry.Assignments, changed []message.Assignment) error {
@@ -300,9 +311,10 @@
 		return message.HeartbeatReply{}, errExpiring()
 	}
 	l.leases.RecordLease(owner, arrival)
+	current := l.machine.Assignments(h.Instance.Service)
 	reply := message.HeartbeatReply{
 		Keyed: true, Renewed: true, LeaseDurationMillis: message.Millis(l.leases.LeaseDuration()),
-		Grants: keyrange.Grants(l.machine.Assignments(h.Instance.Service).List, owner, h.Grants),
+		Grants: keyrange.Grants(current.List, owner, h.Grants), Version: current.Version,
 	}
 	return reply, l.Err()
 }
--- a/internal/coordination/message/message.go
+++ b/internal/coordination/message/message.go
@@ -146,6 +146,11 @@
 // Heartbeat is the periodic report of a target, together with measurements by the
 // sidecar on its host.
 type Heartbeat struct {
+	// Version of the assignments in the newest response that was passed to the target
+	// before the heartbeat arrived; 0 if none is known. Sidecars of earlier releases
+	// do not state it.
+	Answered *Version `json:"Answered,omitempty"`
+
 	// Incarnation that ran at the same address before this one, as far as the sidecar
 	// knows.
 	Before *Incarnation `json:"Before,omitempty"`
@@ -184,6 +189,10 @@
 
 	// Whether the service is divided by key.
 	Keyed bool `json:"Keyed"`
+
+	// Version of the assignments that Grants were read from. Leaders of earlier
+	// releases do not state it.
+	Version Version `json:"Version"`
 }
 
 // HostName is the name of a process, as given in its settings.
--- a/internal/ownership/keyrange/keyrange.go
+++ b/internal/ownership/keyrange/keyrange.go
@@ -430,12 +430,14 @@
 // CompleteMoves assigns the keys that an owner has released to their next owner, together
 // with the handover token for them. Keys with a scheduled move are released once the
 // owner's heartbeat no longer reports them: it neither owns them nor processes requests
-// for them any more.
-func CompleteMoves(assignments []message.Assignment, owner message.Incarnation, reported, released []message.RangeGrant) ([]message.Assignment, bool) {
+// for them any more. The owner must have been answered before from a version in which the
+// move was scheduled. Otherwise the heartbeat may be an old one, from before the owner was
+// granted the keys.
+func CompleteMoves(assignments []message.Assignment, owner message.Incarnation, answered message.Version, reported, released []message.RangeGrant) ([]message.Assignment, bool) {
 	var out []message.Assignment
 	completed := false
 	for _, a := range assignments {
-		if a.Owner != owner || a.NextOwner.ID == "" || overlaps(reported, a.From, a.To) {
+		if a.Owner != owner || a.NextOwner.ID == "" || a.Move > answered || overlaps(reported, a.From, a.To) {
 			out = append(out, a)
 			continue
 		}
--- a/internal/ownership/keyrange/keyrange_test.go
+++ b/internal/ownership/keyrange/keyrange_test.go
@@ -78,7 +78,7 @@
 		for _, target := range targets {
 			if assignments, scheduled = RebalanceTo(assignments, l, targets, from, target.Incarnation); scheduled {
 				moves++
-				assignments, _ = CompleteMoves(assignments, from, nil, nil)
+				assignments, _ = CompleteMoves(assignments, from, 0, nil, nil)
 				break
 			}
 		}
@@ -128,7 +128,7 @@
 		for _, target := range targets {
 			assignments, _ = RebalanceTo(assignments, l, targets, from, target.Incarnation)
 		}
-		assignments, _ = CompleteMoves(assignments, from, nil, nil)
+		assignments, _ = CompleteMoves(assignments, from, 0, nil, nil)
 	}
 	return assignments
 }
@@ -177,21 +177,23 @@
 // Guards against a grant without a new fencing token, and against a lost handover token,
 // without which requests for the keys are slow at the next owner.
 func TestReleasedKeysGoToNextOwner(t *testing.T) {
-	moving := message.Assignment{From: 0, To: 999, Owner: incarnation("a"), FencingToken: 7, NextOwner: incarnation("b")}
+	moving := message.Assignment{From: 0, To: 999, Owner: incarnation("a"), FencingToken: 7, NextOwner: incarnation("b"), Move: 20}
 	rest := message.Assignment{From: 1000, To: Keys - 1, Owner: incarnation("a"), FencingToken: 7}
 	released := []message.RangeGrant{{From: 0, To: 499, HandoverToken: "x"}, {From: 500, To: 999, HandoverToken: "y"}}
 	tests := map[string]struct {
+		answered message.Version
 		reported []message.RangeGrant
 		want     []message.Assignment
 	}{
-		"still processes requests for some": {reported: []message.RangeGrant{{From: 900, To: 1100, FencingToken: 7}}, want: []message.Assignment{moving, rest}},
-		"released": {reported: []message.RangeGrant{{From: 1000, To: Keys - 1, FencingToken: 7}}, want: []message.Assignment{
+		"last answered before the move was scheduled": {answered: 19, want: []message.Assignment{moving, rest}},
+		"still processes requests for some":           {answered: 20, reported: []message.RangeGrant{{From: 900, To: 1100, FencingToken: 7}}, want: []message.Assignment{moving, rest}},
+		"released": {answered: 20, reported: []message.RangeGrant{{From: 1000, To: Keys - 1, FencingToken: 7}}, want: []message.Assignment{
 			{From: 0, To: 499, Owner: incarnation("b"), HandoverToken: "x"}, {From: 500, To: 999, Owner: incarnation("b"), HandoverToken: "y"}, rest,
 		}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			got, _ := CompleteMoves([]message.Assignment{moving, rest}, incarnation("a"), tt.reported, released)
+			got, _ := CompleteMoves([]message.Assignment{moving, rest}, incarnation("a"), tt.answered, tt.reported, released)
 			qt.Assert(t, got, qt.DeepEquals, tt.want)
 		})
 	}
@@ -280,7 +282,7 @@
 				assignments, _ = Vacate(assignments, l, targets, from)
 			case 3:
 				lastReleased := message.Key(rapid.IntRange(0, Keys-1).Draw(t, "last released"))
-				assignments, _ = CompleteMoves(assignments, from, nil, []message.RangeGrant{{From: 0, To: lastReleased, HandoverToken: "h"}})
+				assignments, _ = CompleteMoves(assignments, from, 0, nil, []message.RangeGrant{{From: 0, To: lastReleased, HandoverToken: "h"}})
 			}
 			next := message.Key(0)
 			for _, a := range assignments {
--- a/internal/traffic/sidecar/incarnations.go
+++ b/internal/traffic/sidecar/incarnations.go
@@ -54,6 +54,9 @@
 	sequence int
 	heardAt  clock.Millis
 	ended    bool
+	// answered is the version of the assignments in the newest response to the current
+	// incarnation, and answeredBefore what it was when the newest heartbeat arrived.
+	answered, answeredBefore message.Version
 	// heard is false while only an earlier process of this sidecar has heard from the current
 	// incarnation.
 	heard bool
@@ -94,6 +97,9 @@
 	case i == s.current && sequence < s.sequence:
 		return false, errLate
 	case i == s.current:
+		if sequence > s.sequence {
+			s.answeredBefore = s.answered
+		}
 		s.sequence, s.heardAt, s.heard, s.ended, s.candidate = sequence, now, true, false, message.Incarnation{}
 		return false, nil
 	case slices.Contains(s.followed, i):
@@ -137,7 +143,27 @@
 		s.followed = s.followed[max(len(s.followed)-maxFollowed, 0):]
 	}
 	s.before, s.current, s.candidate = s.current, i, message.Incarnation{}
-	s.sequence, s.heardAt, s.heard, s.ended = 0, now, true, false
+	s.sequence, s.heardAt, s.heard, s.ended, s.answered, s.answeredBefore = 0, now, true, false, 0, 0
+}
+
+// answer records the version of a response that is about to be passed to an incarnation.
+func (s *incarnations) answer(i message.Incarnation, v message.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i == s.current {
+		s.answered = max(s.answered, v)
+	}
+}
+
+// lastAnswer returns the version of the newest response that was passed to an incarnation
+// before the given heartbeat arrived; 0 if it is not known, or if a newer heartbeat has arrived.
+func (s *incarnations) lastAnswer(i message.Incarnation, sequence int) message.Version {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i != s.current || sequence != s.sequence {
+		return 0
+	}
+	return s.answeredBefore
 }
 
 // admitDeparture records that an incarnation says that it is gone, and returns that
@@ -172,7 +198,7 @@
 	before := s.before
 	s.followed = slices.DeleteFunc(s.followed, func(x message.Incarnation) bool { return x == before })
 	s.followed = append(s.followed, i)
-	s.current, s.before, s.sequence = before, message.Incarnation{}, 0
+	s.current, s.before, s.sequence, s.answered, s.answeredBefore = before, message.Incarnation{}, 0, 0, 0
 }
 
 // markEnded records that the process of an incarnation has ended.
--- a/internal/traffic/sidecar/target.go
+++ b/internal/traffic/sidecar/target.go
@@ -85,14 +85,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, coreCallTimeout.Duration())
 	defer cancel()
-	load := s.gate.Load()
+	load, answered := s.gate.Load(), s.incarnations.lastAnswer(h.Incarnation, h.Sequence)
 	reply, err := call[message.HeartbeatReply](ctx, s.core, message.MethodHeartbeat, message.Heartbeat{
 		Instance: message.Instance{
 			Incarnation: h.Incarnation, Service: h.Service, Target: h.Address, Peer: s.peerAddress(), Host: message.HostName(s.options.Settings.Name),
 			Domain: message.FailureDomain(s.options.Settings.FailureDomain), Slots: h.Slots, Draining: h.Draining || s.isLeaving(h.Incarnation), Stopping: s.stopping.Load(),
 		},
 		Sequence: h.Sequence, Grants: emptyIfNil(h.Grants), Released: emptyIfNil(h.Released), Loads: s.gate.TakeKeyLoads(), ServiceMillis: message.Millis(load.ServiceMillis),
-		Before: s.incarnations.predecessor(h.Incarnation),
+		Before: s.incarnations.predecessor(h.Incarnation), Answered: &answered,
 	}, coreCallTimeout)
 	if rpc.IsCode(err, rpc.CodeRejected) {
 		s.incarnations.withdraw(h.Incarnation)
@@ -105,6 +105,7 @@
 		// There is no lease to renew and no drain to report, so the target may continue.
 		return message.HeartbeatReply{}, nil
 	}
+	s.incarnations.answer(h.Incarnation, reply.Version)
 	if h.Draining {
 		s.gate.RejectFrom(h.Incarnation, s.options.Clock.Now()+s.rejectDelay())
 	}
--- a/internal/traffic/sidecar/target_test.go
+++ b/internal/traffic/sidecar/target_test.go
@@ -33,6 +33,8 @@
 	rejects message.Incarnation
 	// acceptsLeaves is true if reports of departures are accepted.
 	acceptsLeaves bool
+	// reply, if it is set, responds to heartbeats.
+	reply func(message.Heartbeat) message.HeartbeatReply
 }
 
 // newTestSidecar returns a sidecar that is not running, beside a target that takes its keys
@@ -49,6 +51,9 @@
 		if h.Instance.Incarnation == core.rejects {
 			return message.HeartbeatReply{}, &rpc.Error{Code: rpc.CodeRejected}
 		}
+		if core.reply != nil {
+			return core.reply(h), nil
+		}
 		return message.HeartbeatReply{Grants: []message.RangeGrant{}}, nil
 	})
 	rpc.Handle(server, message.MethodLeave, func(context.Context, message.Leave) (struct{}, error) {
