sidecar: no response is passed on after one of a later version

Callers could see: two targets held the same keys. Shown in a test of the sidecar only. Cause: a target may have two heartbeats in progress, and their calls may be answered by different replicas, or over different connections. A response that was made before a move was scheduled, and that comes after one that told the target to release the keys, grants them again, under a token that the target accepts. Change: the sidecar does not acknowledge a heartbeat if the target has been answered from a later version of the assignments, or if another incarnation has followed meanwhile. The gate does not take the grants either. Responses of equal versions pass in any order, so heartbeats that overlap for long do not end the lease. Measured: TestOlderAnswerIsNotPassedOn fails without the check ("got nil error but want non-nil").

--- a/internal/traffic/sidecar/answer_test.go
+++ b/internal/traffic/sidecar/answer_test.go
@@ -50,3 +50,27 @@
 		qt.Check(t, answered, qt.Equals, step.want, qt.Commentf(step.name))
 	}
 }
+
+// Guards against two owners of a key: a target with two heartbeats in progress was granted keys
+// again that the response to the later one had told it to release.
+func TestOlderAnswerIsNotPassedOn(t *testing.T) {
+	arrived, respond := make(chan struct{}), make(chan struct{})
+	h := newKeyedHost(t, func(h message.Heartbeat) message.HeartbeatReply {
+		reply := message.HeartbeatReply{Keyed: true, Renewed: true, Version: 9, LeaseDurationMillis: 4500, Grants: []message.RangeGrant{}}
+		if h.Sequence == 1 {
+			close(arrived)
+			<-respond
+			reply.Version, reply.Grants = 5, []message.RangeGrant{{From: 0, To: 99, FencingToken: 3}}
+		}
+		return reply
+	})
+	runs := message.Incarnation{ID: "i-1", StartTime: 1}
+	earlier := make(chan error, 1)
+	go func() { earlier <- h.beat(runs, 1, false) }()
+	<-arrived
+	qt.Check(t, h.beat(runs, 2, false), qt.IsNil)
+	close(respond)
+	qt.Check(t, <-earlier, qt.ErrorIs, errLate)
+	// A response of the same version says the same.
+	qt.Check(t, h.beat(runs, 3, false), qt.IsNil)
+}
--- a/internal/traffic/sidecar/incarnations.go
+++ b/internal/traffic/sidecar/incarnations.go
@@ -146,13 +146,20 @@
 	s.sequence, s.heardAt, s.heard, s.ended, s.answered, s.answeredBefore = 0, now, true, false, 0, 0
 }
 
-// answer records the version of a response that is about to be passed to an incarnation.
-func (s *incarnations) answer(i message.Incarnation, v message.Version) {
+// answer records the version of a response that is about to be passed to an incarnation. It
+// returns an error if the incarnation has got a response of a later version before: keys that
+// it was told to release since must not be granted to it again.
+func (s *incarnations) answer(i message.Incarnation, v message.Version) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if i == s.current {
-		s.answered = max(s.answered, v)
+	switch {
+	case i != s.current:
+		return errFollowed
+	case v < s.answered && v > 0: // leaders of earlier releases state none
+		return errLate
 	}
+	s.answered = max(s.answered, v)
+	return nil
 }
 
 // lastAnswer returns the version of the newest response that was passed to an incarnation
--- a/internal/traffic/sidecar/target.go
+++ b/internal/traffic/sidecar/target.go
@@ -105,7 +105,12 @@
 		// There is no lease to renew and no drain to report, so the target may continue.
 		return message.HeartbeatReply{}, nil
 	}
-	s.incarnations.answer(h.Incarnation, reply.Version)
+	if reply.Renewed {
+		if err := s.incarnations.answer(h.Incarnation, reply.Version); err != nil {
+			s.logRefused(h, err)
+			return message.HeartbeatReply{}, err
+		}
+	}
 	if h.Draining {
 		s.gate.RejectFrom(h.Incarnation, s.options.Clock.Now()+s.rejectDelay())
 	}
