sidecar: a heartbeat that the core has not handled is not acknowledged

Cause: the core responds to a heartbeat that it has handled a later one of, without renewing the lease. The sidecar passed that on as a success, so the target forgot the releases that it had reported, with their handover tokens. The sidecar itself keeps such heartbeats out, unless it has started since the later one. Change: a response of the core that does not renew the lease of keys acknowledges nothing. Measured: TestUnhandledHeartbeatIsNotAcknowledged fails without the check ("got nil error but want non-nil").

--- a/internal/traffic/sidecar/answer_test.go
+++ b/internal/traffic/sidecar/answer_test.go
@@ -74,3 +74,12 @@
 	// A response of the same version says the same.
 	qt.Check(t, h.beat(runs, 3, false), qt.IsNil)
 }
+
+// Guards against a target that forgets the releases which its heartbeat reported, and with them
+// the handover tokens, although the core did not handle the heartbeat because it was late.
+func TestUnhandledHeartbeatIsNotAcknowledged(t *testing.T) {
+	h := newKeyedHost(t, func(message.Heartbeat) message.HeartbeatReply {
+		return message.HeartbeatReply{Keyed: true, Grants: []message.RangeGrant{}}
+	})
+	qt.Assert(t, h.beat(message.Incarnation{ID: "i-1", StartTime: 1}, 1, false), qt.ErrorIs, errLate)
+}
--- a/internal/traffic/sidecar/target.go
+++ b/internal/traffic/sidecar/target.go
@@ -105,6 +105,10 @@
 		// There is no lease to renew and no drain to report, so the target may continue.
 		return message.HeartbeatReply{}, nil
 	}
+	if reply.Keyed && !reply.Renewed {
+		s.logRefused(h, errLate) // the core has handled a later one
+		return message.HeartbeatReply{}, errLate
+	}
 	if reply.Renewed {
 		if err := s.incarnations.answer(h.Incarnation, reply.Version); err != nil {
 			s.logRefused(h, err)
