--- a/internal/coordination/core/expiry_test.go
+++ b/internal/coordination/core/expiry_test.go
@@ -2,16 +2,103 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"net"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
 
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
+	"github.com/gentiansail/gentiansail/internal/coordination/quorum"
+	"github.com/gentiansail/gentiansail/internal/coordination/registry"
 	"github.com/gentiansail/gentiansail/internal/ownership/keyrange"
+	"github.com/gentiansail/gentiansail/internal/settings"
+	"github.com/gentiansail/gentiansail/pkg/clock"
 	"github.com/gentiansail/gentiansail/pkg/replog"
 )
 
+// startSlowLeader runs a core of one replica with short leases, which applies the removal of
+// a target only once proceed is closed. expiring is closed when there is one to be applied.
+func startSlowLeader(t *testing.T, lease clock.Millis) (c *Core, expiring, proceed chan struct{}) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	address := l.Addr().String()
+	c = New(Options{Clock: clock.System(), Log: zerolog.Nop(), Metrics: prometheus.NewRegistry(), Settings: settings.Host{
+		Name: "core-1", IP: "127.0.0.1", PeerPort: l.Addr().(*net.TCPAddr).Port, Listen: settings.HostListeners{Control: address},
+		Seeds: []string{address}, FirstStart: true, DataFolder: t.TempDir(), Bounds: settings.HostBounds{MaxLeaseMillis: lease},
+	}})
+	expiring, proceed = make(chan struct{}), make(chan struct{})
+	first := true
+	c.quorum = quorum.New(quorum.Options{
+		Name: c.options.Settings.Name, Address: c.peerAddress(), DataFolder: c.options.Settings.DataFolder,
+		Seeds: []message.Address{c.peerAddress()}, FirstStart: true, VoterCount: c.voterCount(),
+		NewMachine: func() quorum.StateMachine {
+			m := registry.New()
+			apply := func(e replog.Entry) any {
+				var command message.Command
+				if json.Unmarshal(e.Data, &command) == nil && command.Expire != nil && first {
+					first = false
+					close(expiring)
+					<-proceed
+				}
+				return m.Apply(e)
+			}
+			return quorum.StateMachine{Apply: apply, Capture: m.Capture, Restore: m.Restore, State: m}
+		},
+		Clock: c.options.Clock, Log: c.log, OnRole: c.onRole,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- c.Run(ctx, l) }()
+	t.Cleanup(func() {
+		cancel()
+		qt.Check(t, <-ended, qt.IsNil)
+	})
+	eventually(t, "the replica leads", c.isLeader)
+	return c, expiring, proceed
+}
+
+// Guards against two owners of a key: a lease was renewed while the removal of its target,
+// whose commit took longer than its proposer waited, was still in the log.
+func TestLeaseIsNotRenewedWhileTargetIsRemoved(t *testing.T) {
+	const lease clock.Millis = 300
+	c, expiring, proceed := startSlowLeader(t, lease)
+	_, err := c.ApplyChange(t.Context(), message.ConfigurationChange{Version: 1, Replace: true, Digest: "d", Services: []message.ServiceSpec{{Name: "catalogue", Keyed: true, Source: "{}"}}})
+	qt.Assert(t, err, qt.IsNil)
+	heartbeat := func(sequence int, reported ...message.RangeGrant) (message.HeartbeatReply, error) {
+		return c.heartbeat(t.Context(), message.Heartbeat{Instance: message.Instance{Incarnation: first, Service: "catalogue", Peer: "i-1", Slots: 4}, Sequence: sequence, Grants: reported})
+	}
+	_, err = heartbeat(1)
+	qt.Assert(t, err, qt.IsNil)
+	token := c.commit(t, message.Command{Assignments: &message.AssignmentsChange{Service: "catalogue", Assignments: []message.Assignment{{From: 0, To: keyrange.Keys - 1, Owner: first}}}})
+
+	lock := c.decisions()
+	lock.Lock()
+	time.Sleep(2 * lease.Duration()) // The lease ends, and the planner waits for the lock.
+	type answer struct {
+		reply message.HeartbeatReply
+		err   error
+	}
+	answers := make(chan answer, 1)
+	go func() {
+		reply, err := heartbeat(2, message.RangeGrant{From: 0, To: keyrange.Keys - 1, FencingToken: message.FencingToken(token)})
+		answers <- answer{reply, err}
+	}()
+	time.Sleep(100 * time.Millisecond) // The heartbeat is confirmed, and waits for the lock.
+	lock.Unlock()
+	<-expiring
+	got := <-answers
+	close(proceed)
+	eventually(t, "the removal is applied", func() bool { _, known := c.current.Load().machine.Instance(first.ID); return !known })
+	if got.err == nil {
+		qt.Check(t, got.reply.Renewed && len(got.reply.Grants) > 0, qt.IsFalse, qt.Commentf("granted %v for %d ms, and removed", got.reply.Grants, got.reply.LeaseDurationMillis))
+	}
+}
+
 // Guards against two owners of a key: a target whose removal was proposed, but not applied
 // in time, got a new lease and lost its keys when the removal was applied after all.
 func TestExpiryWithoutOutcomeEndsLeases(t *testing.T) {
--- a/internal/coordination/core/lease_test.go
+++ b/internal/coordination/core/lease_test.go
@@ -18,8 +18,8 @@
 	"github.com/gentiansail/gentiansail/pkg/replog"
 )
 
-// newTestLeadership returns what the leader of a core that is not running knows, with one service whose targets take their
-// keys by calls, and targets that sent a heartbeat just now.
+// newTestLeadership returns what the leader of a core knows that is not running, with one
+// service whose targets take their keys by calls, and targets that sent a heartbeat just now.
 func newTestLeadership(t *testing.T, targets ...message.Incarnation) (*leadership, *clock.Manual) {
 	return newTestLeadershipFor(t, message.ServiceSpec{Name: "finder", Keyed: true, GrantsByCall: true, Source: "{}"}, targets...)
 }
--- a/internal/coordination/core/reopened_log_test.go
+++ b/internal/coordination/core/reopened_log_test.go
@@ -141,6 +141,8 @@
 	c.assign(t, moved)
 	c.fill(t, snapshot()+snapshotInterval-1)
 
+	before := c.current.Load()
+	index := before.machine.Index()
 	repair := c.breakLog(t)
 	release := hold(c)
 	type answer struct {
@@ -163,4 +165,7 @@
 		qt.Check(t, got.grants, qt.DeepEquals, []message.RangeGrant{owned})
 	}
 	eventually(t, "the replica leads again", c.isLeader)
+	qt.Check(t, before.machine.Index() >= index, qt.IsTrue, qt.Commentf("the state that a call was confirmed for went back"))
+	_, err = before.propose(t.Context(), message.Command{HostStop: &message.HostStop{}})
+	qt.Check(t, err, qt.IsNotNil, qt.Commentf("the leadership has ended"))
 }
