quorum: a replica whose log is closed names itself as leader no more

Cause: between the end of the log and that of the loops of its membership, the last status was still read; it says that this replica leads, so an operator could be sent back to it. Found by reading. Change: the replica is forgotten before its leadership is ended. The line of a grant takes the index of the state before the response is read, so that it is not above it. Comments say what the fields hold.

--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -57,8 +57,8 @@
 	log     zerolog.Logger
 	quorum  *quorum.Quorum
 	metrics *metrics
-	// current is the latest leadership of this replica; nil before the first, and while
-	// another replica leads.
+	// current is the leadership of this replica, or one that has ended because the log was
+	// closed; nil if there is none.
 	current atomic.Pointer[leadership]
 	// planNow wakes the planner.
 	planNow chan struct{}
@@ -102,8 +102,8 @@
 	c.current.Store(c.newLeadership(l, l.State().(*registry.Machine)))
 }
 
-// lead returns the current leadership, or an error with the address of the leader if another
-// replica leads.
+// lead returns the current leadership, or an error with the address of the leader, if one is
+// known.
 func (c *Core) lead() (*leadership, error) {
 	if l := c.current.Load(); l != nil && l.Err() == nil {
 		return l, nil
--- a/internal/coordination/core/ownership.go
+++ b/internal/coordination/core/ownership.go
@@ -70,16 +70,17 @@
 	}
 	l.delayOverloadedOwner(ctx, h.Instance, arrival+maxResponseDelay)
 	l.awaitIncomingKeys(ctx, h.Instance, arrival+maxResponseDelay)
+	state := l.machine.Index()
 	reply, err := l.grant(h, arrival)
 	if err != nil {
 		return message.HeartbeatReply{}, err
 	}
-	l.logNewGrants(h, reply.Grants, confirmed, arrival)
+	l.logNewGrants(h, reply.Grants, confirmed, state, arrival)
 	return reply, nil
 }
 
 // logNewGrants logs the ranges that a response grants and the heartbeat did not report.
-func (l *leadership) logNewGrants(h message.Heartbeat, grants []message.RangeGrant, confirmed replog.Index, arrival clock.Millis) {
+func (l *leadership) logNewGrants(h message.Heartbeat, grants []message.RangeGrant, confirmed replog.Index, state message.Version, arrival clock.Millis) {
 	var added []message.Assignment
 	for _, g := range grants {
 		a := message.Assignment{From: g.From, To: g.To, FencingToken: g.FencingToken, Owner: h.Instance.Incarnation}
@@ -91,7 +92,7 @@
 		return
 	}
 	l.log.Info().Str("Event", "grant").Str("Service", string(h.Instance.Service)).Str("Target", string(h.Instance.Incarnation.ID)).Int("Heartbeat", h.Sequence).
-		Str("Rows", describe(added)).Uint64("Term", uint64(l.Term)).Uint64("ConfirmedIndex", uint64(confirmed)).Uint64("StateIndex", uint64(l.machine.Index())).
+		Str("Rows", describe(added)).Uint64("Term", uint64(l.Term)).Uint64("ConfirmedIndex", uint64(confirmed)).Uint64("StateIndex", uint64(state)).
 		Int64("TookMillis", int64(l.options.Clock.Now()-arrival)).Msg("granting keys that the heartbeat does not report")
 }
 
--- a/internal/coordination/quorum/quorum.go
+++ b/internal/coordination/quorum/quorum.go
@@ -117,7 +117,7 @@
 	options Options
 	// replica is nil while the log is not open.
 	replica atomic.Pointer[replog.Replica]
-	// leadership is the current or last one; nil before the first.
+	// leadership is nil while this replica does not lead.
 	leadership atomic.Pointer[Leadership]
 	// parts joins the parts of long messages from other replicas.
 	parts *replication.Assembler
@@ -201,6 +201,8 @@
 	membership.Go(func() { q.removeSilentMembers(membershipCtx, r) })
 	select {
 	case err = <-r.Done():
+		// The status of a closed log still says that this replica leads.
+		q.replica.Store(nil)
 		q.endLeadership()
 		cancel()
 		membership.Wait()
--- a/internal/ownership/grant/grant.go
+++ b/internal/ownership/grant/grant.go
@@ -16,12 +16,11 @@
 //
 // # Usage
 //
-//	t := grant.NewLeaseTable(clock.System(), 4000)
-//	t.BeginTerm()                          // on election
+//	t := grant.NewLeaseTable(clock.System(), 4000) // on election
 //	if t.RecordHeartbeat(heartbeat, now) { // false if it arrived out of order
 //		t.RecordLease(incarnation, now)
 //	}
-//	if t.Expired(incarnation, now) { ... }
+//	if t.Expired(incarnation, now, 4000) { ... }
 package grant
 
 import (
