registry: a late departure ends no incarnation that started after it

Callers could see: two targets held the same keys. Shown in tests only. Cause: a sidecar that has started again does not know which incarnation was followed by which. If the target beside it has been silent for 1.5 heartbeat intervals, because its heartbeats are late, a late departure of the incarnation before counts as that of the one after it. The core then removed the target that runs, and its keys were assigned to others while its lease was in force. A heartbeat of a followed incarnation has been refused by the state machine since it remembers them; a departure was not. Change: the state machine refuses the departure of a followed incarnation, the core returns that as rejected, and the sidecar takes back that the incarnation follows the running one, as it does with heartbeats. Measured: TestLateDepartureEndsNoOtherIncarnation failed before (status 0, i-2 not listed, its keys unassigned), and TestDepartureThatTheCoreRejects did ("the core did not respond", the target that ended counts as the running one).

--- a/internal/coordination/core/leadership.go
+++ b/internal/coordination/core/leadership.go
@@ -11,6 +11,7 @@
 	"github.com/gentiansail/gentiansail/internal/coordination/quorum"
 	"github.com/gentiansail/gentiansail/internal/coordination/registry"
 	"github.com/gentiansail/gentiansail/internal/ownership/grant"
+	"github.com/gentiansail/gentiansail/internal/rpc"
 	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
@@ -93,6 +94,9 @@
 
 func (l *leadership) leave(ctx context.Context, m message.Leave) (struct{}, error) {
 	out, err := l.propose(ctx, message.Command{Leave: &m})
+	if err == nil && out.Status != registry.Done {
+		err = &rpc.Error{Code: rpc.CodeRejected, Message: out.Reason}
+	}
 	l.log.Info().Err(err).Str("Event", "target-leaves").Str("Target", string(m.Incarnation.ID)).Bool("Gone", m.Final).Int("Status", int(out.Status)).Msg("target is draining")
 	return struct{}{}, err
 }
--- a/internal/coordination/registry/instances.go
+++ b/internal/coordination/registry/instances.go
@@ -45,12 +45,15 @@
 	return slices.Clone(m.state.Services)
 }
 
+// followed is the outcome of a command for an incarnation that was followed by another one.
+var followed = Outcome{Stale, "another incarnation of the target has started since"}
+
 // register adds or updates an instance. The incarnation before it, and others under its id
 // or at its address, have ended; they are removed. Which of two incarnations came first is
 // told by the sidecar beside them: their start times are from a clock that may be set back.
 func (s *state) register(instance message.Instance, before *message.Incarnation) Outcome {
 	if slices.Contains(s.Followed, instance.Incarnation) {
-		return Outcome{Stale, "another incarnation of the target has started since"}
+		return followed
 	}
 	s.recordFollowed(before)
 	old, known := s.Instances[instance.Incarnation.ID]
@@ -131,6 +134,9 @@
 // drain marks an incarnation as draining. One that is not registered may still be, by a late
 // heartbeat.
 func (s *state) drain(c message.Leave) Outcome {
+	if slices.Contains(s.Followed, c.Incarnation) {
+		return followed
+	}
 	s.recordFollowed(c.Before)
 	i, ok := s.Instances[c.Incarnation.ID]
 	if !ok || i.Incarnation != c.Incarnation {
--- a/internal/coordination/registry/registry_test.go
+++ b/internal/coordination/registry/registry_test.go
@@ -164,6 +164,22 @@
 	}
 }
 
+// Guards against two owners of a key: the late departure of an incarnation that has ended was
+// passed on by a restarted sidecar as that of the incarnation after the one that runs.
+func TestLateDepartureEndsNoOtherIncarnation(t *testing.T) {
+	l := &log{t: t, machine: New()}
+	ended, runs := instance("i-1", 10, "p1"), instance("i-2", 20, "p1")
+	l.apply(message.Command{Register: &ended})
+	l.apply(message.Command{Register: &runs, Before: &ended.Incarnation})
+	l.apply(message.Command{Assignments: &message.AssignmentsChange{Service: "catalogue", Assignments: []message.Assignment{{From: 0, To: LastKey, Owner: runs.Incarnation}}, Loads: []message.Load{}}})
+	before := l.machine.Assignments("catalogue")
+	out := l.apply(message.Command{Leave: &message.Leave{Incarnation: ended.Incarnation, Final: true, Before: &runs.Incarnation}})
+	qt.Check(t, out.Status, qt.Equals, Stale)
+	qt.Check(t, l.machine.Instances(), qt.DeepEquals, []message.Instance{runs})
+	qt.Check(t, l.machine.Assignments("catalogue"), qt.DeepEquals, before)
+	qt.Check(t, l.apply(message.Command{Register: &runs}).Status, qt.Equals, Done)
+}
+
 // Guards against a drain that is undone by a heartbeat of the same incarnation that was
 // sent before the drain and arrives after it.
 func TestDrainLastsForTheIncarnation(t *testing.T) {
--- a/internal/traffic/sidecar/incarnations_test.go
+++ b/internal/traffic/sidecar/incarnations_test.go
@@ -225,3 +225,18 @@
 		}
 	})
 }
+
+// Guards against a late departure that takes the running target out of use, since its sidecar has
+// forgotten by a restart which incarnation was followed by which.
+func TestDepartureThatTheCoreRejects(t *testing.T) {
+	ended, runs := message.Incarnation{ID: "i-1", StartTime: 9000}, message.Incarnation{ID: "i-2", StartTime: 9500}
+	h := newHost(t)
+	h.core.acceptsLeaves = false
+	qt.Assert(t, h.beat(runs, 1, false), qt.IsNil)
+	h.manual.Advance(2000)
+	qt.Assert(t, h.sidecar.Deregister(t.Context(), ended.ID, ended.StartTime), qt.ErrorIs, errFollowed)
+	h.manual.Advance(defaultDrainBound)
+	qt.Assert(t, h.rejectsRequests(), qt.IsFalse)
+	qt.Assert(t, h.beat(runs, 2, false), qt.IsNil)
+	qt.Assert(t, h.core.last.Load().Before, qt.IsNil)
+}
--- a/internal/traffic/sidecar/target.go
+++ b/internal/traffic/sidecar/target.go
@@ -204,7 +204,12 @@
 	ctx, cancel := context.WithTimeout(ctx, coreCallTimeout.Duration())
 	defer cancel()
 	leave := message.Leave{Incarnation: incarnation, Final: true, Before: s.incarnations.predecessor(incarnation)}
-	if _, err := call[struct{}](ctx, s.core, message.MethodLeave, leave, coreCallTimeout); err != nil {
+	_, err = call[struct{}](ctx, s.core, message.MethodLeave, leave, coreCallTimeout)
+	if rpc.IsCode(err, rpc.CodeRejected) {
+		s.incarnations.withdraw(incarnation)
+		return errors.Join(errFollowed, err)
+	}
+	if err != nil {
 		return errors.Join(ErrCoreUnavailable, err)
 	}
 	rejectAt := s.options.Clock.Now() + s.rejectDelay()
