core: tests of leaderships do not depend on the speed of the machine

Cause: TestCallIsNotAnsweredFromOlderState counts entries of the log. TestLeaseIsNotRenewedWhileTargetIsRemoved had the same weakness. Change: the lock of decisions is held while the state is prepared. The checks are the same.

--- a/internal/coordination/core/expiry_test.go
+++ b/internal/coordination/core/expiry_test.go
@@ -69,23 +69,20 @@
 	c, expiring, proceed := startSlowLeader(t, lease)
 	_, err := c.ApplyChange(t.Context(), message.ConfigurationChange{Version: 1, Replace: true, Digest: "d", Services: []message.ServiceSpec{{Name: "catalogue", Keyed: true, Source: "{}"}}})
 	qt.Assert(t, err, qt.IsNil)
-	heartbeat := func(sequence int, reported ...message.RangeGrant) (message.HeartbeatReply, error) {
-		return c.heartbeat(t.Context(), message.Heartbeat{Instance: message.Instance{Incarnation: first, Service: "catalogue", Peer: "i-1", Slots: 4}, Sequence: sequence, Grants: reported})
-	}
-	_, err = heartbeat(1)
-	qt.Assert(t, err, qt.IsNil)
-	token := c.commit(t, message.Command{Assignments: &message.AssignmentsChange{Service: "catalogue", Assignments: []message.Assignment{{From: 0, To: keyrange.Keys - 1, Owner: first}}}})
-
 	lock := c.decisions()
 	lock.Lock()
-	time.Sleep(2 * lease.Duration()) // The lease ends, and the planner waits for the lock.
+	instance := message.Instance{Incarnation: first, Service: "catalogue", Peer: "i-1", Slots: 4}
+	c.commit(t, message.Command{Register: &instance})
+	token := c.commit(t, message.Command{Assignments: &message.AssignmentsChange{Service: "catalogue", Assignments: []message.Assignment{{From: 0, To: keyrange.Keys - 1, Owner: first}}}})
+	time.Sleep(2 * lease.Duration()) // The lease since the election ends, and the planner waits for the lock.
 	type answer struct {
 		reply message.HeartbeatReply
 		err   error
 	}
 	answers := make(chan answer, 1)
 	go func() {
-		reply, err := heartbeat(2, message.RangeGrant{From: 0, To: keyrange.Keys - 1, FencingToken: message.FencingToken(token)})
+		owned := message.RangeGrant{From: 0, To: keyrange.Keys - 1, FencingToken: message.FencingToken(token)}
+		reply, err := c.heartbeat(t.Context(), message.Heartbeat{Instance: instance, Sequence: 2, Grants: []message.RangeGrant{owned}})
 		answers <- answer{reply, err}
 	}()
 	time.Sleep(100 * time.Millisecond) // The heartbeat is confirmed, and waits for the lock.
--- a/internal/coordination/core/reopened_log_test.go
+++ b/internal/coordination/core/reopened_log_test.go
@@ -78,13 +78,6 @@
 // decisions is the lock under which keys are granted.
 func (c *Core) decisions() *sync.Mutex { return &c.current.Load().mu }
 
-// holdDecisions makes each decision about keys wait until the returned function is called.
-func holdDecisions(c *Core) (end func()) {
-	lock := c.decisions()
-	lock.Lock()
-	return lock.Unlock
-}
-
 // Guards against two owners of a key: a call that waits while the log of the leader is closed
 // and opened again was answered from the snapshot, with keys given away since then.
 func TestCallIsNotAnsweredFromOlderState(t *testing.T) {
@@ -102,14 +95,15 @@
 	}
 	for name, test := range map[string]struct {
 		byCall bool
-		hold   func(c *Core) (end func())
-		call   func(c *Core, owned message.RangeGrant) ([]message.RangeGrant, error)
+		// held is true if another decision is in progress until the log is open again.
+		held bool
+		call func(c *Core, owned message.RangeGrant) ([]message.RangeGrant, error)
 	}{
-		"heartbeat waits for keys":             {hold: func(*Core) func() { return func() {} }, call: heartbeat},
-		"heartbeat waits for another decision": {hold: holdDecisions, call: heartbeat},
-		"lease waits for another decision":     {byCall: true, hold: holdDecisions, call: lease},
+		"heartbeat waits for keys":             {call: heartbeat},
+		"heartbeat waits for another decision": {held: true, call: heartbeat},
+		"lease waits for another decision":     {byCall: true, held: true, call: lease},
 	} {
-		t.Run(name, func(t *testing.T) { testCallOverReopenedLog(t, test.byCall, test.hold, test.call) })
+		t.Run(name, func(t *testing.T) { testCallOverReopenedLog(t, test.byCall, test.held, test.call) })
 	}
 }
 
@@ -117,7 +111,7 @@
 	return message.Heartbeat{Instance: message.Instance{Incarnation: i, Service: "catalogue", Peer: message.Address(i.ID), Slots: 4}, Sequence: sequence, Grants: reported}
 }
 
-func testCallOverReopenedLog(t *testing.T, byCall bool, hold func(*Core) (end func()), call func(*Core, message.RangeGrant) ([]message.RangeGrant, error)) {
+func testCallOverReopenedLog(t *testing.T, byCall, held bool, call func(*Core, message.RangeGrant) ([]message.RangeGrant, error)) {
 	c := startLeader(t, zerolog.Nop())
 	_, err := c.ApplyChange(t.Context(), message.ConfigurationChange{Version: 1, Replace: true, Digest: "d", Services: []message.ServiceSpec{{Name: "catalogue", Keyed: true, GrantsByCall: byCall, Source: "{}"}}})
 	qt.Assert(t, err, qt.IsNil)
@@ -125,6 +119,9 @@
 		_, err := c.heartbeat(t.Context(), heartbeatOf(i, 1))
 		qt.Assert(t, err, qt.IsNil)
 	}
+	// The planner commits nothing meanwhile, however long the test takes.
+	lock := c.decisions()
+	lock.Lock()
 	// The first target owns two ranges and waits for a third one.
 	moved, kept := message.Assignment{From: 0, To: 99, Owner: first}, message.Assignment{From: 100, To: 199, Owner: first}
 	incoming, rest := message.Assignment{From: 200, To: 299, Owner: second, NextOwner: first}, message.Assignment{From: 300, To: keyrange.Keys - 1, Owner: second}
@@ -144,7 +141,9 @@
 	before := c.current.Load()
 	index := before.machine.Index()
 	repair := c.breakLog(t)
-	release := hold(c)
+	if !held {
+		lock.Unlock()
+	}
 	type answer struct {
 		grants []message.RangeGrant
 		err    error
@@ -159,7 +158,9 @@
 	eventually(t, "the log is closed", func() bool { _, open := c.quorum.Status(); return !open })
 	repair()
 	eventually(t, "the log is open again", func() bool { _, open := c.quorum.Status(); return open })
-	release()
+	if held {
+		lock.Unlock()
+	}
 	got := <-answers
 	if got.err == nil {
 		qt.Check(t, got.grants, qt.DeepEquals, []message.RangeGrant{owned})
