integration: real processes whose disks fail have one owner for each key

Cause: no test ran the fault of the incident on real processes: a leader whose disk fails opens its log again while heartbeats wait for moves of keys. Change: package internal/integration/owners.

Each grant is checked when a target takes it: another target must not hold the key, the fencing token must be above all that others had, and a target that does not leave must not lose all of its keys at once. Grants within 300 ms after the sidecar or a replica was resumed do not count. cluster.Process can be used without a Cluster, write its output to a pipe, and have its files limited.

--- a/internal/integration/cluster/process.go
+++ b/internal/integration/cluster/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -12,6 +13,7 @@
 	"syscall"
 
 	"github.com/ansel1/merry/v2"
+	"golang.org/x/sys/unix"
 
 	"github.com/gentiansail/gentiansail/internal/wire"
 	"github.com/gentiansail/gentiansail/pkg/clock"
@@ -27,6 +29,7 @@
 	env        []string
 	address    wire.Address
 	outputFile string
+	output     io.Writer // in place of outputFile, if set
 
 	mu    sync.Mutex
 	child *exec.Cmd
@@ -34,6 +37,21 @@
 	err   error
 }
 
+// ProcessOptions describe a process that belongs to no Cluster.
+type ProcessOptions struct {
+	Name, Program          string
+	Arguments, Environment []string
+	// Address is one that the process listens on once it has started.
+	Address wire.Address
+	// Output receives the output through a pipe, to which LimitFileSize does not apply.
+	Output io.Writer
+}
+
+// NewProcess returns a process that is not started yet.
+func NewProcess(o ProcessOptions) *Process {
+	return &Process{Name: o.Name, program: o.Program, args: o.Arguments, env: o.Environment, address: o.Address, outputFile: os.DevNull, output: o.Output}
+}
+
 // Addr returns the address that the process listens on.
 func (p *Process) Addr() wire.Address { return p.address }
 
@@ -80,6 +98,9 @@
 	defer func() { _ = out.Close() }()
 	child := exec.Command(p.program, p.args...)
 	child.Stdout, child.Stderr = out, out
+	if p.output != nil {
+		child.Stdout, child.Stderr = p.output, p.output
+	}
 	child.Env = append(os.Environ(), p.env...)
 	// Kill the child if the test itself is killed.
 	child.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -158,6 +179,12 @@
 // Resume continues a paused process.
 func (p *Process) Resume() { p.signal(syscall.SIGCONT) }
 
+// LimitFileSize makes the process's writes beyond this size of a file fail, as on a full
+// disk, until the next call or start. unix.RLIM_INFINITY ends it.
+func (p *Process) LimitFileSize(bytes uint64) error {
+	return unix.Prlimit(p.PID(), unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: bytes, Max: unix.RLIM_INFINITY}, nil)
+}
+
 // Stop sends SIGTERM and waits until the process has exited. The error is ErrStop if it
 // does not exit before ctx ends or exits with an error.
 func (p *Process) Stop(ctx context.Context) error {
