core: tests start a core of one replica in one way

Cause: startSlowLeader had the settings, the run and the wait of startLeader once more, and the wait stood a third time in eventually. Change: newSingleCore and runLeader serve both. The checks are the same.

--- a/internal/coordination/core/expiry_test.go
+++ b/internal/coordination/core/expiry_test.go
@@ -4,12 +4,10 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
@@ -24,13 +22,7 @@
 // startSlowLeader runs a core of one replica with short leases, which applies the removal of
 // a target only once proceed is closed. expiring is closed when there is one to be applied.
 func startSlowLeader(t *testing.T, lease clock.Millis) (c *Core, expiring, proceed chan struct{}) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	address := l.Addr().String()
-	c = New(Options{Clock: clock.System(), Log: zerolog.Nop(), Metrics: prometheus.NewRegistry(), Settings: settings.Host{
-		Name: "core-1", IP: "127.0.0.1", PeerPort: l.Addr().(*net.TCPAddr).Port, Listen: settings.HostListeners{Control: address},
-		Seeds: []string{address}, FirstStart: true, DataFolder: t.TempDir(), Bounds: settings.HostBounds{MaxLeaseMillis: lease},
-	}})
+	c, l := newSingleCore(t, zerolog.Nop(), settings.HostBounds{MaxLeaseMillis: lease})
 	expiring, proceed = make(chan struct{}), make(chan struct{})
 	first := true
 	c.quorum = quorum.New(quorum.Options{
@@ -51,14 +43,7 @@
 		},
 		Clock: c.options.Clock, Log: c.log, OnRole: c.onRole,
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- c.Run(ctx, l) }()
-	t.Cleanup(func() {
-		cancel()
-		qt.Check(t, <-ended, qt.IsNil)
-	})
-	eventually(t, "the replica leads", c.isLeader)
+	c.runLeader(t, l)
 	return c, expiring, proceed
 }
 
--- a/internal/coordination/core/operator_test.go
+++ b/internal/coordination/core/operator_test.go
@@ -7,7 +7,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/prometheus/client_golang/prometheus"
@@ -22,13 +21,24 @@
 
 // startLeader runs a core of one replica and returns it once it leads.
 func startLeader(t *testing.T, log zerolog.Logger) *Core {
+	c, l := newSingleCore(t, log, settings.HostBounds{})
+	c.runLeader(t, l)
+	return c
+}
+
+// newSingleCore returns a core of one replica that is not running yet, and its listener.
+func newSingleCore(t *testing.T, log zerolog.Logger, bounds settings.HostBounds) (*Core, net.Listener) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	address := l.Addr().String()
-	c := New(Options{Clock: clock.System(), Log: log, Metrics: prometheus.NewRegistry(), Settings: settings.Host{
+	return New(Options{Clock: clock.System(), Log: log, Metrics: prometheus.NewRegistry(), Settings: settings.Host{
 		Name: "core-1", IP: "127.0.0.1", PeerPort: l.Addr().(*net.TCPAddr).Port, Listen: settings.HostListeners{Control: address},
-		Seeds: []string{address}, FirstStart: true, DataFolder: t.TempDir(),
-	}})
+		Seeds: []string{address}, FirstStart: true, DataFolder: t.TempDir(), Bounds: bounds,
+	}}), l
+}
+
+// runLeader runs a core until the test ends, and returns once it leads.
+func (c *Core) runLeader(t *testing.T, l net.Listener) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- c.Run(ctx, l) }()
@@ -36,12 +46,7 @@
 		cancel()
 		qt.Check(t, <-ended, qt.IsNil)
 	})
-	for end := time.Now().Add(60 * time.Second); !c.isLeader(); time.Sleep(10 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("no leader within 60 s")
-		}
-	}
-	return c
+	eventually(t, "the replica leads", c.isLeader)
 }
 
 // lastIndex returns the index of the last entry that the replica has applied.
