--- a/internal/coordination/message/doc.go
+++ b/internal/coordination/message/doc.go
@@ -37,4 +37,5 @@
 	ItemRangeOwners = "rows/"
 	ItemQuarantine  = "quarantine/"
 	ItemRevision    = "revision/"
+	ItemEvacuation  = "evacuation/"
 )
--- a/internal/coordination/message/message.go
+++ b/internal/coordination/message/message.go
@@ -74,6 +74,9 @@
 	// Counts the requests that a target was processing when it died.
 	Crash *Crash `json:"Crash,omitempty"`
 
+	// Begins or ends the evacuation of a failure domain.
+	Evacuation *Evacuation `json:"Evacuation,omitempty"`
+
 	// Removes a target that the leader considers lost, because its lease has expired
 	// or because it has sent no heartbeat for long.
 	Expire *Incarnation `json:"Expire,omitempty"`
@@ -133,6 +136,16 @@
 	Incarnation Incarnation `json:"Lifetime"`
 }
 
+// Evacuation is an operator's order that the targets of a failure domain get no
+// requests, or the end of such an order.
+type Evacuation struct {
+	// False if the targets of the domain may get requests again.
+	Active bool `json:"Active"`
+
+	// Domain corresponds to the JSON schema field "Domain".
+	Domain FailureDomain `json:"Domain"`
+}
+
 // FailureDomain is the name of a failure domain.
 type FailureDomain string
 
@@ -504,6 +517,13 @@
 
 // ServiceSpec is a service in the configuration.
 type ServiceSpec struct {
+	// How long a target stays cold after it has turned cold.
+	ColdMillis Millis `json:"ColdMillis"`
+
+	// Requests a second that a cold target tolerates; 0 if its targets are never
+	// cold.
+	ColdPerSecond float64 `json:"ColdPerSecond"`
+
 	// Whether targets of a keyed service get their keys by calls of the sidecar on
 	// their host, and not in responses to heartbeats.
 	GrantsByCall bool `json:"GrantsByCall"`
--- a/internal/settings/host.go
+++ b/internal/settings/host.go
@@ -32,6 +32,11 @@
 	// MemoryMegabytes is the memory that the deployment allows the process; 0 if it
 	// sets no limit.
 	MemoryMegabytes int
+	// MaxDescriptors is the number of file descriptors that the deployment allows the
+	// process; 0 if it sets no limit.
+	MaxDescriptors int
+	// LinkMegabits is the bandwidth of the host's link in Mbit/s; 0 if it is not known.
+	LinkMegabits float64
 	// HeartbeatMillis is the approximate interval between heartbeats of a target.
 	HeartbeatMillis clock.Millis
 	Bounds          HostBounds
@@ -64,6 +69,13 @@
 	// number of retries allowed in addition.
 	RetryRatio   float64
 	ExtraRetries int
+	// ColdOverage and ColdSlack limit the requests to a cold target in any second, over
+	// all hosts, to ColdOverage times what it tolerates in a second, plus ColdSlack.
+	ColdOverage float64
+	ColdSlack   float64
+	// EvacuateMillis is the time from the acknowledgement of an evacuation after which no
+	// target of the failure domain gets a request.
+	EvacuateMillis clock.Millis
 }
 
 // LoadCore reads and checks the settings of a core replica.
--- a/internal/traffic/sidecar/target.go
+++ b/internal/traffic/sidecar/target.go
@@ -30,6 +30,8 @@
 	// Slots is the number of requests that the target processes concurrently.
 	Slots    int
 	Draining bool
+	// ColdMillis is how much longer the target is cold; 0 if it is not.
+	ColdMillis clock.Millis
 	// Sequence increases with each heartbeat of an incarnation.
 	Sequence int
 	// Grants are the key ranges that the target owns. Released are those that it has
--- a/internal/traffic/view/view.go
+++ b/internal/traffic/view/view.go
@@ -38,6 +38,7 @@
 	instancesByID map[message.InstanceID]message.Instance
 	rangeOwners   map[message.ServiceName][]message.RangeOwner // sorted by key
 	quarantined   map[string]bool                              // by fingerprint
+	evacuated     map[message.FailureDomain]bool
 }
 
 // Match returns the route with the longest prefix that matches a request, or nil.
@@ -95,6 +96,9 @@
 // crashed several targets.
 func (v *View) Quarantined(fingerprint string) bool { return v.quarantined[fingerprint] }
 
+// Evacuated reports whether the targets of a failure domain are to get no requests.
+func (v *View) Evacuated(domain message.FailureDomain) bool { return v.evacuated[domain] }
+
 // Store holds the newest view.
 type Store struct {
 	mu       sync.Mutex
@@ -236,6 +240,12 @@
 			v.quarantined[fingerprint] = true
 		}
 	}
+	if changed(message.ItemEvacuation) {
+		v.evacuated = map[message.FailureDomain]bool{}
+		for domain := range e[message.ItemEvacuation] {
+			v.evacuated[message.FailureDomain(domain)] = true
+		}
+	}
 	if changed(message.ItemRevision) {
 		for _, value := range e[message.ItemRevision] {
 			v.Revision = value.(*configurationVersion).Version
