traffic: limit the requests to a cold target

Cause: a target that has turned cold tolerates a low rate and crashes well above it, and nothing limited what all hosts together send it. Change: the gate counts when requests begin and when they are written, also while the target is warm, and holds back what a cold target does not take. A target is cold by its heartbeats, when it refuses connections, while another incarnation is not proven yet, and for one cold start after an evacuation. Queued requests whose turn comes too late are rejected when it turns cold. Responses with status 421 do not count. Heartbeats with a cold time out of range are rejected. The reported load shows the target as slow as it is, so that the core gives it fewer keys.

--- a/internal/integration/mesh/harness_test.go
+++ b/internal/integration/mesh/harness_test.go
@@ -187,7 +187,9 @@
 	released []message.RangeGrant
 	draining bool
 	sequence int
-	crashed  chan struct{}
+	// coldUntil is the end of the cold time that the heartbeats state.
+	coldUntil time.Time
+	crashed   chan struct{}
 	// idleLimit is a time.Duration: a connection that was idle for longer is reset by
 	// the next bytes that arrive; 0 for no limit.
 	idleLimit atomic.Int64
@@ -248,7 +250,7 @@
 		Name: fmt.Sprintf("host-%d", number), FailureDomain: "a", IP: ip, PeerPort: s.peerPort,
 		Listen: settings.HostListeners{Callers: h.callerAddress, Control: ip + ":1"}, Seeds: s.seeds[:min(3, len(s.seeds))],
 		Target: settings.HostTarget{Address: targetListener.Addr().String(), Service: string(service)},
-		Bounds: settings.HostBounds{RetryRatio: 0.2, ExtraRetries: 64},
+		Bounds: settings.HostBounds{RetryRatio: 0.2, ExtraRetries: 64, ColdOverage: 1.5, ColdSlack: 8},
 	}
 	h.sidecar = sidecar.New(sidecar.Options{Settings: o, Names: names, Calls: testCalls, Clock: clock.System(), Log: zerolog.Nop(), Metrics: prometheus.NewRegistry()})
 	ctx, cancel := context.WithCancel(s.ctx)
@@ -311,7 +313,8 @@
 	}
 	c := sidecar.Heartbeat{
 		Incarnation: x.incarnation, Service: x.service, Address: message.Address(x.address), Slots: 8, Draining: x.draining, Sequence: x.sequence,
-		Grants: append([]message.RangeGrant(nil), x.grants...), Released: append([]message.RangeGrant(nil), x.released...),
+		ColdMillis: clock.FromDuration(max(x.coldUntil.Sub(sent), 0)),
+		Grants:     append([]message.RangeGrant(nil), x.grants...), Released: append([]message.RangeGrant(nil), x.released...),
 	}
 	x.mu.Unlock()
 	reply, err := x.host.sidecar.HandleHeartbeat(x.host.mesh.ctx, c)
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -22,7 +22,8 @@
 //     for half of the time until its deadline.
 //
 // A target may name the number of requests a second that it takes. Requests then begin at
-// that pace, and the wait for their turn counts like the wait for a slot.
+// that pace, and the wait for their turn counts like the wait for a slot. The same holds for
+// a target that is cold; see package coldstart.
 //
 // # Usage
 //
@@ -43,6 +44,7 @@
 	"sync"
 	"time"
 
+	"github.com/gentiansail/gentiansail/internal/traffic/coldstart"
 	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
@@ -112,8 +114,10 @@
 	// virtualDeadline is the time of arrival plus (1 + Rank) times the time that was then
 	// left until the objective. The function before orders tickets by it.
 	virtualDeadline clock.Millis
-	decision        Decision
-	decided         chan struct{}
+	// begun is when the request got a slot.
+	begun    clock.Millis
+	decision Decision
+	decided  chan struct{}
 }
 
 // Decided returns a channel that is closed when a queued ticket has a decision.
@@ -137,6 +141,8 @@
 	waiting      []*Ticket
 	// pace limits how often a request gets a slot.
 	pace pace
+	// cold limits how often a request gets a slot while the target is cold.
+	cold *coldstart.Limiter
 	// wakeAt is when the earliest scheduled call of advance is due; 0 if there is none.
 	wakeAt clock.Millis
 	// after calls a function after a time.
@@ -150,7 +156,7 @@
 // New returns a queue for a target without slots.
 func New(clk clock.Clock) *Queue {
 	return &Queue{
-		clock: clk, routeMeans: map[string]float64{},
+		clock: clk, cold: coldstart.New(), routeMeans: map[string]float64{},
 		after: func(d clock.Millis, f func()) { time.AfterFunc(d.Duration(), f) },
 	}
 }
@@ -191,8 +197,8 @@
 	if now > t.latestStart {
 		return TooLate
 	}
-	if q.running < q.slots && len(q.waiting) == 0 && q.pace.wait(now, 0) == 0 {
-		q.begin(now)
+	if q.running < q.slots && len(q.waiting) == 0 && q.turn(now, 0) == 0 {
+		q.begin(t, now)
 		return Admitted
 	}
 	wait := q.expectedWait(t, now)
@@ -211,9 +217,11 @@
 }
 
 // begin counts a request that gets a slot.
-func (q *Queue) begin(now clock.Millis) {
+func (q *Queue) begin(t *Ticket, now clock.Millis) {
 	q.running++
+	t.begun = now
 	q.pace.begin(now)
+	q.cold.Begin(now)
 }
 
 // scheduleAdvance makes a free slot be assigned when the pace allows it.
@@ -221,7 +229,7 @@
 	if len(q.waiting) == 0 || q.running >= q.slots {
 		return
 	}
-	wait := max(q.pace.wait(now, 0), 1)
+	wait := max(q.turn(now, 0), 1)
 	if q.wakeAt == 0 || now+wait < q.wakeAt {
 		q.wakeAt = now + wait
 		q.after(wait, q.advance)
@@ -303,7 +311,7 @@
 	for _, t := range q.waiting {
 		work += q.expectedDuration(t)
 	}
-	return max(clock.Millis(work/float64(max(q.slots, 1))+q.mean/2), q.pace.wait(q.clock.Now(), len(q.waiting)))
+	return max(clock.Millis(work/float64(max(q.slots, 1))+q.mean/2), q.turn(q.clock.Now(), len(q.waiting)))
 }
 
 // expectedDuration returns the mean duration of the ticket's route in milliseconds, or
@@ -337,7 +345,7 @@
 			first++
 		}
 	}
-	return max(clock.Millis(work/float64(max(q.slots, 1))), q.pace.wait(now, first))
+	return max(clock.Millis(work/float64(max(q.slots, 1))), q.turn(now, first))
 }
 
 // before reports whether a goes before b, for two tickets that can both meet their
@@ -359,7 +367,8 @@
 func (q *Queue) assignSlots() {
 	now := q.clock.Now()
 	q.rejectLate(now)
-	for q.running < q.slots && len(q.waiting) > 0 && q.pace.wait(now, 0) == 0 {
+	q.rejectBeyondTurn(now)
+	for q.running < q.slots && len(q.waiting) > 0 && q.turn(now, 0) == 0 {
 		first := 0
 		for i := range q.waiting {
 			if q.preferred(q.waiting[i], q.waiting[first], now) {
@@ -368,7 +377,7 @@
 		}
 		t := q.waiting[first]
 		q.waiting = append(q.waiting[:first], q.waiting[first+1:]...)
-		q.begin(now)
+		q.begin(t, now)
 		t.decide(Admitted)
 	}
 	q.scheduleAdvance(now)
--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -29,6 +29,7 @@
 	"github.com/gentiansail/gentiansail/internal/exchange"
 	"github.com/gentiansail/gentiansail/internal/ownership/keyrange"
 	"github.com/gentiansail/gentiansail/internal/traffic/admission"
+	"github.com/gentiansail/gentiansail/internal/traffic/coldstart"
 	"github.com/gentiansail/gentiansail/internal/traffic/hop"
 	"github.com/gentiansail/gentiansail/pkg/clock"
 )
@@ -65,6 +66,11 @@
 	// OnKeyRejected, if set, is called when the target states that it does not own the key
 	// of a request although it has a grant.
 	OnKeyRejected func(message.Incarnation, message.Key)
+	// OnCold, if set, is called when the target turns cold or is cold no longer.
+	OnCold func(incarnation message.Incarnation, cold bool, cause ColdCause)
+	// OnColdRequest, if set, is called with each request that waits, or is rejected, because
+	// the target is cold.
+	OnColdRequest func(ColdOutcome)
 }
 
 // Target describes the target of a gate, as of its last heartbeat.
@@ -75,6 +81,10 @@
 	Slots       int
 	// Keyed is true if the target may run a request only for a key that it owns.
 	Keyed bool
+	// ColdMillis is how much longer the target says that it is cold; 0 if it is not. Cold
+	// states what it takes meanwhile.
+	ColdMillis clock.Millis
+	Cold       coldstart.Bounds
 }
 
 // Gate controls all requests to one target. It is safe for concurrent use.
@@ -93,6 +103,8 @@
 	grants   []KeyGrant
 	// rateLimit is the limit that the target names in its responses.
 	rateLimit rateLimit
+	// knownCold is whether the target was cold when that was last reported to OnCold.
+	knownCold bool
 	// running maps the requests at the target to their fingerprints.
 	running  map[*TargetRequest]string
 	keyLoads keyrange.LoadCounter
@@ -105,13 +117,18 @@
 
 // SetTarget records a heartbeat of the target. A new incarnation starts without grants.
 func (g *Gate) SetTarget(t Target) {
+	now := g.options.Clock.Now()
 	g.mu.Lock()
-	if t.Incarnation != g.target.Incarnation {
+	begins := t.Incarnation != g.target.Incarnation
+	if begins {
 		g.grants, g.rejectFrom, g.rateLimit = nil, 0, rateLimit{}
 		g.queue.SetRate(0)
 	}
 	g.target, g.hasTarget = t, true
+	g.queue.Cold().SetBounds(t.Cold, now)
+	g.queue.Cold().Report(t.ColdMillis, begins, now)
 	g.mu.Unlock()
+	g.noteCold(ColdReported)
 	g.queue.SetSlots(t.Slots)
 }
 
@@ -186,7 +203,8 @@
 	limit := g.rateLimit
 	g.mu.Unlock()
 	running, waiting, slots, mean := g.queue.Load()
-	return limit.limitSpeed(hop.Load{Running: running, Waiting: waiting, Slots: slots, ServiceMillis: mean}, g.options.Clock.Now())
+	now := g.options.Clock.Now()
+	return g.limitColdSpeed(limit.limitSpeed(hop.Load{Running: running, Waiting: waiting, Slots: slots, ServiceMillis: mean}, now), now)
 }
 
 // TargetRequest is a request to be run by a target.
@@ -269,7 +287,7 @@
 	}
 	now := g.options.Clock.Now()
 	if reason := g.rejectionReason(request, now); reason != "" {
-		g.queue.Release(ticket, 0)
+		g.releaseUnsent(ticket)
 		return Rejection(reason, 0)
 	}
 	request.RemainingMillis -= now - start
@@ -314,8 +332,9 @@
 
 // waitForSlot waits until the target has a free slot for the request. It returns nil if
 // the request got one, and a rejection otherwise.
-func (g *Gate) waitForSlot(ctx context.Context, ticket *admission.Ticket) *Result {
+func (g *Gate) waitForSlot(ctx context.Context, ticket *admission.Ticket) (rejection *Result) {
 	decision := g.queue.Admit(ticket)
+	defer func(first admission.Decision) { g.countCold(first, ticket, rejection) }(decision)
 	if decision == admission.Queued {
 		waitCtx, cancel := context.WithTimeout(ctx, (ticket.LatestStart() - responseMargin - g.options.Clock.Now()).Duration())
 		defer cancel()
@@ -332,7 +351,7 @@
 	switch decision {
 	case admission.Admitted:
 		if ctx.Err() != nil {
-			g.queue.Release(ticket, 0)
+			g.releaseUnsent(ticket)
 			return Rejection(hop.TooLate, 0)
 		}
 		return nil
@@ -362,23 +381,32 @@
 	header.Set(g.options.Names.Instance, string(target.Incarnation.ID))
 	httpRequest, err := NewHTTPRequest(request, target.Address)
 	if err != nil {
-		g.queue.Release(ticket, 0)
+		g.releaseUnsent(ticket)
 		return Rejection(hop.BadRequest, 0)
 	}
 	start := g.options.Clock.Now()
-	result := &Result{}
+	result, count := &Result{}, &coldCount{limiter: g.queue.Cold(), at: ticket.Begun()}
 	g.addRunning(request)
 	response, err := g.options.Pool.Do(ctx, exchange.Request{
 		Address: target.Address, HTTP: httpRequest, RequestID: request.ID, RequestIDHeader: g.options.Names.RequestID, RequireRequestID: true,
 		MayOmitRequestID: g.rejectedByTarget, SkipMismatched: true, AllowCloseDelimited: true,
-		BeforeWrite: func() error { return g.checkBeforeWrite(request) },
+		BeforeWrite: func() error { return g.checkBeforeWrite(request, count) },
 		IdleTimeout: BodyFlushDelay, IdleTimeoutBodyOnly: true, OnIdleTimeout: result.HandlePause,
 	})
 	if err != nil {
 		g.removeRunning(request, err)
+		count.cancelUnsent()
+		g.presumeCold(err)
 		g.queue.Release(ticket, 0)
+		if errors.Is(err, errCold) {
+			g.countColdOutcome(ColdRejected)
+			return Rejection(hop.Busy, g.queue.RetryAfter())
+		}
 		return FailedExchange(ctx, err)
 	}
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		count.cancel()
+	}
 	return g.readResponse(request, ticket, target.Incarnation, result, response, start)
 }
 
@@ -386,10 +414,14 @@
 
 // checkBeforeWrite repeats the checks of the request when the connection is ready, since
 // the state of the target may have changed during the wait for it.
-func (g *Gate) checkBeforeWrite(request *TargetRequest) error {
-	if g.rejectionReason(request, g.options.Clock.Now()) != "" {
+func (g *Gate) checkBeforeWrite(request *TargetRequest, count *coldCount) error {
+	now := g.options.Clock.Now()
+	if g.rejectionReason(request, now) != "" {
 		return errNotAllowed
 	}
+	if !count.send(now) {
+		return errCold
+	}
 	return nil
 }
 
--- a/internal/traffic/hop/hop.go
+++ b/internal/traffic/hop/hop.go
@@ -164,6 +164,9 @@
 	Running, Waiting, Slots int
 	// ServiceMillis is the mean time that the target takes for a request.
 	ServiceMillis clock.Millis
+	// ColdMillis is how much longer the target is expected to be cold; 0 if it is not. While
+	// it is cold, ServiceMillis stands for the rate that it tolerates.
+	ColdMillis clock.Millis
 }
 
 // Reply holds what the target's sidecar adds to a response.
@@ -183,14 +186,15 @@
 	if r.RetryMillis > 0 {
 		h[retryField] = []string{strconv.Itoa(int(r.RetryMillis))}
 	}
-	h[loadField] = []string{fmt.Sprintf("%d %d %d %d", r.Load.Running, r.Load.Waiting, r.Load.Slots, r.Load.ServiceMillis)}
+	h[loadField] = []string{fmt.Sprintf("%d %d %d %d %d", r.Load.Running, r.Load.Waiting, r.Load.Slots, r.Load.ServiceMillis, r.Load.ColdMillis)}
 }
 
 // ParseReply reads the fields that Reply.SetHeader wrote, and removes them from the
 // header. ok is false if the response does not come from a sidecar.
 func ParseReply(h http.Header) (r Reply, ok bool) {
-	_, err := fmt.Sscanf(h.Get(loadField), "%d %d %d %d", &r.Load.Running, &r.Load.Waiting, &r.Load.Slots, &r.Load.ServiceMillis)
-	if err != nil {
+	// Sidecars of earlier releases send the first four.
+	n, err := fmt.Sscanf(h.Get(loadField), "%d %d %d %d %d", &r.Load.Running, &r.Load.Waiting, &r.Load.Slots, &r.Load.ServiceMillis, &r.Load.ColdMillis)
+	if err != nil && n < 4 {
 		return Reply{}, false
 	}
 	r.Reason = Reason(h.Get(reasonField))
--- /dev/null
+++ b/internal/traffic/sidecar/cold.go
@@ -0,0 +1,35 @@
+package sidecar
+
+import (
+	"github.com/gentiansail/gentiansail/internal/coordination/message"
+	"github.com/gentiansail/gentiansail/internal/traffic/coldstart"
+	"github.com/gentiansail/gentiansail/internal/traffic/gate"
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+// coldBounds returns what a cold target of a service takes.
+func (s *Sidecar) coldBounds(spec message.ServiceSpec) coldstart.Bounds {
+	bounds := s.options.Settings.Bounds
+	return coldstart.Bounds{
+		PerSecond: spec.ColdPerSecond, Overage: bounds.ColdOverage, Slack: bounds.ColdSlack,
+		Lasts: clock.Millis(spec.ColdMillis) + s.incarnations.interval,
+	}
+}
+
+// presumeColdAfterEvacuation is called before a newer view is in force. Requests that the end
+// of an evacuation allows must find a target that counts as cold.
+func (s *Sidecar) presumeColdAfterEvacuation() {
+	if v := s.views.Current(); v != nil && v.Evacuated(message.FailureDomain(s.options.Settings.FailureDomain)) {
+		s.gate.PresumeCold(gate.ColdEvacuated)
+	}
+}
+
+// logCold logs that the target turns cold, or is cold no longer.
+func (s *Sidecar) logCold(incarnation message.Incarnation, cold bool, cause gate.ColdCause) {
+	skipped, ok := s.logBudget.Allow("target-cold")
+	if !ok {
+		return
+	}
+	s.log.Info().Str("Event", "target-cold").Str("Target", string(incarnation.ID)).Int("Born", int(incarnation.StartTime)).Bool("Cold", cold).Str("Cause", string(cause)).
+		Int("ColdMillis", int(s.gate.Load().ColdMillis)).Int("Skipped", skipped).Msg("the target has turned cold or is cold no longer")
+}
--- a/internal/traffic/sidecar/heartbeat.go
+++ b/internal/traffic/sidecar/heartbeat.go
@@ -5,6 +5,7 @@
 
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
 	"github.com/gentiansail/gentiansail/internal/ownership/keyrange"
+	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
 // Limits of the fields of a heartbeat. A heartbeat may come from another writer than the
@@ -16,6 +17,8 @@
 	maxSlots = 1 << 16
 	// maxSequence is reached by a target that sends 12 heartbeats a second after five years.
 	maxSequence = 1 << 31
+	// maxColdMillis is far above the length of a cold start.
+	maxColdMillis clock.Millis = 600_000
 	// maxExactInteger is the largest integer that all JSON decoders read exactly.
 	maxExactInteger = 1 << 53
 	// maxHandoverBytes bounds a handover token, which is part of a response of at most 4 KiB.
@@ -41,6 +44,8 @@
 		return fmt.Errorf("%d slots, but there may be 1 to %d", h.Slots, maxSlots)
 	case h.Sequence < 0 || h.Sequence > maxSequence:
 		return fmt.Errorf("number %d of the heartbeat is not within 0 and %d", h.Sequence, maxSequence)
+	case h.ColdMillis < 0 || h.ColdMillis > maxColdMillis:
+		return fmt.Errorf("cold for %d ms, which is not within 0 and %d", h.ColdMillis, maxColdMillis)
 	}
 	for _, list := range [][]message.RangeGrant{h.Grants, h.Released} {
 		for _, g := range list {
--- a/internal/traffic/sidecar/metrics.go
+++ b/internal/traffic/sidecar/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
+	"github.com/gentiansail/gentiansail/internal/traffic/gate"
 	"github.com/gentiansail/gentiansail/internal/traffic/hop"
 	"github.com/gentiansail/gentiansail/pkg/clock"
 )
@@ -32,6 +33,12 @@
 	gauge("target_waiting_requests", "Requests that wait for a slot of the target.", func() float64 { return float64(s.gate.Load().Waiting) })
 	gauge("target_rate_limit", "Requests a second that the target takes from all hosts together; 0 if it names no limit.", func() float64 { return s.gate.RateLimit() })
 	gauge("target_service_milliseconds", "Mean time that the target takes for a request, or the time that its limit corresponds to.", func() float64 { return float64(s.gate.Load().ServiceMillis) })
+	gauge("target_cold", "1 while the target is, or may be, cold.", func() float64 {
+		if s.gate.Cold() {
+			return 1
+		}
+		return 0
+	})
 	gauge("view_version", "Version of the core's state in force.", func() float64 {
 		if v := s.views.Current(); v != nil {
 			return float64(v.Version)
@@ -62,6 +69,14 @@
 	m.requestSeconds.WithLabelValues(service, string(reason)).Observe(float64(duration) / 1000)
 }
 
+// newColdCounter registers the counter of requests that wait or are rejected because the
+// target is cold, and returns the function that counts them.
+func newColdCounter(registerer prometheus.Registerer) func(gate.ColdOutcome) {
+	counter := promauto.With(registerer).NewCounterVec(prometheus.CounterOpts{Namespace: "gentiansail", Subsystem: "sidecar", Name: "target_cold_requests_total",
+		Help: "Requests that waited for their turn at a cold target, or were rejected, by outcome."}, []string{"outcome"})
+	return func(outcome gate.ColdOutcome) { counter.WithLabelValues(string(outcome)).Inc() }
+}
+
 // leaseMetrics are the metrics of a target that takes its keys by calls.
 type leaseMetrics struct {
 	leases    *prometheus.CounterVec
--- a/internal/traffic/sidecar/odd_heartbeat_test.go
+++ b/internal/traffic/sidecar/odd_heartbeat_test.go
@@ -17,6 +17,8 @@
 	runs := message.Incarnation{ID: "i-1", StartTime: 9000}
 	tests := map[string]func(h *Heartbeat){
 		"too many slots":             func(h *Heartbeat) { h.Slots = math.MaxInt },
+		"cold in the past":           func(h *Heartbeat) { h.ColdMillis = -1 },
+		"cold for ever":              func(h *Heartbeat) { h.ColdMillis = math.MaxInt64 },
 		"negative slots":             func(h *Heartbeat) { h.Slots = -1 },
 		"number too large":           func(h *Heartbeat) { h.Sequence = math.MaxInt },
 		"negative number":            func(h *Heartbeat) { h.Sequence = -1 },
--- a/internal/traffic/sidecar/sidecar.go
+++ b/internal/traffic/sidecar/sidecar.go
@@ -127,7 +127,8 @@
 	s.targetPool = exchange.NewPool(exchange.Options{MaxPerAddress: maxTargetConnections, IdleConnTimeout: targetIdleLimit, Clock: options.Clock, Dial: link.Dial})
 	s.peerPool = exchange.NewPool(exchange.Options{MaxPerAddress: maxPeerConnections, IdleConnTimeout: peerIdleLimit, Clock: options.Clock, Dial: link.Dial})
 	s.gate = gate.New(gate.Options{Names: options.Names, Clock: options.Clock, Pool: s.targetPool, OnConnectionLost: s.checkForCrash,
-		OnKeyRejected: func(i message.Incarnation, key message.Key) { s.leaser.keyRejected(i, key) }, OnRateLimit: s.logRateLimit, OnLeaving: s.handleLeaving})
+		OnKeyRejected: func(i message.Incarnation, key message.Key) { s.leaser.keyRejected(i, key) }, OnRateLimit: s.logRateLimit, OnLeaving: s.handleLeaving,
+		OnCold: s.logCold, OnColdRequest: newColdCounter(options.Metrics)})
 	s.leaser = newLeaser(s)
 	s.ingress = ingress.New(ingress.Options{
 		Names: options.Names, Service: message.ServiceName(options.Settings.Target.Service), Host: message.HostName(options.Settings.Name),
--- a/internal/traffic/sidecar/target.go
+++ b/internal/traffic/sidecar/target.go
@@ -7,6 +7,7 @@
 
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
 	"github.com/gentiansail/gentiansail/internal/rpc"
+	"github.com/gentiansail/gentiansail/internal/traffic/coldstart"
 	"github.com/gentiansail/gentiansail/internal/traffic/gate"
 	"github.com/gentiansail/gentiansail/internal/traffic/link"
 	"github.com/gentiansail/gentiansail/pkg/clock"
@@ -61,6 +62,10 @@
 		return message.HeartbeatReply{}, errors.Join(ErrCoreUnavailable, err)
 	}
 	if err := s.admitHeartbeat(h, received); err != nil {
+		if errors.Is(err, errUnproven) {
+			// It may run at the address already, even under the same id.
+			s.gate.PresumeCold(gate.ColdUnproven)
+		}
 		return message.HeartbeatReply{}, err
 	}
 	keyed, byCall := false, s.leaser.applies()
@@ -70,14 +75,15 @@
 		}
 	}
 	alreadyDraining := false // whether the core has published this incarnation as draining
+	var cold coldstart.Bounds
 	if v := s.views.Current(); v != nil {
 		spec, _ := v.Service(h.Service)
-		keyed = spec.Keyed
+		keyed, cold = spec.Keyed, s.coldBounds(spec)
 		instance, ok := v.Instance(h.Incarnation.ID)
 		alreadyDraining = ok && instance.Incarnation == h.Incarnation && instance.Draining
 	}
 	_, seenBefore := s.gate.Target()
-	s.gate.SetTarget(gate.Target{Incarnation: h.Incarnation, Service: h.Service, Address: string(h.Address), Slots: h.Slots, Keyed: keyed})
+	s.gate.SetTarget(gate.Target{Incarnation: h.Incarnation, Service: h.Service, Address: string(h.Address), Slots: h.Slots, Keyed: keyed, ColdMillis: h.ColdMillis, Cold: cold})
 	switch {
 	case alreadyDraining && !seenBefore:
 		// A previous process of this host may have acknowledged the drain long ago.
@@ -244,6 +250,7 @@
 			return
 		}
 		s.incarnations.markEnded(incarnation)
+		s.gate.PresumeCold(gate.ColdDown)
 		s.log.Warn().Str("Event", "target-down").Str("Target", string(incarnation.ID)).Int("InFlight", len(fingerprints)).Msg("target refuses connections")
 		if s.leaser.applies() {
 			s.leaser.markEnded(incarnation)
