placement: send cold and new targets the share that they take

Cause: a target that reports a cold start looked slow for ever or idle. By cost, hosts sent a cold target nothing, and all 80 sent a new one a request at once (model of 20 targets at 1,000 requests a second: 0 and 80 requests in the 3 s for which it tolerates 12 a second). While there are others, a cold or new target is chosen at random for 1/n of the requests, reduced by how much slower it is. After the cold time its reported speed is forgotten.

--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -322,7 +322,11 @@
 		}
 		return owner, ""
 	}
-	target, ok := in.balancer.Choose(in.departures.mark(v.Instances(req.service)), tried)
+	instances := in.departures.mark(v.Instances(req.service))
+	if spec, ok := v.Service(req.service); ok && spec.ColdPerSecond > 0 {
+		in.balancer.ExpectCold(instances, clock.Millis(spec.ColdMillis))
+	}
+	target, ok := in.balancer.Choose(instances, tried)
 	if !ok {
 		return message.Instance{}, hop.NoTarget
 	}
--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -48,6 +48,9 @@
 	// target costs as much as one that is three times as slow, so that other targets
 	// with spare capacity are chosen first.
 	failureCostFactor = 6
+	// newTargetShare is the share of a warm target's requests that a target gets that has just
+	// joined and has not responded to this sidecar yet.
+	newTargetShare = 0.3
 	// costJitter randomizes the choice between targets of nearly equal cost, so that many
 	// sidecars do not all choose the same one.
 	costJitter = 0.1
@@ -67,6 +70,8 @@
 	load hop.Load
 	// loadTime is when the load was reported; 0 if never.
 	loadTime clock.Millis
+	// newUntil is until when a target counts as new that has not responded yet.
+	newUntil clock.Millis
 	// inFlight is the number of this sidecar's requests without a response.
 	// inFlightAtLoad is that number at loadTime; the reported load includes those.
 	inFlight, inFlightAtLoad int
@@ -135,12 +140,19 @@
 // caller must hold b.mu.
 func (b *Balancer) choose(instances []message.Instance, tried map[message.InstanceID]bool, stopping bool) (message.Instance, bool) {
 	now := b.clock.Now()
-	meanMillis := b.meanServiceMillis(instances)
+	meanMillis := b.meanServiceMillis(instances, now)
+	available := func(instance message.Instance, s *targetState) bool {
+		return !instance.Draining && instance.Stopping == stopping && !tried[instance.Incarnation.ID] && now >= s.pausedUntil
+	}
+	target, onlyWarm := b.chooseLimited(instances, available, meanMillis, now)
+	if target != nil {
+		return *target, true
+	}
 	var best message.Instance
 	lowestCost, found := 0.0, false
 	for _, instance := range instances {
 		s := b.state(instance.Incarnation.ID)
-		if instance.Draining || instance.Stopping != stopping || tried[instance.Incarnation.ID] || now < s.pausedUntil {
+		if !available(instance, s) || onlyWarm && s.isLimited(now) {
 			continue
 		}
 		cost := b.cost(instance, s, meanMillis, now) * (1 + costJitter*b.random())
@@ -151,12 +163,13 @@
 	return best, found
 }
 
-// meanServiceMillis returns the mean of the reported service times.
-func (b *Balancer) meanServiceMillis(instances []message.Instance) float64 {
+// meanServiceMillis returns the mean of the reported service times of targets that are not
+// cold.
+func (b *Balancer) meanServiceMillis(instances []message.Instance, now clock.Millis) float64 {
 	sum, n := 0.0, 0.0
 	for _, instance := range instances {
-		if s := b.state(instance.Incarnation.ID); s.load.ServiceMillis > 0 {
-			sum, n = sum+float64(s.load.ServiceMillis), n+1
+		if s := b.state(instance.Incarnation.ID); s.serviceMillis(now) > 0 && !s.isCold(now) {
+			sum, n = sum+s.serviceMillis(now), n+1
 		}
 	}
 	if n == 0 {
@@ -169,7 +182,7 @@
 // targets in other failure domains. A nearly full target costs more than its service time,
 // because other sidecars send requests to it at the same time.
 func (b *Balancer) cost(instance message.Instance, s *targetState, meanMillis float64, now clock.Millis) float64 {
-	serviceMillis, requests := float64(s.load.ServiceMillis), float64(s.load.Running+s.load.Waiting)
+	serviceMillis, requests := s.serviceMillis(now), float64(s.load.Running+s.load.Waiting)
 	if serviceMillis == 0 {
 		serviceMillis = meanMillis
 	}
