sidecar: presume a target cold while it waits for its predecessor's grants

Cause: the heartbeat of a target that takes its keys by calls is not handled until the grants of the incarnation before have ended. Meanwhile the gate took it for the warm one before if it has the same id. Change: the target counts as cold from the first such heartbeat.

--- a/internal/traffic/coldstart/coldstart_test.go
+++ b/internal/traffic/coldstart/coldstart_test.go
@@ -150,3 +150,35 @@
 		})
 	}
 }
+
+// Guards against a limiter that delays requests to a target that is not cold.
+func TestWarmTargetIsNotLimited(t *testing.T) {
+	tests := map[string]coldstart.Bounds{"never cold": {}, "warm": {PerSecond: 2, Overage: 1.5, Slack: 8, Lasts: 4000}}
+	for name, bounds := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := coldstart.New()
+			l.SetBounds(bounds, 0)
+			if name == "never cold" {
+				l.Presume(0)
+				l.PresumeDown(0)
+			}
+			l.Report(0, true, 0)
+			for now := range clock.Millis(3000) {
+				qt.Assert(t, l.Wait(now, 100), qt.Equals, clock.Millis(0))
+				l.Begin(now)
+				qt.Assert(t, l.Send(now, now), qt.IsTrue)
+			}
+		})
+	}
+}
+
+func BenchmarkWarmTarget(b *testing.B) {
+	l := coldstart.New()
+	l.SetBounds(coldstart.Bounds{PerSecond: 12, Overage: 1.5, Slack: 8, Lasts: 4000}, 0)
+	for i := range b.N {
+		now := clock.Millis(i / 2) // 2,000 requests a second
+		l.Wait(now, 0)
+		l.Begin(now)
+		l.Send(now, now)
+	}
+}
--- a/internal/traffic/hop/hop_test.go
+++ b/internal/traffic/hop/hop_test.go
@@ -32,3 +32,25 @@
 		qt.Check(t, err, qt.ErrorIs, ErrInvalidField, qt.Commentf("%s", limit))
 	}
 }
+
+// Guards against a load of a sidecar of another release that is taken for a response of
+// something else, and against a cold time that is lost between sidecars.
+func TestLoadOfOtherReleases(t *testing.T) {
+	tests := map[string]struct {
+		text string
+		want Load
+	}{
+		"earlier": {"3 1 9 120", Load{Running: 3, Waiting: 1, Slots: 9, ServiceMillis: 120}},
+		"this":    {"3 1 9 750 2900", Load{Running: 3, Waiting: 1, Slots: 9, ServiceMillis: 750, ColdMillis: 2900}},
+		"later":   {"3 1 9 750 2900 7", Load{Running: 3, Waiting: 1, Slots: 9, ServiceMillis: 750, ColdMillis: 2900}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			got, ok := ParseReply(http.Header{loadField: {tt.text}})
+			qt.Assert(t, ok, qt.IsTrue)
+			qt.Assert(t, got.Load, qt.Equals, tt.want)
+		})
+	}
+	_, ok := ParseReply(http.Header{loadField: {"3 1 9"}})
+	qt.Assert(t, ok, qt.IsFalse)
+}
--- a/internal/traffic/sidecar/target.go
+++ b/internal/traffic/sidecar/target.go
@@ -63,7 +63,7 @@
 	}
 	if err := s.admitHeartbeat(h, received); err != nil {
 		if errors.Is(err, errUnproven) {
-			// It may run at the address already, even under the same id.
+			// It may run at the address already, under the id that the gate names to it.
 			s.gate.PresumeCold(gate.ColdUnproven)
 		}
 		return message.HeartbeatReply{}, err
@@ -71,6 +71,7 @@
 	keyed, byCall := false, s.leaser.applies()
 	if byCall {
 		if err := s.leaser.heard(h.Incarnation, received); err != nil {
+			s.gate.PresumeCold(gate.ColdUnproven)
 			return message.HeartbeatReply{}, errors.Join(ErrCoreUnavailable, err)
 		}
 	}
