coldstart: pace between tolerance and bound; silent and unreachable targets are presumed cold

Cause: a target may start again, or turn cold while the process of its sidecar is frozen, without a heartbeat that has been read. Only refused connections counted as a sign, not connections that cannot be made for another reason. Owners of keys cannot pass requests on, so the pace at the tolerated rate alone rejected more than needed. Change: 2.5 heartbeat intervals without a heartbeat, and any failed connection, make a target count as cold. The pace lies halfway between what the target tolerates and what the deployment allows.

--- a/internal/traffic/coldstart/coldstart.go
+++ b/internal/traffic/coldstart/coldstart.go
@@ -10,8 +10,8 @@
 //   - No second has more requests than the deployment allows. The limiter remembers when each
 //     request of the last window was sent, also while the target is warm, so a target that
 //     turns cold in the middle of traffic is covered from the first heartbeat that says so.
-//   - Requests begin at the rate that the target tolerates. A burst of half the slack may
-//     begin at once.
+//   - Requests begin at an even pace, halfway between the rate that the target tolerates and
+//     the one that the deployment allows. A burst of half the slack may begin at once.
 //
 // A request is counted twice: Begin reserves its place when it gets a slot, and Send moves
 // the reservation to the time at which the request is written. The wait for a connection can
@@ -57,6 +57,9 @@
 	// Lasts is how long a target may be cold without a report that says so: the length of a
 	// cold start and the time between two reports.
 	Lasts clock.Millis
+	// Silence is the time without a report after which the target may have started again, or
+	// the reports are still to be read because this process was frozen; 0 for no limit.
+	Silence clock.Millis
 }
 
 // perWindow returns how many requests may be sent in one window.
@@ -87,6 +90,8 @@
 	// Reports of the same incarnation end this from trustedFrom on.
 	down        bool
 	trustedFrom clock.Millis
+	// reportedAt is when the newest report arrived.
+	reportedAt clock.Millis
 	// times holds when the requests of the last window began or were sent, in order.
 	times []clock.Millis
 }
@@ -94,6 +99,11 @@
 // New returns a limiter without bounds, which limits nothing.
 func New() *Limiter { return &Limiter{} }
 
+// pace returns the rate at which requests to a cold target begin.
+func (b Bounds) pace() float64 {
+	return max(b.PerSecond*(1+max(b.Overage-1, 0)/2), minPerSecond)
+}
+
 // SetBounds sets the bounds. A target that had none gets no request for one window while it
 // is cold, because requests were not counted before.
 func (l *Limiter) SetBounds(b Bounds, now clock.Millis) {
@@ -106,44 +116,35 @@
 		l.blockedUntil = now + window
 	}
 	l.bounds = b
-	l.interval = 1000 / max(b.PerSecond, minPerSecond)
+	l.interval = 1000 / b.pace()
 	l.burst = min(max(b.Slack, 0)/2*l.interval, 1000)
-	l.next = max(l.next, float64(now)+l.burst)
 }
 
 // Report records that the target says that it is cold for the remaining time, or is not if
 // that is 0. first is true for the first report of an incarnation.
 func (l *Limiter) Report(remaining clock.Millis, first bool, now clock.Millis) {
-	l.change(now, func() {
-		l.reportedUntil = now + max(remaining, 0)
-		if first || now >= l.trustedFrom {
-			l.down = false
-		}
-	})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reportedAt, l.reportedUntil = now, now+max(remaining, 0)
+	if first || now >= l.trustedFrom {
+		l.down = false
+	}
 }
 
 // Presume makes the target count as cold for the time that a cold start lasts, whatever it
 // reports meanwhile: reports that arrive may have been sent before it turned cold.
 func (l *Limiter) Presume(now clock.Millis) {
-	l.change(now, func() { l.presumedUntil = max(l.presumedUntil, now+l.bounds.Lasts) })
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.presumedUntil = max(l.presumedUntil, now+l.bounds.Lasts)
 }
 
 // PresumeDown makes the target count as cold until a report shows that it runs: the first one
 // of another incarnation, or one of the same that is too late to have been sent before.
 func (l *Limiter) PresumeDown(now clock.Millis) {
-	l.change(now, func() { l.down, l.trustedFrom = true, now+l.bounds.Lasts })
-}
-
-// change changes the cold time. A target that turns cold begins without a burst, because
-// earlier requests are still at the target.
-func (l *Limiter) change(now clock.Millis, f func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before := l.cold(now)
-	f()
-	if !before && l.cold(now) {
-		l.next = float64(now) + l.burst
-	}
+	l.down, l.trustedFrom = true, now+l.bounds.Lasts
 }
 
 // Cold reports whether the target is or may be cold.
@@ -154,16 +155,15 @@
 }
 
 func (l *Limiter) cold(now clock.Millis) bool {
-	return l.bounds.PerSecond > 0 && now < l.coldUntil()
+	return l.bounds.PerSecond > 0 && now < l.coldUntil(now)
 }
 
 // coldUntil returns the end of the cold time as far as it is known.
-func (l *Limiter) coldUntil() clock.Millis {
-	until := max(l.reportedUntil, l.presumedUntil)
-	if l.down {
-		until = math.MaxInt64
+func (l *Limiter) coldUntil(now clock.Millis) clock.Millis {
+	if l.down || l.bounds.Silence > 0 && now-l.reportedAt > l.bounds.Silence {
+		return math.MaxInt64
 	}
-	return until
+	return max(l.reportedUntil, l.presumedUntil)
 }
 
 // Rate returns the rate of a cold target and for how long it is expected to be cold; 0 if it
@@ -174,7 +174,7 @@
 	if !l.cold(now) {
 		return 0, 0
 	}
-	return max(l.bounds.PerSecond, minPerSecond), min(l.coldUntil()-now, max(l.bounds.Lasts, l.reportedUntil-now))
+	return max(l.bounds.PerSecond, minPerSecond), min(l.coldUntil(now)-now, max(l.bounds.Lasts, l.reportedUntil-now))
 }
 
 // Wait returns the time until a request may begin behind the given number of others; 0 if
@@ -193,7 +193,7 @@
 	if excess := len(l.times) + before - l.bounds.perWindow(); excess >= 0 && len(l.times) > 0 {
 		begin = max(begin, float64(l.times[min(excess, len(l.times)-1)]+window))
 	}
-	return min(max(clock.Millis(math.Ceil(begin))-now, 0), l.coldUntil()-now)
+	return min(max(clock.Millis(math.Ceil(begin))-now, 0), l.coldUntil(now)-now)
 }
 
 // Begin reserves a place for a request that gets a slot.
@@ -205,7 +205,12 @@
 	}
 	l.trim(now)
 	l.times = append(l.times, now)
-	l.next = max(l.next, float64(now)) + l.interval
+	if l.cold(now) {
+		l.next = max(l.next, float64(now)) + l.interval
+	} else {
+		// A target that turns cold gets no burst, since these requests are still there.
+		l.next = float64(now) + l.burst
+	}
 }
 
 // Send moves the reservation of a request that began at the given time to now, when it is
--- a/internal/traffic/gate/cold.go
+++ b/internal/traffic/gate/cold.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"errors"
 	"sync"
 
@@ -17,11 +18,13 @@
 const (
 	// ColdReported means that heartbeats of the target say so.
 	ColdReported ColdCause = "reported"
-	// ColdDown means that the target refuses connections, so that it will be cold when it
+	// ColdDown means that no connection to the target can be made. It will be cold when it
 	// is back.
 	ColdDown ColdCause = "down"
 	// ColdEvacuated means that the evacuation of the target's failure domain ends.
 	ColdEvacuated ColdCause = "evacuation"
+	// ColdSilent means that no heartbeat has arrived for long.
+	ColdSilent ColdCause = "silent"
 	// ColdUnproven means that heartbeats of another incarnation arrive, which is not known
 	// to run yet.
 	ColdUnproven ColdCause = "incarnation-unproven"
@@ -52,10 +55,10 @@
 	g.queue.Update()
 }
 
-// presumeCold makes the target count as cold if it refuses connections. It may start again
-// under the same id and get requests before its first heartbeat.
-func (g *Gate) presumeCold(err error) {
-	if errors.Is(err, exchange.ErrConnectionRefused) {
+// presumeCold makes the target count as cold if no connection to it can be made. It may start
+// again under the same id and get requests before its first heartbeat.
+func (g *Gate) presumeCold(ctx context.Context, err error) {
+	if errors.Is(err, exchange.ErrConnectionRefused) || errors.Is(err, exchange.ErrConnect) && ctx.Err() == nil {
 		g.PresumeCold(ColdDown)
 	}
 }
@@ -91,6 +94,7 @@
 	if first == admission.Admitted || first == admission.TooLate || !g.Cold() {
 		return
 	}
+	g.noteCold(ColdSilent) // the other causes are noted when they arise
 	switch {
 	case rejection == nil:
 		g.countColdOutcome(ColdHeld)
--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -396,7 +396,7 @@
 	if err != nil {
 		g.removeRunning(request, err)
 		count.cancelUnsent()
-		g.presumeCold(err)
+		g.presumeCold(ctx, err)
 		g.queue.Release(ticket, 0)
 		if errors.Is(err, errCold) {
 			g.countColdOutcome(ColdRejected)
--- a/internal/traffic/sidecar/cold.go
+++ b/internal/traffic/sidecar/cold.go
@@ -7,12 +7,16 @@
 	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
+// coldSilencePercent is the share of the heartbeat interval after which a target that was not
+// heard from may be cold: it may have started again, or this process may have been frozen.
+const coldSilencePercent = 250
+
 // coldBounds returns what a cold target of a service takes.
 func (s *Sidecar) coldBounds(spec message.ServiceSpec) coldstart.Bounds {
 	bounds := s.options.Settings.Bounds
 	return coldstart.Bounds{
 		PerSecond: spec.ColdPerSecond, Overage: bounds.ColdOverage, Slack: bounds.ColdSlack,
-		Lasts: clock.Millis(spec.ColdMillis) + s.incarnations.interval,
+		Lasts: clock.Millis(spec.ColdMillis) + s.incarnations.interval, Silence: s.incarnations.interval * coldSilencePercent / 100,
 	}
 }
 
