--- a/internal/ownership/grant/grant_test.go
+++ b/internal/ownership/grant/grant_test.go
@@ -93,3 +93,20 @@
 	next.SeedLoads("catalogue", []message.Load{{Bucket: 9, Requests: 1000}})
 	qt.Assert(t, next.Loads("catalogue")[9], qt.Equals, 0.0)
 }
+
+// Guards against a cold target that gets a full share of the keys at once, and against one
+// that keeps a small share when it is warm.
+func TestCapacityFollowsReportedSpeed(t *testing.T) {
+	m := clock.NewManual(1000)
+	leases := NewLeaseTable(m.Clock(), 4000)
+	const mean clock.Millis = 120
+	for i, tt := range []struct {
+		serviceMillis message.Millis
+		want          float64
+	}{{0, 10 * 1000.0 / 120}, {800, 12.5}, {100, 100}} { // 800 ms: 10 slots, 12.5 requests a second
+		h := heartbeat(i + 1)
+		h.ServiceMillis = tt.serviceMillis
+		leases.RecordHeartbeat(h, m.Clock().Now())
+		qt.Assert(t, leases.Capacity(h.Instance, mean), qt.Equals, tt.want)
+	}
+}
