keyrange: keys that move to a leaving target go to another one instead

Cause: a planned move to a target that began to leave was completed, and the keys then had to move once more. Within the bound of an evacuation there is no time for a second move. Change: VacateTo also gives moves whose next owner is the leaving target another next owner. The fencing token and the number of the move stay, since the owner may have released the keys already. Result: TestMoveToLeavingTargetIsRedirected fails without the change.

--- a/internal/ownership/keyrange/keyrange.go
+++ b/internal/ownership/keyrange/keyrange.go
@@ -288,7 +288,7 @@
 }
 
 // VacateTo schedules moves of keys of a leaving target to another target, up to the share
-// of the latter.
+// of the latter. Keys that are about to move to the leaving target go to the other one instead.
 func VacateTo(assignments []message.Assignment, l *Loads, targets []Target, from, to message.Incarnation) ([]message.Assignment, bool) {
 	l = l.capped(targets)
 	load, share := loadsAndShares(assignments, l, targets)
@@ -296,7 +296,8 @@
 	var out []message.Assignment
 	scheduled := false
 	for _, a := range assignments {
-		if a.Owner != from || a.NextOwner.ID != "" || missing <= 0 {
+		leaves := a.Owner == from && a.NextOwner.ID == "" || a.NextOwner == from && a.Owner != to
+		if !leaves || missing <= 0 {
 			out = append(out, a)
 			continue
 		}
--- a/internal/ownership/keyrange/keyrange_test.go
+++ b/internal/ownership/keyrange/keyrange_test.go
@@ -257,6 +257,18 @@
 	qt.Check(t, last[len(last)/2] < 1.5, qt.IsTrue, qt.Commentf("highest ratio of load to share for each of the last ten positions: %.2f", last))
 }
 
+// Guards against keys that move to a target that has begun to leave and then have to move
+// once more, for which an evacuation has no time.
+func TestMoveToLeavingTargetIsRedirected(t *testing.T) {
+	a, b, c := incarnation("a"), incarnation("b"), incarnation("c")
+	targets := equalTargets("a", "b", "c")
+	targets[1].Eligible = false
+	assignments := []message.Assignment{{From: 0, To: 99, Owner: a, NextOwner: b, Move: 7}, {From: 100, To: Keys - 1, Owner: a}}
+	out, scheduled := Vacate(assignments, &Loads{}, targets, b)
+	qt.Assert(t, scheduled, qt.IsTrue)
+	qt.Check(t, out[0], qt.Equals, message.Assignment{From: 0, To: 99, Owner: a, NextOwner: c, Move: 7})
+}
+
 // Guards against a sequence of decisions after which a key has no assignment or two.
 func TestAssignmentsCoverEachKeyOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
