registry, core: failure domains can be evacuated

Cause: operators could not take the targets of a failure domain out of use at once. Targets of an evacuated domain get no keys and give theirs up as leaving ones do, those with grants by calls at different moments within 1 s. After the evacuation, targets that can be cold get keys once that time is over.

--- a/internal/coordination/core/leadership.go
+++ b/internal/coordination/core/leadership.go
@@ -29,9 +29,12 @@
 	// commit commits an encoded command in the term.
 	commit func(context.Context, []byte) (any, error)
 
-	// changesMu guards pendingChanges, which are the changes being committed by digest.
+	// changesMu guards pendingChanges, which are the changes and orders being committed by
+	// digest, and orders.
 	changesMu      sync.Mutex
 	pendingChanges map[string]*pendingChange
+	// orders are the latest orders for each failure domain.
+	orders map[message.FailureDomain]*evacuationOrders
 
 	// mu serializes decisions about keys: grants, moves and expiries.
 	mu sync.Mutex
@@ -54,6 +57,7 @@
 	// settled and settling are log indexes. Grants up to settled are old enough to be joined.
 	settled, settling message.FencingToken
 	settlingSince     clock.Millis
+	evacuations       evacuations
 }
 
 // newLeadership returns what a leader knows at the beginning of its term. All leases count
@@ -69,7 +73,8 @@
 		unassignedSince: map[message.ServiceName]clock.Millis{}, leavingSince: map[message.Incarnation]clock.Millis{},
 		moveWantedSince: map[message.ServiceName]clock.Millis{}, loadsCommittedAt: map[message.ServiceName]clock.Millis{},
 		delayedOwners: map[message.Incarnation]bool{}, rebalancedAt: map[message.ServiceName]clock.Millis{},
-		expiring: map[message.Incarnation]bool{},
+		expiring: map[message.Incarnation]bool{}, orders: map[message.FailureDomain]*evacuationOrders{},
+		evacuations: newEvacuations(),
 	}
 }
 
--- a/internal/coordination/core/metrics.go
+++ b/internal/coordination/core/metrics.go
@@ -8,6 +8,7 @@
 // metrics are the counters of a replica.
 type metrics struct {
 	changes      *prometheus.CounterVec
+	evacuations  *prometheus.CounterVec
 	heartbeats   *prometheus.CounterVec
 	leases       *prometheus.CounterVec
 	keyDecisions *prometheus.CounterVec
@@ -41,7 +42,15 @@
 		s, _ := c.quorum.Status()
 		return float64(s.AppliedIndex)
 	})
+	factory.NewGaugeFunc(prometheus.GaugeOpts(opts("evacuated_domains", "Failure domains that are evacuated; -1 on a replica that does not lead.")), func() float64 {
+		l, err := c.lead()
+		if err != nil {
+			return -1
+		}
+		return float64(len(l.machine.EvacuatedDomains()))
+	})
 	return &metrics{
+		evacuations:  factory.NewCounterVec(prometheus.CounterOpts(opts("evacuation_orders_total", "Orders that begin or end the evacuation of a failure domain by kind and outcome.")), []string{"kind", "outcome"}),
 		changes:      factory.NewCounterVec(prometheus.CounterOpts(opts("changes_total", "Changes of the configuration by outcome.")), []string{"outcome"}),
 		heartbeats:   factory.NewCounterVec(prometheus.CounterOpts(opts("check_ins_total", "Check-ins of targets by outcome.")), []string{"outcome"}),
 		leases:       factory.NewCounterVec(prometheus.CounterOpts(opts("leases_total", "Requests of sidecars for a lease of their target's keys by outcome.")), []string{"outcome"}),
--- a/internal/coordination/core/operator.go
+++ b/internal/coordination/core/operator.go
@@ -44,7 +44,7 @@
 // It ends earlier if the leadership does.
 const commitTimeout clock.Millis = 10_000
 
-// pendingChange is a change that is being committed. The other fields are valid after done
+// pendingChange is an operator's change or order that is being committed. The other fields are valid after done
 // is closed.
 type pendingChange struct {
 	done    chan struct{}
@@ -55,22 +55,30 @@
 // commitChange commits a change, or waits for the commit of the same change if an operator
 // has sent it before. Each copy in the log would delay the first one.
 func (l *leadership) commitChange(ctx context.Context, change message.ConfigurationChange) (registry.Outcome, error) {
+	return l.commitOnce(ctx, change.Digest, message.Command{Change: &change}, func() (registry.Outcome, bool) {
+		return registry.Outcome{Status: registry.Done}, l.machine.Accepted(change.Digest)
+	})
+}
+
+// commitOnce commits a command, or waits for the one with the same key that is being
+// committed. It returns the outcome of the function decided without a commit if that says so.
+// The function must not block.
+func (l *leadership) commitOnce(ctx context.Context, key string, command message.Command, decided func() (registry.Outcome, bool)) (registry.Outcome, error) {
 	l.changesMu.Lock()
-	p := l.pendingChanges[change.Digest]
-	switch {
-	case p != nil:
-	case l.machine.Accepted(change.Digest):
-		l.changesMu.Unlock()
-		return registry.Outcome{Status: registry.Done}, nil
-	default:
+	p := l.pendingChanges[key]
+	if p == nil {
+		if out, ok := decided(); ok {
+			l.changesMu.Unlock()
+			return out, nil
+		}
 		p = &pendingChange{done: make(chan struct{})}
-		l.pendingChanges[change.Digest] = p
+		l.pendingChanges[key] = p
 		go func() {
 			defer close(p.done)
-			p.outcome, p.err = l.proposeWithin(context.WithoutCancel(ctx), message.Command{Change: &change}, commitTimeout)
+			p.outcome, p.err = l.proposeWithin(context.WithoutCancel(ctx), command, commitTimeout)
 			l.changesMu.Lock()
 			defer l.changesMu.Unlock()
-			delete(l.pendingChanges, change.Digest)
+			delete(l.pendingChanges, key)
 		}()
 	}
 	l.changesMu.Unlock()
--- a/internal/coordination/core/ownership.go
+++ b/internal/coordination/core/ownership.go
@@ -201,9 +201,10 @@
 	for _, i := range instances {
 		unresponsive := l.leases.SinceLastHeartbeat(i.Incarnation, now) > silenceLimit
 		out = append(out, keyrange.Target{
-			Incarnation: i.Incarnation, Capacity: l.leases.Capacity(i, mean), Eligible: !i.Draining && !i.Stopping && !unresponsive,
+			Incarnation: i.Incarnation, Capacity: l.leases.Capacity(i, mean), Eligible: !i.Draining && !i.Stopping && !unresponsive && !l.machine.Evacuated(i.Domain),
 		})
 	}
+	l.holdBackReturned(service, instances, out, now)
 	return out
 }
 
@@ -283,16 +284,17 @@
 	return rebalanced, scheduled || moved
 }
 
-// mustVacate reports whether a target is leaving and has keys without a scheduled move. If
-// so, it records in leavingSince when this was first seen.
+// mustVacate reports whether a target is leaving, or its failure domain is being evacuated,
+// and it has keys, or is about to get some, without a scheduled move to another target. If so,
+// it records in leavingSince when this was first seen.
 func (l *leadership) mustVacate(t keyrange.Target, list []message.Assignment, now clock.Millis) bool {
 	i, ok := l.machine.Instance(t.Incarnation.ID)
-	if !ok || !i.Draining && !i.Stopping {
+	if !ok || !i.Draining && !i.Stopping && !l.evacuationDue(i, now) {
 		delete(l.leavingSince, t.Incarnation)
 		return false
 	}
 	for _, a := range list {
-		if a.Owner == t.Incarnation && a.NextOwner.ID == "" {
+		if a.Owner == t.Incarnation && a.NextOwner.ID == "" || a.NextOwner == t.Incarnation {
 			if _, known := l.leavingSince[t.Incarnation]; !known {
 				l.leavingSince[t.Incarnation] = now
 			}
--- a/internal/coordination/core/planner.go
+++ b/internal/coordination/core/planner.go
@@ -22,6 +22,7 @@
 
 // plan makes the changes that are due now.
 func (l *leadership) plan(ctx context.Context) {
+	l.observeEvacuations()
 	for _, i := range l.machine.Instances() {
 		if err := l.expireIfLost(ctx, i); err != nil {
 			l.log.Warn().Err(err).Str("Event", "expiry-failed").Str("Target", string(i.Incarnation.ID)).Msg("cannot remove lost target")
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -91,8 +91,11 @@
 	Suspects map[string]int
 	// SuspectOrder lists the fingerprints in Suspects, oldest first.
 	SuspectOrder []string
-	Items        map[string]message.Item
-	Removed      []removedItem
+	// Evacuated are the failure domains whose targets get no requests. Snapshots of earlier
+	// releases have none.
+	Evacuated map[message.FailureDomain]bool
+	Items     map[string]message.Item
+	Removed   []removedItem
 	// RemovedCompleteAfter is the version after which Removed lists all removals.
 	RemovedCompleteAfter message.Version `json:"Floor"`
 }
@@ -134,6 +137,9 @@
 	if s.Suspects == nil {
 		s.Suspects = map[string]int{}
 	}
+	if s.Evacuated == nil {
+		s.Evacuated = map[message.FailureDomain]bool{}
+	}
 	if s.Items == nil {
 		s.Items = map[string]message.Item{}
 	}
@@ -171,6 +177,8 @@
 		return s.replaceAssignments(*c.Assignments)
 	case c.Crash != nil:
 		return s.recordCrash(*c.Crash)
+	case c.Evacuation != nil:
+		return s.setEvacuation(*c.Evacuation)
 	}
 	return Outcome{Invalid, "unknown command"}
 }
