sidecar, gate, ingress: no requests reach an evacuated failure domain

Cause: sidecars knew of evacuations and went on sending. Change: targets of the domain are not chosen; owners of keys still are until their keys have moved. The gate beside a target rejects requests after a share of the bound, counted from the latest watch whose response did not have the evacuation, which is before its commit; at once if there was none, as after a restart. Queued requests are rejected then, so that other targets can run them. Sidecar.observeEvacuation sees the end.

--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -88,6 +88,10 @@
 	hasTarget bool
 	// rejectFrom is when the target stops accepting requests; 0 if it is not stopping.
 	rejectFrom clock.Millis
+	// evacuated is true while the failure domain of this host is evacuated. Requests are then
+	// rejected from evacuatedFrom on.
+	evacuated     bool
+	evacuatedFrom clock.Millis
 	// stopping is true when this process is about to stop.
 	stopping bool
 	grants   []KeyGrant
@@ -284,7 +288,7 @@
 	switch {
 	case g.stopping:
 		return hop.Stopping
-	case !g.hasTarget || g.rejectFrom > 0 && now >= g.rejectFrom || g.target.Service != request.Service:
+	case !g.hasTarget || g.rejectFrom > 0 && now >= g.rejectFrom || g.closedByEvacuation(now) || g.target.Service != request.Service:
 		return hop.NoTarget
 	case g.target.Keyed && request.Key != hop.NoKey && !g.ownsKey(message.Key(request.Key), now):
 		return hop.NotOwner
@@ -351,6 +355,9 @@
 	if g.stopping {
 		return hop.Stopping
 	}
+	if g.closedByEvacuation(g.options.Clock.Now()) {
+		return hop.NoTarget
+	}
 	return hop.NotOwner
 }
 
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -221,7 +221,7 @@
 			}
 			if !req.keyed {
 				// The target is tried again only if there is no other.
-				tried[target.Incarnation.ID] = len(tried)+1 < len(v.Instances(req.service))
+				tried[target.Incarnation.ID] = len(tried)+1 < len(v.Available(req.service))
 			}
 		case !req.endAttempt():
 			if lostKey && !in.hasOtherOwner(req, target) {
@@ -322,7 +322,7 @@
 		}
 		return owner, ""
 	}
-	target, ok := in.balancer.Choose(in.departures.mark(v.Instances(req.service)), tried)
+	target, ok := in.balancer.Choose(in.departures.mark(v.Available(req.service)), tried)
 	if !ok {
 		return message.Instance{}, hop.NoTarget
 	}
--- a/internal/traffic/sidecar/metrics.go
+++ b/internal/traffic/sidecar/metrics.go
@@ -32,6 +32,12 @@
 	gauge("target_waiting_requests", "Requests that wait for a slot of the target.", func() float64 { return float64(s.gate.Load().Waiting) })
 	gauge("target_rate_limit", "Requests a second that the target takes from all hosts together; 0 if it names no limit.", func() float64 { return s.gate.RateLimit() })
 	gauge("target_service_milliseconds", "Mean time that the target takes for a request, or the time that its limit corresponds to.", func() float64 { return float64(s.gate.Load().ServiceMillis) })
+	gauge("target_evacuated", "1 while the failure domain of this host is evacuated.", func() float64 {
+		if begun, _ := s.gate.Evacuation(); begun {
+			return 1
+		}
+		return 0
+	})
 	gauge("view_version", "Version of the core's state in force.", func() float64 {
 		if v := s.views.Current(); v != nil {
 			return float64(v.Version)
--- a/internal/traffic/sidecar/sidecar.go
+++ b/internal/traffic/sidecar/sidecar.go
@@ -105,6 +105,11 @@
 	// stopStarted is when a planned stop started, in clock.Millis.
 	stopStarted       atomic.Int64
 	crashCheckRunning atomic.Bool
+	// viewConfirmed is when the latest watch was sent whose response was applied, in
+	// clock.Millis; 0 before the first response. The view has all changes from before.
+	viewConfirmed atomic.Int64
+	// evacuationMu serializes what the gate is told of evacuations.
+	evacuationMu sync.Mutex
 
 	// started is when this process started.
 	started      clock.Millis
@@ -178,6 +183,7 @@
 		serve("control", servingCtx, l.Control, control),
 		serve("peers", servingCtx, l.Peers, http.HandlerFunc(s.servePeer)),
 		supervisor.Child{Name: "watch", Run: s.watch, Policy: supervisor.Restart},
+		supervisor.Child{Name: "evacuations", Run: s.runEvacuations},
 		supervisor.Child{Name: "lease renewals", Run: s.leaser.runRenewals},
 		supervisor.Child{Name: "lease watch", Run: s.leaser.runWatch},
 		supervisor.Child{Name: "grants", Run: s.leaser.runDelivery},
--- a/internal/traffic/sidecar/target.go
+++ b/internal/traffic/sidecar/target.go
@@ -76,6 +76,8 @@
 		instance, ok := v.Instance(h.Incarnation.ID)
 		alreadyDraining = ok && instance.Incarnation == h.Incarnation && instance.Draining
 	}
+	// The view may be newer than what the gate was told.
+	s.observeEvacuation()
 	_, seenBefore := s.gate.Target()
 	s.gate.SetTarget(gate.Target{Incarnation: h.Incarnation, Service: h.Service, Address: string(h.Address), Slots: h.Slots, Keyed: keyed})
 	switch {
--- a/internal/traffic/sidecar/watch.go
+++ b/internal/traffic/sidecar/watch.go
@@ -14,7 +14,7 @@
 		if v := s.views.Current(); v != nil {
 			knownVersion = v.Version
 		}
-		waitMillis := message.Millis(maxWatchWait)
+		waitMillis, sent := message.Millis(maxWatchWait), s.options.Clock.Now()
 		reply, err := call[message.WatchReply](ctx, s.core, message.MethodWatch, message.WatchRequest{
 			Host: message.HostName(s.options.Settings.Name), KnownVersion: knownVersion, WaitMillis: waitMillis,
 			Service: message.ServiceName(s.options.Settings.Target.Service), Loads: s.gate.TakeKeyLoads(), RejectedLoads: s.ingress.TakeRejectedLoads(),
@@ -38,6 +38,8 @@
 			_ = s.options.Clock.Sleep(ctx, retryPause*4)
 			continue
 		}
+		s.observeEvacuation()
+		s.viewConfirmed.Store(int64(sent))
 		if len(reply.Items)+len(reply.Removed) > 0 {
 			v := s.views.Current()
 			s.ingress.Prune(v)
--- a/internal/traffic/view/view.go
+++ b/internal/traffic/view/view.go
@@ -99,6 +99,21 @@
 // Evacuated reports whether the targets of a failure domain are to get no requests.
 func (v *View) Evacuated(domain message.FailureDomain) bool { return v.evacuated[domain] }
 
+// Available returns the targets of a service outside evacuated failure domains.
+func (v *View) Available(name message.ServiceName) []message.Instance {
+	instances := v.instances[name]
+	if len(v.evacuated) == 0 {
+		return instances
+	}
+	var out []message.Instance
+	for _, i := range instances {
+		if !v.evacuated[i.Domain] {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 // Store holds the newest view.
 type Store struct {
 	mu       sync.Mutex
