ingress: no wait for a move of a key that stays with its evacuated owner

Cause: if a service has no target outside evacuated failure domains, its keys stay. Callers waited 250 ms for a move before they were refused. Change: the refusal is sent at once in this case, with Retry-After.

--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -233,7 +233,9 @@
 				targetsTried++ // the key was moved while the request waited at its former owner
 				continue
 			}
-			if !in.waitForView(ctx, viewChanged, &wait, req, ownerPollInterval) {
+			// The key stays with its evacuated owner if there is no other target.
+			stays := v.Evacuated(target.Domain) && len(v.Available(req.service)) == 0
+			if stays || !in.waitForView(ctx, viewChanged, &wait, req, ownerPollInterval) {
 				result.RetryMillis = ownerRetryAfter
 				return result
 			}
