control, gentiansail: operators evacuate a failure domain

Cause: an operator had to drain each node of a failure domain by name, and those that joined later got work.

--- a/cmd/gentiansail/command_line.go
+++ b/cmd/gentiansail/command_line.go
@@ -67,7 +67,8 @@
 	baseRevision           int
 	wait                   bool
 	waitTimeout            time.Duration
-	node                   string
+	node, domain           string
+	end                    bool
 	service, key           string
 	auditAfter, auditLimit int
 	fingerprint            string
@@ -157,6 +158,17 @@
 		return o.Undrain(ctx, wire.NodeID(c.node))
 	}))
 	s.AddPositionalValue(&c.node, "NODE", 1, true, "name of the node")
+	s = c.add("evacuate", "move the work of a failure domain away, and give its nodes no new work", c.withGroup(func(o *operator.Session, ctx context.Context) error {
+		if c.end {
+			return o.EndEvacuation(ctx, wire.FailureDomain(c.domain))
+		}
+		return o.Evacuate(ctx, wire.FailureDomain(c.domain), c.waitMillis())
+	}))
+	s.AddPositionalValue(&c.domain, "DOMAIN", 1, true, "name of the failure domain")
+	s.Bool(&c.end, "", "end", "end the evacuation: give the nodes work again")
+	s.Bool(&c.wait, "", "wait", "wait until the nodes own no partitions")
+	s.Duration(&c.waitTimeout, "", "wait-timeout", "how long to wait")
+	c.add("evacuations", "print the evacuated failure domains", c.withGroup((*operator.Session).Evacuations))
 }
 
 func (c *commandLine) addQueries() {
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -26,6 +26,7 @@
 	rpc.Handle(server, wire.MethodOperatorApply, s.apply)
 	rpc.Handle(server, wire.MethodOperatorStatus, s.status)
 	rpc.Handle(server, wire.MethodOperatorDrain, s.drain)
+	rpc.Handle(server, wire.MethodOperatorEvacuate, s.evacuate)
 	rpc.Handle(server, wire.MethodOperatorOwner, s.owner)
 	rpc.Handle(server, wire.MethodOperatorAudit, s.audit)
 	rpc.Handle(server, wire.MethodOperatorQuarantine, s.quarantine)
@@ -118,6 +119,15 @@
 	return s.acknowledge(ctx, r.Group, wire.Command{Drain: &r})
 }
 
+// evacuate begins or ends the evacuation of a failure domain. The domain may have no node
+// yet: those that register later get no work either.
+func (s *Service) evacuate(ctx context.Context, r wire.EvacuateRequest) (wire.Ack, error) {
+	if _, err := s.requireConfirmedLeader(ctx, r.Group); err != nil {
+		return wire.Ack{}, err
+	}
+	return s.acknowledge(ctx, r.Group, wire.Command{Evacuate: &r})
+}
+
 func (s *Service) isKnownNode(ls *leaderState, n wire.NodeID) bool {
 	_, reported := ls.nodeRecord(n)
 	return reported || len(s.Machine.MembersOfNode(n)) > 0 || s.Machine.IsDraining(n)
@@ -184,6 +194,7 @@
 	out := wire.StatusResponse{
 		Group: s.Group, Version: s.Machine.Version(), Revision: revision,
 		CanLoseOne: logStatus.CanLoseOne, Replicas: logStatus.Replicas, Services: []wire.ServiceStatus{},
+		EvacuatedDomains: s.Machine.EvacuatedDomains(),
 	}
 	out.Nodes, out.NodesOmitted = selectNodes(s.nodeStatuses(ls, members, partitions), r)
 	if isFullRequest(r) {
@@ -256,6 +267,10 @@
 		n.Owned += owned[v.Incarnation]
 		byNode[v.Node] = n
 	}
+	for name, n := range byNode {
+		n.Draining = n.Draining || s.Machine.IsEvacuated(n.FailureDomain)
+		byNode[name] = n
+	}
 	out := []wire.NodeStatus{}
 	for _, n := range slices.Sorted(maps.Keys(byNode)) {
 		out = append(out, byNode[n])
--- a/internal/operator/call.go
+++ b/internal/operator/call.go
@@ -131,7 +131,7 @@
 // or of a replica.
 func changesState(method string) bool {
 	switch method {
-	case wire.MethodOperatorApply, wire.MethodOperatorDrain, wire.MethodOperatorRelease, wire.MethodReplicaBootstrap:
+	case wire.MethodOperatorApply, wire.MethodOperatorDrain, wire.MethodOperatorEvacuate, wire.MethodOperatorRelease, wire.MethodReplicaBootstrap:
 		return true
 	}
 	return false
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -84,6 +84,50 @@
 	return s.print(r, func(t *table) { t.line("node %s %s as of version %d", n, state, r.Version) })
 }
 
+// Evacuate begins the evacuation of a failure domain. With a positive wait, it returns when
+// the nodes of the domain own no partitions or the wait ends.
+func (s *Session) Evacuate(ctx context.Context, d wire.FailureDomain, wait clock.Millis) error {
+	if err := s.setEvacuation(ctx, d, true); err != nil || wait <= 0 {
+		return err
+	}
+	_, err := s.waitFor(ctx, wait, "partitions remain on", wire.StatusRequest{}, func(n wire.NodeStatus) bool {
+		return n.FailureDomain != d || n.Owned == 0
+	})
+	if err != nil || s.Output == JSON {
+		return err
+	}
+	return s.print(nil, func(t *table) { t.line("the nodes of failure domain %s own no partitions", d) })
+}
+
+// EndEvacuation ends the evacuation of a failure domain.
+func (s *Session) EndEvacuation(ctx context.Context, d wire.FailureDomain) error {
+	return s.setEvacuation(ctx, d, false)
+}
+
+func (s *Session) setEvacuation(ctx context.Context, d wire.FailureDomain, active bool) error {
+	r, err := call[wire.Ack](ctx, s, wire.MethodOperatorEvacuate, wire.EvacuateRequest{
+		Group: s.Group, Operator: s.Operator, Domain: d, Active: active,
+	})
+	if err != nil {
+		return err
+	}
+	state := "is evacuated"
+	if !active {
+		state = "takes work again"
+	}
+	return s.print(r, func(t *table) { t.line("failure domain %s %s as of version %d", d, state, r.Version) })
+}
+
+// Evacuations prints the evacuated failure domains and what their nodes still own.
+func (s *Session) Evacuations(ctx context.Context) error {
+	r, err := s.FetchStatus(ctx)
+	if err != nil {
+		return err
+	}
+	list := evacuationsOf(r)
+	return s.print(list, func(t *table) { t.evacuations(list) })
+}
+
 // FetchOwner returns the owner of a key, as Owner prints it.
 func (s *Session) FetchOwner(ctx context.Context, service wire.ServiceName, key string) (wire.OwnerResponse, error) {
 	return call[wire.OwnerResponse](ctx, s, wire.MethodOperatorOwner, wire.OwnerRequest{Group: s.Group, Service: service, Key: key})
--- a/internal/operator/output.go
+++ b/internal/operator/output.go
@@ -82,6 +82,9 @@
 			out = append(out, fmt.Sprintf("%d partitions of service %s have no owner", s.Unowned, s.Service))
 		}
 	}
+	for _, e := range evacuationsOf(r) {
+		out = append(out, fmt.Sprintf("failure domain %s is evacuated: %d nodes, %d partitions", e.Domain, e.Nodes, e.Owned))
+	}
 	for _, n := range r.Nodes {
 		if n.RevisionInForce < r.Revision {
 			out = append(out, fmt.Sprintf("node %s is at configuration revision %d", n.Node, n.RevisionInForce))
@@ -125,6 +128,40 @@
 	t.alignedRows([]string{"NODE", "ADDRESS", "FAILURE DOMAIN", "SERVICE", "OWNED", "REVISION", "LAST HEARD", "DRAINING"}, rows)
 }
 
+// evacuation is an evacuated failure domain as printed. Owned counts the partitions that its
+// nodes still own.
+type evacuation struct {
+	Domain       wire.FailureDomain
+	Nodes, Owned int
+}
+
+func evacuationsOf(r wire.StatusResponse) []evacuation {
+	out := []evacuation{}
+	for _, d := range r.EvacuatedDomains {
+		e := evacuation{Domain: d}
+		for _, n := range r.Nodes {
+			if n.FailureDomain == d {
+				e.Nodes++
+				e.Owned += n.Owned
+			}
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+func (t *table) evacuations(list []evacuation) {
+	if len(list) == 0 {
+		t.line("no failure domain is evacuated")
+		return
+	}
+	var rows [][]string
+	for _, e := range list {
+		rows = append(rows, []string{string(e.Domain), formatInt(e.Nodes), formatInt(e.Owned)})
+	}
+	t.alignedRows([]string{"FAILURE DOMAIN", "NODES", "OWNED"}, rows)
+}
+
 func (t *table) services(services []wire.ServiceStatus) {
 	var rows [][]string
 	for _, s := range services {
--- a/internal/state/fuzz_test.go
+++ b/internal/state/fuzz_test.go
@@ -29,6 +29,7 @@
 		{Begin: begin, ProposedAt: day},
 		{Finish: &wire.FinishRequest{Service: "catalogue", Key: key(day, 1), Execution: "x", Result: wire.OperationResult{Outcome: wire.OutcomeComplete, Status: 200}}},
 		{Drain: &wire.DrainRequest{Node: "n2", Drain: true}},
+		{Evacuate: &wire.EvacuateRequest{Domain: "d1", Active: true}},
 		{MemberDown: &wire.MemberDown{Incarnation: "i1", Reason: "crash", Crashed: true, InFlight: []wire.InFlight{{Fingerprint: "f", Path: "/p"}}}},
 		{ClearSuspect: &wire.ClearSuspectRequest{Fingerprint: "f"}},
 		{Begin: begin, ProposedAt: 3 * day},
--- a/internal/state/members.go
+++ b/internal/state/members.go
@@ -170,10 +170,46 @@
 // after its node is removed, so the limit is twice the planned number of nodes.
 const maxDraining = 6000
 
+// setEvacuation begins or ends the evacuation of a failure domain: a drain of all of its
+// nodes, including those that register later.
+func (m *Machine) setEvacuation(r wire.EvacuateRequest) error {
+	if r.Domain == "" || len(r.Domain) > maxDomainBytes {
+		return merry.Wrap(ErrInvalidCommand, merry.AppendMessagef("the name of a failure domain must have 1 to %d bytes", maxDomainBytes))
+	}
+	old := m.Evacuated[r.Domain]
+	if old == r.Active {
+		return nil
+	}
+	if r.Active && len(m.Evacuated) >= maxEvacuated {
+		return merry.Wrap(ErrLimitReached, merry.AppendMessagef("%d failure domains are evacuated already", len(m.Evacuated)))
+	}
+	if r.Active {
+		m.Evacuated[r.Domain] = true
+	} else {
+		delete(m.Evacuated, r.Domain)
+	}
+	var c tableChange
+	for _, i := range slices.Sorted(maps.Keys(m.Members)) {
+		if m.Members[i].FailureDomain == r.Domain {
+			c.Members = append(c.Members, i)
+		}
+	}
+	m.recordChange(c)
+	m.recordAudit(string(r.Operator), "evacuate "+string(r.Domain), boolText(old), boolText(r.Active))
+	return nil
+}
+
+const (
+	// maxEvacuated bounds the failure domains that are evacuated at once.
+	maxEvacuated = 256
+	// maxDomainBytes bounds the name of a failure domain in an evacuation.
+	maxDomainBytes = 128
+)
+
 // withOperatorDrain returns a member as routing tables show it: draining if it announced
-// that itself or if an operator drains its node.
+// that itself, or if an operator drains its node or evacuates its failure domain.
 func (m *Machine) withOperatorDrain(v wire.Member) wire.Member {
-	v.Draining = v.Draining || m.Draining[v.Node]
+	v.Draining = v.Draining || m.Draining[v.Node] || m.Evacuated[v.FailureDomain]
 	return v
 }
 
--- a/internal/state/read.go
+++ b/internal/state/read.go
@@ -138,6 +138,20 @@
 	return m.Draining[n]
 }
 
+// IsEvacuated reports whether a failure domain is evacuated.
+func (m *Machine) IsEvacuated(d wire.FailureDomain) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.Evacuated[d]
+}
+
+// EvacuatedDomains returns the evacuated failure domains, sorted by name.
+func (m *Machine) EvacuatedDomains() []wire.FailureDomain {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return slices.Sorted(maps.Keys(m.Evacuated))
+}
+
 // PartitionOfKey returns the partition that a key belongs to: its own if the key is
 // isolated, otherwise the numbered one.
 func (m *Machine) PartitionOfKey(s wire.ServiceName, key string) (wire.Partition, bool) {
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -51,6 +51,7 @@
 	c.Members = maps.Clone(c.Members)
 	c.Ended = maps.Clone(c.Ended)
 	c.Draining = maps.Clone(c.Draining)
+	c.Evacuated = maps.Clone(c.Evacuated)
 	c.Partitions = maps.Clone(c.Partitions)
 	c.Suspects = maps.Clone(c.Suspects)
 	return c
@@ -108,7 +109,7 @@
 	}
 	// A null in the snapshot replaces an empty map by a nil map, and a later command that
 	// writes to it would panic.
-	if h.Services == nil || h.Members == nil || h.Ended == nil || h.Draining == nil || h.Partitions == nil || h.Suspects == nil {
+	if h.Services == nil || h.Members == nil || h.Ended == nil || h.Draining == nil || h.Evacuated == nil || h.Partitions == nil || h.Suspects == nil {
 		return h.contents, merry.Wrap(ErrInvalidSnapshot, merry.AppendMessage("header has null in place of a map"))
 	}
 	var c recordValidator
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -102,11 +102,14 @@
 	Members           map[wire.Incarnation]wire.Member
 	Ended             map[wire.Incarnation]endedIncarnation
 	Draining          map[wire.NodeID]bool
-	Partitions        map[wire.PartitionID]wire.Partition
-	Operations        recordStore `json:"-"`
-	Suspects          map[wire.Fingerprint]suspect
-	Audit             []wire.AuditRecord
-	History           []tableChange
+	// Evacuated are the failure domains whose nodes get no work. Snapshots of earlier
+	// releases have none.
+	Evacuated  map[wire.FailureDomain]bool
+	Partitions map[wire.PartitionID]wire.Partition
+	Operations recordStore `json:"-"`
+	Suspects   map[wire.Fingerprint]suspect
+	Audit      []wire.AuditRecord
+	History    []tableChange
 	// HistoryStart is the version after which History is complete.
 	HistoryStart wire.Version
 }
@@ -126,6 +129,7 @@
 		Members:       make(map[wire.Incarnation]wire.Member),
 		Ended:         make(map[wire.Incarnation]endedIncarnation),
 		Draining:      make(map[wire.NodeID]bool),
+		Evacuated:     make(map[wire.FailureDomain]bool),
 		Partitions:    make(map[wire.PartitionID]wire.Partition),
 		Suspects:      make(map[wire.Fingerprint]suspect),
 	}
@@ -197,6 +201,8 @@
 		return m.applyOverride(*c.Override)
 	case c.Drain != nil:
 		return m.setDrain(*c.Drain)
+	case c.Evacuate != nil:
+		return m.setEvacuation(*c.Evacuate)
 	case c.ClearSuspect != nil:
 		return m.clearSuspect(*c.ClearSuspect)
 	case c.Release != nil:
--- a/internal/wire/doc.go
+++ b/internal/wire/doc.go
@@ -25,6 +25,7 @@
 	MethodOperatorApply      = "Operator.Apply"
 	MethodOperatorStatus     = "Operator.Status"
 	MethodOperatorDrain      = "Operator.Drain"
+	MethodOperatorEvacuate   = "Operator.Evacuate"
 	MethodOperatorOwner      = "Operator.Owner"
 	MethodOperatorAudit      = "Operator.Audit"
 	MethodOperatorQuarantine = "Operator.Quarantine"
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -269,6 +269,9 @@
 	// Drain corresponds to the JSON schema field "Drain".
 	Drain *DrainRequest `json:"Drain,omitempty"`
 
+	// Evacuate corresponds to the JSON schema field "Evacuate".
+	Evacuate *EvacuateRequest `json:"Evacuate,omitempty"`
+
 	// Finish corresponds to the JSON schema field "Finish".
 	Finish *FinishRequest `json:"Finish,omitempty"`
 
@@ -468,6 +471,21 @@
 	Operator OperatorName `json:"Operator"`
 }
 
+// EvacuateRequest begins or ends the evacuation of a failure domain.
+type EvacuateRequest struct {
+	// False if the nodes of the domain may get work again.
+	Active bool `json:"Active"`
+
+	// Domain corresponds to the JSON schema field "Domain".
+	Domain FailureDomain `json:"Domain"`
+
+	// Group corresponds to the JSON schema field "Group".
+	Group GroupID `json:"Group"`
+
+	// Operator corresponds to the JSON schema field "Operator".
+	Operator OperatorName `json:"Operator"`
+}
+
 // ExecutionID is the random id of one attempt to run an operation.
 type ExecutionID string
 
@@ -1120,6 +1138,10 @@
 	// lost now.
 	CanLoseOne bool `json:"CanLoseOne"`
 
+	// The failure domains whose nodes get no work. Control replicas of earlier
+	// versions omit them.
+	EvacuatedDomains []FailureDomain `json:"EvacuatedDomains,omitempty"`
+
 	// Group corresponds to the JSON schema field "Group".
 	Group GroupID `json:"Group"`
 
