--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -221,7 +221,7 @@
 			}
 			if !req.keyed {
 				// The target is tried again only if there is no other.
-				tried[target.Incarnation.ID] = len(tried)+1 < len(v.Instances(req.service))
+				tried[target.Incarnation.ID] = len(tried)+1 < len(v.Available(req.service))
 			}
 		case !req.endAttempt():
 			if lostKey && !in.hasOtherOwner(req, target) {
@@ -233,7 +233,9 @@
 				targetsTried++ // the key was moved while the request waited at its former owner
 				continue
 			}
-			if !in.waitForView(ctx, viewChanged, &wait, req, ownerPollInterval) {
+			// The key stays with its evacuated owner if there is no other target.
+			stays := v.Evacuated(target.Domain) && len(v.Available(req.service)) == 0
+			if stays || !in.waitForView(ctx, viewChanged, &wait, req, ownerPollInterval) {
 				result.RetryMillis = ownerRetryAfter
 				return result
 			}
@@ -322,7 +324,7 @@
 		}
 		return owner, ""
 	}
-	instances := in.departures.mark(v.Instances(req.service))
+	instances := in.departures.mark(v.Available(req.service))
 	if spec, ok := v.Service(req.service); ok && spec.ColdPerSecond > 0 {
 		in.balancer.ExpectCold(instances, clock.Millis(spec.ColdMillis))
 	}
--- a/internal/traffic/sidecar/metrics.go
+++ b/internal/traffic/sidecar/metrics.go
@@ -39,6 +39,12 @@
 		}
 		return 0
 	})
+	gauge("target_evacuated", "1 while the failure domain of this host is evacuated.", func() float64 {
+		if begun, _ := s.gate.Evacuation(); begun {
+			return 1
+		}
+		return 0
+	})
 	gauge("view_version", "Version of the core's state in force.", func() float64 {
 		if v := s.views.Current(); v != nil {
 			return float64(v.Version)
