--- a/internal/coordination/core/lease_test.go
+++ b/internal/coordination/core/lease_test.go
@@ -81,7 +81,7 @@
 	l, m := newTestLeadership(t, first, second)
 	committed := l.machine.Assignments("finder")
 	for bucket := range 8 {
-		committed.Loads = append(committed.Loads, message.Load{Bucket: bucket, Requests: 20_000})
+		committed.Loads = append(committed.Loads, message.Load{Bucket: bucket, Work: 20_000})
 	}
 	l.nextAssignments("finder", committed)
 	m.Advance(firstAssignmentMargin)
--- a/internal/coordination/core/ownership.go
+++ b/internal/coordination/core/ownership.go
@@ -193,7 +193,7 @@
 			instances = append(instances, i)
 		}
 	}
-	now, mean, silenceLimit := l.options.Clock.Now(), l.leases.MeanServiceMillis(instances), l.leases.LeaseDuration()
+	now, silenceLimit := l.options.Clock.Now(), l.leases.LeaseDuration()
 	if l.grantsByCall(service) {
 		silenceLimit = maxLeaseSilence
 	}
@@ -201,7 +201,7 @@
 	for _, i := range instances {
 		unresponsive := l.leases.SinceLastHeartbeat(i.Incarnation, now) > silenceLimit
 		out = append(out, keyrange.Target{
-			Incarnation: i.Incarnation, Capacity: l.leases.Capacity(i, mean), Eligible: !i.Draining && !i.Stopping && !unresponsive,
+			Incarnation: i.Incarnation, Capacity: l.leases.Capacity(i), Eligible: !i.Draining && !i.Stopping && !unresponsive,
 		})
 	}
 	return out
--- a/internal/coordination/message/message.go
+++ b/internal/coordination/message/message.go
@@ -168,6 +168,10 @@
 	// knows.
 	Before *Incarnation `json:"Before,omitempty"`
 
+	// Work that the target can do in a second, in the unit of Loads. Sidecars of
+	// earlier releases do not state it.
+	Capacity *float64 `json:"Capacity,omitempty"`
+
 	// Ranges that the target owns or for which it still processes requests.
 	Grants []RangeGrant `json:"Holds"`
 
@@ -384,13 +388,13 @@
 	Incarnation Incarnation `json:"Lifetime"`
 }
 
-// Load is the number of requests for a bucket of keys since the last report.
+// Load is the work of the requests for a bucket of keys since the last report.
 type Load struct {
 	// Index of the bucket: the key divided by the number of keys in a bucket.
 	Bucket int `json:"Bucket"`
 
-	// Requests corresponds to the JSON schema field "Requests".
-	Requests int `json:"Requests"`
+	// Time that the requests take at their target, in units of 10 ms.
+	Work int `json:"Requests"`
 }
 
 // LogMessage carries a message of the replicated log.
--- a/internal/integration/mesh/mesh_test.go
+++ b/internal/integration/mesh/mesh_test.go
@@ -253,7 +253,7 @@
 	const first, last = 1000, 2000
 	report := message.WatchRequest{Host: "reporter", KnownVersion: 1, Service: "pledges", Loads: []message.Load{}, RejectedLoads: []message.ServiceLoads{{Service: "catalogue"}}}
 	for k := first; k <= last; k += 50 {
-		report.RejectedLoads[0].Loads = append(report.RejectedLoads[0].Loads, message.Load{Bucket: k / keyrange.KeysPerBucket, Requests: 20})
+		report.RejectedLoads[0].Loads = append(report.RejectedLoads[0].Loads, message.Load{Bucket: k / keyrange.KeysPerBucket, Work: 20})
 	}
 	s.eventually("both targets own busy keys", func() bool {
 		if _, err := rpc.Call[message.WatchReply](s.ctx, core, message.MethodWatch, report); err != nil {
--- a/internal/ownership/grant/grant.go
+++ b/internal/ownership/grant/grant.go
@@ -62,9 +62,9 @@
 	// interval is the time between its last two heartbeats.
 	interval clock.Millis
 	leaseEnd clock.Millis
-	// serviceMillis is the average duration of a request; 0 while unknown.
-	serviceMillis clock.Millis
-	slots         int
+	// capacity is the work that it can do in a second; 0 while unknown.
+	capacity float64
+	slots    int
 }
 
 // decayingLoads are the loads of a service, which lose weight over time.
@@ -117,8 +117,8 @@
 		s.interval = at - s.lastHeartbeat
 	}
 	s.sequence, s.lastHeartbeat, s.slots = h.Sequence, at, h.Instance.Slots
-	if h.ServiceMillis > 0 {
-		s.serviceMillis = clock.Millis(h.ServiceMillis)
+	if h.Capacity != nil {
+		s.capacity = *h.Capacity
 	}
 	t.addLoads(h.Instance.Service, h.Loads, at)
 	return true
@@ -149,7 +149,7 @@
 	const seconds = 1.44 * float64(loadHalfLife) / 1000
 	for _, x := range reported {
 		if x.Bucket >= 0 && x.Bucket < keyrange.Buckets {
-			l.values[x.Bucket] += float64(x.Requests) / seconds
+			l.values[x.Bucket] += float64(x.Work) / seconds
 		}
 	}
 }
@@ -201,10 +201,10 @@
 	out := []message.Load{}
 	for i, v := range loads {
 		if n := int(v * busiestBucketsPeriodSeconds); n > 0 {
-			out = append(out, message.Load{Bucket: i, Requests: n})
+			out = append(out, message.Load{Bucket: i, Work: n})
 		}
 	}
-	slices.SortFunc(out, func(x, y message.Load) int { return y.Requests - x.Requests })
+	slices.SortFunc(out, func(x, y message.Load) int { return y.Work - x.Work })
 	return out[:min(len(out), maxBusiestBuckets)]
 }
 
@@ -220,7 +220,7 @@
 	l := &decayingLoads{asOf: t.clock.Now()}
 	for _, x := range busiest {
 		if x.Bucket >= 0 && x.Bucket < keyrange.Buckets {
-			l.values[x.Bucket] = float64(x.Requests) / busiestBucketsPeriodSeconds
+			l.values[x.Bucket] = float64(x.Work) / busiestBucketsPeriodSeconds
 		}
 	}
 	t.loads[name] = l
@@ -302,34 +302,13 @@
 	return s.lastHeartbeat + s.interval - now, true
 }
 
-// defaultServiceMillis is the assumed duration of a request while none was measured.
-const defaultServiceMillis = 100
-
-// Capacity returns the requests per second that a target can serve: its slots divided by
-// the mean duration of its requests. For a target without measurements it uses the given
-// mean of the other targets.
-func (t *LeaseTable) Capacity(i message.Instance, mean clock.Millis) float64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	serviceMillis := mean
-	if s := t.targets[i.Incarnation]; s != nil && s.serviceMillis > 0 {
-		serviceMillis = s.serviceMillis
-	}
-	return float64(max(i.Slots, 1)) * 1000 / float64(max(serviceMillis, 1))
-}
-
-// MeanServiceMillis returns the mean duration of a request at the given instances.
-func (t *LeaseTable) MeanServiceMillis(instances []message.Instance) clock.Millis {
+// Capacity returns the work that a target can do in a second. For a target that has not stated
+// it, that is the work of its slots.
+func (t *LeaseTable) Capacity(i message.Instance) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sum, n := clock.Millis(0), clock.Millis(0)
-	for _, i := range instances {
-		if s := t.targets[i.Incarnation]; s != nil && s.serviceMillis > 0 {
-			sum, n = sum+s.serviceMillis, n+1
-		}
-	}
-	if n == 0 {
-		return defaultServiceMillis
+	if s := t.targets[i.Incarnation]; s != nil && s.capacity > 0 {
+		return s.capacity
 	}
-	return sum / n
+	return float64(max(i.Slots, 1)) * keyrange.WorkPerSlot
 }
--- a/internal/ownership/grant/grant_test.go
+++ b/internal/ownership/grant/grant_test.go
@@ -67,7 +67,7 @@
 	m := clock.NewManual(1000)
 	leases := NewLeaseTable(m.Clock(), 4000)
 	h := heartbeat(1)
-	h.Loads = []message.Load{{Bucket: 7, Requests: 288}}
+	h.Loads = []message.Load{{Bucket: 7, Work: 288}}
 	leases.RecordHeartbeat(h, 1000)
 	before := leases.Loads("catalogue")[7]
 	m.Advance(loadHalfLife)
@@ -81,7 +81,7 @@
 	m := clock.NewManual(1000)
 	leases := NewLeaseTable(m.Clock(), 4000)
 	h := heartbeat(1)
-	h.Loads = []message.Load{{Bucket: 7, Requests: 288}}
+	h.Loads = []message.Load{{Bucket: 7, Work: 288}}
 	leases.RecordHeartbeat(h, 1000)
 	busiest := leases.BusiestBuckets("catalogue")
 	qt.Assert(t, busiest, qt.HasLen, 1)
@@ -90,6 +90,6 @@
 	before, after := leases.Loads("catalogue")[7], next.Loads("catalogue")[7]
 	qt.Assert(t, after > before*0.98 && after < before*1.02, qt.IsTrue, qt.Commentf("load %.1f before, %.1f after", before, after))
 	next.RecordHeartbeat(heartbeat(1), 1000)
-	next.SeedLoads("catalogue", []message.Load{{Bucket: 9, Requests: 1000}})
+	next.SeedLoads("catalogue", []message.Load{{Bucket: 9, Work: 1000}})
 	qt.Assert(t, next.Loads("catalogue")[9], qt.Equals, 0.0)
 }
--- a/internal/ownership/keyrange/keyrange.go
+++ b/internal/ownership/keyrange/keyrange.go
@@ -2,7 +2,8 @@
 //
 // Keys are numbers from 0 to 65535. Busy keys lie close together and change over time,
 // so ranges of equal size are not ranges of equal load. The package therefore works with
-// the measured requests for buckets of a few keys. Its functions have no side effects:
+// the measured work of the requests for buckets of a few keys: a lookup takes a target a tenth
+// of the time of an export, so counts of requests would not show which target is busy. Its functions have no side effects:
 // they take assignments, loads and targets and return new assignments.
 //
 // There are two decisions. AssignUnassigned gives unassigned keys to a target that sends
@@ -19,6 +20,7 @@
 
 import (
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
+	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
 const (
@@ -32,12 +34,12 @@
 	Buckets = Keys / KeysPerBucket
 )
 
-// baseLoadPerBucket is added to the load of each bucket, in requests per second. The sum
-// over all buckets is 20. It makes the keys be divided evenly while no load is known, and
+// baseLoadPerBucket is added to the load of each bucket, in units of work per second. The
+// sum over all buckets is 20. It makes the keys be divided evenly while no load is known, and
 // it is far below the load of a bucket in use.
 const baseLoadPerBucket = 20.0 / Buckets
 
-// Loads are requests per second by bucket.
+// Loads are units of work per second by bucket.
 type Loads [Buckets]float64
 
 // inRange returns the load of a range. The load of a bucket is split evenly among its
@@ -87,17 +89,25 @@
 	return l
 }
 
-// LoadCounter counts requests by bucket of keys.
+// LoadCounter sums up the work of requests by bucket of keys.
 type LoadCounter map[int]int
 
-// Add counts a request for a key.
-func (c LoadCounter) Add(k message.Key) { c[int(k)/KeysPerBucket]++ }
+// workUnitMillis is the unit of work: the time of a slot that a request takes.
+const workUnitMillis = 10
+
+// WorkPerSlot is the work that one slot of a target does in a second.
+const WorkPerSlot = 1000 / workUnitMillis
+
+// Add counts a request for a key that takes a target the given time.
+func (c LoadCounter) Add(k message.Key, duration clock.Millis) {
+	c[int(k)/KeysPerBucket] += max(1, int((duration+workUnitMillis/2)/workUnitMillis))
+}
 
 // Flush returns the counts and resets them.
 func (c LoadCounter) Flush() []message.Load {
 	out := make([]message.Load, 0, len(c))
-	for b, n := range c {
-		out = append(out, message.Load{Bucket: b, Requests: n})
+	for b, work := range c {
+		out = append(out, message.Load{Bucket: b, Work: work})
 	}
 	clear(c)
 	return out
@@ -106,8 +116,7 @@
 // Target is a target that can own keys.
 type Target struct {
 	Incarnation message.Incarnation
-	// Capacity is the number of requests per second that it can serve, or any other
-	// measure that is comparable between targets.
+	// Capacity is the work that it can do in a second, in the unit of Loads.
 	Capacity float64
 	// Eligible is false for a target that must not own keys, because it is leaving.
 	Eligible bool
--- a/internal/ownership/keyrange/keyrange_test.go
+++ b/internal/ownership/keyrange/keyrange_test.go
@@ -45,6 +45,43 @@
 	return out
 }
 
+// Guards against a target that gets the keys of all long requests because requests are counted
+// without regard to their work: lookups of 30 ms go to the lower keys, exports of 300 ms, a
+// tenth as many, to the upper ones.
+func TestKeysAreDividedByWork(t *testing.T) {
+	counter := LoadCounter{}
+	busyMillis := func(from, to message.Key) (sum int) {
+		for k := from; k <= to; k++ {
+			if k < Keys/2 {
+				sum += 30 * 10
+			} else {
+				sum += 300
+			}
+		}
+		return sum
+	}
+	for k := range message.Key(Keys) {
+		if k < Keys/2 {
+			for range 10 {
+				counter.Add(k, 30)
+			}
+		} else {
+			counter.Add(k, 300)
+		}
+	}
+	var loads Loads
+	for _, l := range counter.Flush() {
+		loads[l.Bucket] = float64(l.Work)
+	}
+	targets := equalTargets("a", "b")
+	work := map[message.InstanceID]int{}
+	for _, a := range assignAll(unassigned, &loads, targets) {
+		work[a.Owner.ID] += busyMillis(a.From, a.To)
+	}
+	ratio := float64(work["a"]) / float64(work["b"])
+	qt.Assert(t, ratio > 0.9 && ratio < 1.1, qt.IsTrue, qt.Commentf("work of the targets in ms: %v", work))
+}
+
 // Guards against keys that stay unassigned at the first start, and against one target
 // that gets all keys.
 func TestAllKeysAreAssignedEvenly(t *testing.T) {
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -308,8 +308,17 @@
 
 // expectedDuration returns the mean duration of the ticket's route in milliseconds, or
 // that of all requests if the route has not been measured.
-func (q *Queue) expectedDuration(t *Ticket) float64 {
-	if m, ok := q.routeMeans[t.Route]; ok {
+func (q *Queue) expectedDuration(t *Ticket) float64 { return q.routeMean(t.Route) }
+
+// ExpectedDuration returns the mean duration of a request of a route.
+func (q *Queue) ExpectedDuration(route string) clock.Millis {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return clock.Millis(q.routeMean(route) + 0.5)
+}
+
+func (q *Queue) routeMean(route string) float64 {
+	if m, ok := q.routeMeans[route]; ok {
 		return m
 	}
 	if q.mean > 0 {
--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -173,7 +173,7 @@
 	return false
 }
 
-// TakeKeyLoads returns the number of requests per bucket of keys since the last call.
+// TakeKeyLoads returns the work of the requests per bucket of keys since the last call.
 func (g *Gate) TakeKeyLoads() []message.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -189,6 +189,18 @@
 	return limit.limitSpeed(hop.Load{Running: running, Waiting: waiting, Slots: slots, ServiceMillis: mean}, g.options.Clock.Now())
 }
 
+// Capacity returns the work that the target can do in a second, in the unit of TakeKeyLoads: that
+// of its slots, or less if its rate is limited.
+func (g *Gate) Capacity() float64 {
+	limited := g.Load()
+	_, _, slots, mean := g.queue.Load()
+	capacity := float64(slots) * keyrange.WorkPerSlot
+	if mean > 0 && limited.ServiceMillis > mean {
+		capacity *= float64(mean) / float64(limited.ServiceMillis)
+	}
+	return capacity
+}
+
 // TargetRequest is a request to be run by a target.
 type TargetRequest struct {
 	hop.Request
@@ -309,7 +321,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.keyLoads.Add(message.Key(request.Key))
+	g.keyLoads.Add(message.Key(request.Key), g.queue.ExpectedDuration(request.Route))
 }
 
 // waitForSlot waits until the target has a free slot for the request. It returns nil if
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -274,7 +274,7 @@
 	if ok {
 		return nil
 	}
-	in.throttle.CountRejected(req.service, message.Key(req.key))
+	in.throttle.CountRejected(req.service, message.Key(req.key), in.balancer.ServiceMillis(id))
 	req.attempts = append(req.attempts, string(id)+":throttled")
 	return gate.Rejection(hop.Busy, retryAfter)
 }
--- a/internal/traffic/ingress/ingress_test.go
+++ b/internal/traffic/ingress/ingress_test.go
@@ -93,7 +93,7 @@
 	for _, s := range in.TakeRejectedLoads() {
 		qt.Check(t, string(s.Service), qt.Equals, "catalogue")
 		for _, l := range s.Loads {
-			rejected += l.Requests
+			rejected += l.Work / 5 // 50 ms each, in units of 10 ms
 		}
 	}
 	qt.Check(t, int(arrived.Load())+rejected, qt.Equals, total)
--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -122,6 +122,16 @@
 	return s.unreachableCount >= unreachableThreshold && b.clock.Now() < s.pausedUntil
 }
 
+// ServiceMillis returns the mean time that a target takes for a request, as far as it is known.
+func (b *Balancer) ServiceMillis(id message.InstanceID) clock.Millis {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if reported := b.state(id).load.ServiceMillis; reported > 0 {
+		return reported
+	}
+	return defaultServiceMillis
+}
+
 // Choose returns the target with the lowest expected response time. It skips targets that
 // were tried, are paused or are draining. A target whose host is about to stop is chosen
 // only if there is no other: its host still serves for a while.
--- a/internal/traffic/sidecar/target.go
+++ b/internal/traffic/sidecar/target.go
@@ -87,13 +87,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, coreCallTimeout.Duration())
 	defer cancel()
-	load, answered := s.gate.Load(), s.incarnations.lastAnswer(h.Incarnation, h.Sequence)
+	load, capacity, answered := s.gate.Load(), s.gate.Capacity(), s.incarnations.lastAnswer(h.Incarnation, h.Sequence)
 	reply, err := call[message.HeartbeatReply](ctx, s.core, message.MethodHeartbeat, message.Heartbeat{
 		Instance: message.Instance{
 			Incarnation: h.Incarnation, Service: h.Service, Target: h.Address, Peer: s.peerAddress(), Host: message.HostName(s.options.Settings.Name),
 			Domain: message.FailureDomain(s.options.Settings.FailureDomain), Slots: h.Slots, Draining: h.Draining || s.isLeaving(h.Incarnation), Stopping: s.stopping.Load(),
 		},
-		Sequence: h.Sequence, Grants: emptyIfNil(h.Grants), Released: emptyIfNil(h.Released), Loads: s.gate.TakeKeyLoads(), ServiceMillis: message.Millis(load.ServiceMillis),
+		Sequence: h.Sequence, Grants: emptyIfNil(h.Grants), Released: emptyIfNil(h.Released), Loads: s.gate.TakeKeyLoads(), ServiceMillis: message.Millis(load.ServiceMillis), Capacity: &capacity,
 		Before: s.incarnations.predecessor(h.Incarnation), Answered: &answered,
 	}, coreCallTimeout)
 	if rpc.IsCode(err, rpc.CodeRejected) {
--- a/internal/traffic/throttle/throttle.go
+++ b/internal/traffic/throttle/throttle.go
@@ -15,7 +15,7 @@
 //
 //	l := throttle.New(clock.System(), rand.Float64)
 //	if retryAfter, ok := l.Allow(owner); !ok {
-//		l.CountRejected(service, key)
+//		l.CountRejected(service, key, duration)
 //		return busy(retryAfter)
 //	}
 //	l.RecordResult(owner, accepted, retryAfter)
@@ -106,17 +106,18 @@
 	c.retryAfter = retryAfter
 }
 
-// CountRejected counts a request that was rejected here as load of its key.
-func (l *Limiter) CountRejected(name message.ServiceName, key message.Key) {
+// CountRejected counts a request that was rejected here as load of its key. It would have taken
+// its owner the given time.
+func (l *Limiter) CountRejected(name message.ServiceName, key message.Key, duration clock.Millis) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.rejected[name] == nil {
 		l.rejected[name] = keyrange.LoadCounter{}
 	}
-	l.rejected[name].Add(key)
+	l.rejected[name].Add(key, duration)
 }
 
-// TakeRejectedLoads returns the requests that were rejected here since the last call, by
+// TakeRejectedLoads returns the work of the requests that were rejected here since the last call, by
 // service and bucket of keys.
 func (l *Limiter) TakeRejectedLoads() []message.ServiceLoads {
 	l.mu.Lock()
--- a/internal/traffic/throttle/throttle_test.go
+++ b/internal/traffic/throttle/throttle_test.go
@@ -37,7 +37,7 @@
 				tokens = min(tokens+float64(tt.capacity)/float64(tt.offered), 2)
 				if _, ok := l.Allow("hot"); !ok {
 					rejected++
-					l.CountRejected("catalogue", 7)
+					l.CountRejected("catalogue", 7, 30)
 					continue
 				}
 				sent++
@@ -54,10 +54,10 @@
 			counted := 0
 			for _, service := range l.TakeRejectedLoads() {
 				for _, load := range service.Loads {
-					counted += load.Requests
+					counted += load.Work
 				}
 			}
-			qt.Check(t, counted, qt.Equals, rejected)
+			qt.Check(t, counted, qt.Equals, 3*rejected) // 30 ms each, in units of 10 ms
 			qt.Check(t, l.TakeRejectedLoads(), qt.HasLen, 0)
 		})
 	}
