--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -2,7 +2,10 @@
 // by key.
 //
 // Each sidecar decides on its own. It uses the load that the sidecar on a target's host
-// reports in each response, and the number of its own requests that are still in flight.
+// reports in each response, and the number of its own requests that are still in flight. One
+// sidecar of many sees few of a target's responses, so the older a report is, the more the
+// choice is left to chance. Reports passed on by other sidecars would be newer, but all
+// sidecars would then follow the same ones.
 // The outcome of requests takes precedence over what a target reports: a target that could
 // not be reached gets no requests for a while and is then tried again.
 //
@@ -31,11 +34,11 @@
 	// defaultServiceMillis is the assumed service time while no target of the service
 	// has reported one.
 	defaultServiceMillis = 50
-	// loadHalfLife is the age at which a reported load counts half.
-	loadHalfLife clock.Millis = 1000
+	// maxLoadAge is the age after which a reported number of requests is no longer used.
+	maxLoadAge clock.Millis = 1000
 	// otherDomainPenalty is the part of the mean service time that is added to the cost
 	// of targets in other failure domains.
-	otherDomainPenalty = 0.3
+	otherDomainPenalty = 0.6
 	// minPause and maxPause bound how long a target that could not be reached gets no
 	// requests. The pause doubles with each consecutive failure.
 	minPause clock.Millis = 300
@@ -48,13 +51,13 @@
 	// target costs as much as one that is three times as slow, so that other targets
 	// with spare capacity are chosen first.
 	failureCostFactor = 6
-	// draws is how many targets are drawn for a choice. Hosts whose reports are old have
-	// the same idea of which target is the best, and would all choose that one.
-	draws = 3
-	// acceptableCost is the cost, as a multiple of the mean service time, from which on targets
-	// in other failure domains are considered. A target of mean speed has it when two of
-	// three slots are in use.
-	acceptableCost = 1.4
+	// costJitter randomizes the choice between targets of nearly equal cost, so that many
+	// sidecars do not all choose the same one. outdatedCostJitter is added as a report ages:
+	// sidecars that last heard of the targets long ago would otherwise all send to the one
+	// that they remember as the fastest. jitterHalfLife is the age at which half is added.
+	costJitter                      = 0.1
+	outdatedCostJitter              = 3
+	jitterHalfLife     clock.Millis = 500
 )
 
 // Balancer holds what one sidecar knows about the targets and chooses among them.
@@ -94,6 +97,11 @@
 	s.failureRate, s.failureRateTime = rate+failureRateWeight*(failed-rate), now
 }
 
+// jitter returns the part of its cost by which the cost of the target is randomized.
+func (s *targetState) jitter(now clock.Millis) float64 {
+	return costJitter + outdatedCostJitter*(1-math.Exp2(-float64(now-s.loadTime)/float64(jitterHalfLife)))
+}
+
 // New returns a balancer for a sidecar in the given failure domain. The function random
 // returns numbers in [0, 1).
 func New(clk clock.Clock, domain message.FailureDomain, random func() float64) *Balancer {
@@ -149,133 +157,59 @@
 // caller must hold b.mu.
 func (b *Balancer) choose(instances []message.Instance, tried map[message.InstanceID]bool, stopping bool) (message.Instance, bool) {
 	now := b.clock.Now()
-	mean := b.means(instances, now)
-	var near, far []message.Instance
+	meanMillis := b.meanServiceMillis(instances)
+	var best message.Instance
+	lowestCost, found := 0.0, false
 	for _, instance := range instances {
 		s := b.state(instance.Incarnation.ID)
-		switch {
-		case instance.Draining || instance.Stopping != stopping || tried[instance.Incarnation.ID] || now < s.pausedUntil:
-		case instance.Domain == b.domain:
-			near = append(near, instance)
-		default:
-			far = append(far, instance)
+		if instance.Draining || instance.Stopping != stopping || tried[instance.Incarnation.ID] || now < s.pausedUntil {
+			continue
 		}
-	}
-	best, cost, found := b.chooseAmong(near, mean, now)
-	if found && cost < acceptableCost*mean.serviceMillis {
-		return best, true
-	}
-	if other, otherCost, ok := b.chooseAmong(far, mean, now); ok && (!found || otherCost < cost) {
-		return other, true
-	}
-	return best, found
-}
-
-// chooseAmong draws a few different targets at random, by speed, and returns the one of the
-// lowest cost with that cost. It changes the order of the list. The caller
-// must hold b.mu.
-func (b *Balancer) chooseAmong(instances []message.Instance, mean means, now clock.Millis) (best message.Instance, lowestCost float64, found bool) {
-	for range min(draws, len(instances)) {
-		drawn := b.draw(instances, mean)
-		instance := instances[drawn]
-		last := len(instances) - 1
-		instances[drawn], instances = instances[last], instances[:last]
-		s := b.state(instance.Incarnation.ID)
-		if cost := b.cost(instance, s, mean, now); !found || cost < lowestCost {
+		cost := b.cost(instance, s, meanMillis, now) * (1 + s.jitter(now)*b.random())
+		if !found || cost < lowestCost {
 			best, lowestCost, found = instance, cost, true
 		}
 	}
-	return best, lowestCost, found
-}
-
-// draw returns the index of a target drawn at random, by weight. The caller must hold b.mu.
-func (b *Balancer) draw(instances []message.Instance, mean means) int {
-	sum := 0.0
-	for _, instance := range instances {
-		sum += b.weight(instance, mean)
-	}
-	left := b.random() * sum
-	for i, instance := range instances {
-		if left -= b.weight(instance, mean); left < 0 {
-			return i
-		}
-	}
-	return len(instances) - 1
-}
-
-// weight returns how often a target is drawn: as often as its requests end. The caller must
-// hold b.mu.
-func (b *Balancer) weight(instance message.Instance, mean means) float64 {
-	serviceMillis := float64(b.state(instance.Incarnation.ID).load.ServiceMillis)
-	if serviceMillis == 0 {
-		serviceMillis = mean.serviceMillis
-	}
-	return float64(max(instance.Slots, 1)) / serviceMillis
+	return best, found
 }
 
-// means are the means over the targets of a service.
-type means struct{ serviceMillis, utilization float64 }
-
-// means returns the means of the reported service times and of the reported utilization.
-func (b *Balancer) means(instances []message.Instance, now clock.Millis) means {
-	out := means{serviceMillis: defaultServiceMillis}
-	millis, reports, utilization, weights := 0.0, 0.0, 0.0, 0.0
+// meanServiceMillis returns the mean of the reported service times.
+func (b *Balancer) meanServiceMillis(instances []message.Instance) float64 {
+	sum, n := 0.0, 0.0
 	for _, instance := range instances {
-		s := b.state(instance.Incarnation.ID)
-		if s.load.ServiceMillis > 0 {
-			millis, reports = millis+float64(s.load.ServiceMillis), reports+1
-		}
-		if s.loadTime > 0 {
-			weight := s.freshness(now)
-			utilization, weights = utilization+weight*s.reportedUtilization(instance), weights+weight
+		if s := b.state(instance.Incarnation.ID); s.load.ServiceMillis > 0 {
+			sum, n = sum+float64(s.load.ServiceMillis), n+1
 		}
 	}
-	if reports > 0 {
-		out.serviceMillis = millis / reports
-	}
-	if weights > 0 {
-		out.utilization = utilization / weights
-	}
-	return out
-}
-
-// freshness returns the weight of the reported load: 1 for a new report, less with its age.
-func (s *targetState) freshness(now clock.Millis) float64 {
-	if s.loadTime == 0 {
-		return 0
+	if n == 0 {
+		return defaultServiceMillis
 	}
-	return math.Exp2(-float64(now-s.loadTime) / float64(loadHalfLife))
-}
-
-// reportedUtilization returns the reported number of requests for each slot.
-func (s *targetState) reportedUtilization(instance message.Instance) float64 {
-	return float64(s.load.Running+s.load.Waiting) / float64(max(instance.Slots, 1))
-}
-
-// utilization returns the estimated number of requests for each slot. As the report ages,
-// the mean of the service counts instead.
-func (b *Balancer) utilization(instance message.Instance, s *targetState, mean float64, now clock.Millis) float64 {
-	fresh := s.freshness(now)
-	sinceReport := float64(max(0, s.inFlight-s.inFlightAtLoad)) / float64(max(instance.Slots, 1))
-	return fresh*s.reportedUtilization(instance) + (1-fresh)*mean + sinceReport
+	return sum / n
 }
 
 // cost returns the expected time until the response, with penalties for failures and for
 // targets in other failure domains. A nearly full target costs more than its service time,
 // because other sidecars send requests to it at the same time.
-func (b *Balancer) cost(instance message.Instance, s *targetState, mean means, now clock.Millis) float64 {
-	serviceMillis := float64(s.load.ServiceMillis)
+func (b *Balancer) cost(instance message.Instance, s *targetState, meanMillis float64, now clock.Millis) float64 {
+	serviceMillis, requests := float64(s.load.ServiceMillis), float64(s.load.Running+s.load.Waiting)
 	if serviceMillis == 0 {
-		serviceMillis = mean.serviceMillis
+		serviceMillis = meanMillis
+	}
+	if now-s.loadTime > maxLoadAge {
+		requests = 0
+	}
+	requests += float64(max(0, s.inFlight-s.inFlightAtLoad))
+	if now-s.loadTime > maxLoadAge {
+		requests = float64(s.inFlight)
 	}
-	utilization := b.utilization(instance, s, mean.utilization, now)
+	utilization := requests / float64(max(instance.Slots, 1))
 	cost := serviceMillis * (1 + utilization*utilization)
 	if utilization >= 1 {
 		cost = serviceMillis * (1 + utilization)
 	}
 	cost *= 1 + failureCostFactor*s.decayedFailureRate(now)
 	if instance.Domain != b.domain {
-		cost += mean.serviceMillis * otherDomainPenalty
+		cost += meanMillis * otherDomainPenalty
 	}
 	return cost
 }
