--- a/internal/ownership/grant/grant_test.go
+++ b/internal/ownership/grant/grant_test.go
@@ -6,6 +6,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
+	"github.com/gentiansail/gentiansail/internal/ownership/keyrange"
 	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
@@ -67,7 +68,7 @@
 	m := clock.NewManual(1000)
 	leases := NewLeaseTable(m.Clock(), 4000)
 	h := heartbeat(1)
-	h.Loads = []message.Load{{Bucket: 7, Requests: 288}}
+	h.Loads = []message.Load{{Bucket: 7, Work: 288}}
 	leases.RecordHeartbeat(h, 1000)
 	before := leases.Loads("catalogue")[7]
 	m.Advance(loadHalfLife)
@@ -81,7 +82,7 @@
 	m := clock.NewManual(1000)
 	leases := NewLeaseTable(m.Clock(), 4000)
 	h := heartbeat(1)
-	h.Loads = []message.Load{{Bucket: 7, Requests: 288}}
+	h.Loads = []message.Load{{Bucket: 7, Work: 288}}
 	leases.RecordHeartbeat(h, 1000)
 	busiest := leases.BusiestBuckets("catalogue")
 	qt.Assert(t, busiest, qt.HasLen, 1)
@@ -90,23 +91,23 @@
 	before, after := leases.Loads("catalogue")[7], next.Loads("catalogue")[7]
 	qt.Assert(t, after > before*0.98 && after < before*1.02, qt.IsTrue, qt.Commentf("load %.1f before, %.1f after", before, after))
 	next.RecordHeartbeat(heartbeat(1), 1000)
-	next.SeedLoads("catalogue", []message.Load{{Bucket: 9, Requests: 1000}})
+	next.SeedLoads("catalogue", []message.Load{{Bucket: 9, Work: 1000}})
 	qt.Assert(t, next.Loads("catalogue")[9], qt.Equals, 0.0)
 }
 
 // Guards against a cold target that gets a full share of the keys at once, and against one
 // that keeps a small share when it is warm.
-func TestCapacityFollowsReportedSpeed(t *testing.T) {
+func TestCapacityFollowsHeartbeats(t *testing.T) {
 	m := clock.NewManual(1000)
 	leases := NewLeaseTable(m.Clock(), 4000)
-	const mean clock.Millis = 120
+	stated := func(v float64) *float64 { return &v }
 	for i, tt := range []struct {
-		serviceMillis message.Millis
-		want          float64
-	}{{0, 10 * 1000.0 / 120}, {800, 12.5}, {100, 100}} { // 800 ms: 10 slots, 12.5 requests a second
+		capacity *float64
+		want     float64
+	}{{nil, 10 * keyrange.WorkPerSlot}, {stated(60), 60}, {stated(1000), 1000}} {
 		h := heartbeat(i + 1)
-		h.ServiceMillis = tt.serviceMillis
+		h.Capacity = tt.capacity
 		leases.RecordHeartbeat(h, m.Clock().Now())
-		qt.Assert(t, leases.Capacity(h.Instance, mean), qt.Equals, tt.want)
+		qt.Assert(t, leases.Capacity(h.Instance), qt.Equals, tt.want)
 	}
 }
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -314,10 +314,27 @@
 	return max(clock.Millis(work/float64(max(q.slots, 1))+q.mean/2), q.turn(q.clock.Now(), len(q.waiting)))
 }
 
-// expectedDuration returns the mean duration of the ticket's route in milliseconds, or
-// that of all requests if the route has not been measured.
-func (q *Queue) expectedDuration(t *Ticket) float64 {
-	if m, ok := q.routeMeans[t.Route]; ok {
+func (q *Queue) expectedDuration(t *Ticket) float64 { return q.routeMean(t.Route) }
+
+// ExpectedDuration returns the mean duration of a request of a route.
+func (q *Queue) ExpectedDuration(route string) clock.Millis {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return clock.Millis(q.routeMean(route) + 0.5)
+}
+
+// MeanDuration returns the mean duration of a request, or what is assumed before any has been
+// measured.
+func (q *Queue) MeanDuration() clock.Millis {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return clock.Millis(q.routeMean("") + 0.5)
+}
+
+// routeMean returns the mean duration of the requests of a route in milliseconds, or that of all
+// requests if the route has not been measured.
+func (q *Queue) routeMean(route string) float64 {
+	if m, ok := q.routeMeans[route]; ok {
 		return m
 	}
 	if q.mean > 0 {
--- a/internal/traffic/gate/cold_test.go
+++ b/internal/traffic/gate/cold_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -9,8 +10,10 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
+	"github.com/gentiansail/gentiansail/internal/exchange"
 	"github.com/gentiansail/gentiansail/internal/traffic/coldstart"
 	"github.com/gentiansail/gentiansail/internal/traffic/hop"
+	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
 var testBounds = coldstart.Bounds{PerSecond: 2, Overage: 1.5, Slack: 3, Lasts: 4000}
@@ -75,3 +78,18 @@
 	qt.Assert(t, g.Cold(), qt.IsFalse)
 	qt.Assert(t, causes, qt.DeepEquals, []ColdCause{ColdReported, ColdDown, ColdReported})
 }
+
+// Guards against a cold target whose keys are a share of the load that it cannot take: 12
+// requests a second of the assumed 50 ms are 600 ms of work a second.
+func TestColdTargetStatesLessCapacity(t *testing.T) {
+	m := clock.NewManual(10_000)
+	g := New(Options{Clock: m.Clock(), Pool: exchange.NewPool(exchange.Options{})})
+	target := Target{Incarnation: message.Incarnation{ID: "i-1", StartTime: 1}, Service: "catalogue", Slots: 10, Cold: coldstart.Bounds{PerSecond: 12, Overage: 1.5, Slack: 8, Lasts: 3000}}
+	target.ColdMillis = 2000
+	g.SetTarget(target)
+	qt.Check(t, math.Round(g.Capacity()), qt.Equals, 60.0)
+	m.Advance(3000)
+	target.ColdMillis = 0
+	g.SetTarget(target)
+	qt.Check(t, g.Capacity(), qt.Equals, 1000.0)
+}
