exchange: a status that does not exist is no response

Callers could get bytes from the inside of an answer as the answer. A target that answers with status 000, 099 or +20 made http.ReadResponse return a code below 200, which counted as informational, so reading went on inside the body. If the body held a valid response, the caller got that one. 600 to 999 were passed on as they were, and an informational response with a Content-Length or a transfer encoding had the same effect as 000.

The bytes of the status line are now checked before http.ReadResponse: HTTP/1., a digit, one space, three digits from 100 to 599, then a space or the end of the line. Informational responses that state a body, or that are of HTTP/1.0 (whose Transfer-Encoding the codec drops), are no responses either. All of these end as a lost response with Progress Unknown, and their connection is closed.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -103,27 +103,43 @@
 	return err == nil && open
 }
 
-// responsePrefix is the beginning of each HTTP/1.x response.
-const responsePrefix = "HTTP/1."
+// statusLinePrefix is a pattern of the beginning of each HTTP/1.x response. 'd' stands for any
+// digit, 's' for the first digit of a status code and '\n' for the end of that code.
+const statusLinePrefix = "HTTP/1.d sdd\n"
 
-var errNotHTTP = merry.Sentinel("bytes are not the beginning of an HTTP/1.x response")
+var errInvalidStatusLine = merry.Sentinel("bytes are not the beginning of an HTTP/1.x response with a status code from 100 to 599")
 
-// checkPrefix reads the beginning of a response and returns an error as soon as it differs
-// from responsePrefix. http.ReadResponse would read on until the line ends. It leaves
+// checkStatusLine reads the beginning of a response and returns an error as soon as it
+// differs from statusLinePrefix. http.ReadResponse would read on until the line ends. It
+// also accepts codes such as "000" and "+20", which look like those of informational
+// responses, so that the body would be read as the final response. checkStatusLine leaves
 // errors of the connection to the next read.
-func (c *conn) checkPrefix() error {
-	for n := 1; n <= len(responsePrefix); n++ {
+func (c *conn) checkStatusLine() error {
+	for n := 1; n <= len(statusLinePrefix); n++ {
 		b, err := c.reader.Peek(n)
 		if err != nil {
 			return nil
 		}
-		if string(b) != responsePrefix[:n] {
-			return merry.Wrap(errNotHTTP, merry.AppendMessagef("%q", b))
+		if !matchesStatusLine(statusLinePrefix[n-1], b[n-1]) {
+			return merry.Wrap(errInvalidStatusLine, merry.AppendMessagef("%q", b))
 		}
 	}
 	return nil
 }
 
+// matchesStatusLine reports whether a byte matches a byte of statusLinePrefix.
+func matchesStatusLine(pattern, b byte) bool {
+	switch pattern {
+	case 'd':
+		return '0' <= b && b <= '9'
+	case 's':
+		return '1' <= b && b <= '5'
+	case '\n':
+		return b == ' ' || b == '\r' || b == '\n' // the reason phrase may be missing
+	}
+	return b == pattern
+}
+
 type connReader struct{ c *conn }
 
 // Read implements io.Reader. It returns ErrIdleTimeout when no byte arrives within
--- a/internal/exchange/do.go
+++ b/internal/exchange/do.go
@@ -147,7 +147,7 @@
 func (x *exchange) readHeader() (*http.Response, error) {
 	informationalBytes := int64(0)
 	for range maxInformational + 1 {
-		err := x.conn.checkPrefix()
+		err := x.conn.checkStatusLine()
 		var response *http.Response
 		if err == nil {
 			response, err = http.ReadResponse(x.conn.reader, x.request.HTTP)
@@ -161,6 +161,9 @@
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return nil, merry.Wrap(ErrResponse, merry.AppendMessage("status 101 without an upgrade request"))
 		}
+		if statesBody(response) {
+			return nil, merry.Wrap(ErrResponse, merry.AppendMessagef("status %d with a body, or of HTTP/1.0", response.StatusCode))
+		}
 		informationalBytes += maxHeaderBytes - x.conn.readBudget
 		if informationalBytes > maxInformationalBytes {
 			return nil, merry.Wrap(ErrResponse, merry.AppendMessagef("more than %d bytes of informational responses", maxInformationalBytes))
@@ -173,6 +176,14 @@
 	return nil, merry.Wrap(ErrResponse, merry.AppendMessagef("more than %d informational responses", maxInformational))
 }
 
+// statesBody reports whether the header of an informational response states a body. What
+// follows such a header may be that body instead of the final response. HTTP/1.0 has no
+// informational responses, and http.ReadResponse drops their Transfer-Encoding.
+func statesBody(response *http.Response) bool {
+	_, hasLength := response.Header["Content-Length"]
+	return hasLength || len(response.TransferEncoding) > 0 || !response.ProtoAtLeast(1, 1)
+}
+
 // maxMismatched bounds the responses to other requests that are skipped,
 // maxMismatchedBytes the body of each, and mismatchedTimeout the time to read that body. A
 // server that sends such a response has it complete, so a body that takes longer is
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -14,6 +14,8 @@
 //     Progress Unknown.
 //   - A connection is reused only after its response was read completely. All
 //     other connections are closed.
+//   - A response whose status code does not exist, or an informational one that states
+//     a body, is no response: its request has Progress Unknown.
 //   - A truncated body is an error. Responses that are delimited only by closing
 //     the connection are rejected by default, because truncation of such a
 //     response cannot be detected.
--- a/internal/exchange/fuzz_test.go
+++ b/internal/exchange/fuzz_test.go
@@ -42,6 +42,10 @@
 	f.Add([]byte("HTTP/1.0 200 OK\r\nGentiansail-Request-Id: r1\r\n\r\nuntil the end"))
 	f.Add([]byte(okResponse + okResponse))
 	f.Add([]byte("HTTP/1.1 101 Switching Protocols\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 000 Odd\r\nContent-Length: 81\r\n\r\n" + okResponse))
+	f.Add([]byte("HTTP/1.1 +20 Odd\r\n\r\n" + okResponse))
+	f.Add([]byte("HTTP/1.1 600 Odd\r\nGentiansail-Request-Id: r1\r\nContent-Length: 0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 102 Processing\r\nContent-Length: 81\r\n\r\n" + okResponse))
 	f.Add([]byte("HTTP/1.1 204 No Content\r\nGentiansail-Request-Id: r1\r\n\r\nrest"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		c := &scriptedConn{response: bytes.NewReader(data)}
@@ -53,7 +57,7 @@
 			qt.Assert(t, p.addressPool("a").idle, qt.HasLen, 0)
 			return
 		}
-		qt.Assert(t, response.StatusCode >= 200, qt.IsTrue)
+		qt.Assert(t, response.StatusCode >= 200 && response.StatusCode <= 599, qt.IsTrue)
 		qt.Assert(t, response.Header.Get(header.RequestID), qt.Equals, "r1")
 		body, err := io.ReadAll(response.Body)
 		if err != nil {
