copies: one package decides on second copies of requests

The node uses Race; its delay stays constant, because its copy goes to the same target over a new connection and only helps when the connection is dead. retry.Budget can start partly full, and several retries can be withdrawn at once or returned.

--- a/internal/node/second_copy.go
+++ b/internal/node/second_copy.go
@@ -7,11 +7,13 @@
 
 	"github.com/gentiansail/gentiansail/internal/exchange"
 	"github.com/gentiansail/gentiansail/pkg/clock"
+	"github.com/gentiansail/gentiansail/pkg/copies"
 )
 
 // secondCopyDelay is the time without a response after which a repeatable request is
 // sent to its target a second time. Usual service times are a few milliseconds, and a
-// key is to be served again within 2 s.
+// key is to be served again within 2 s. The delay is constant because the second copy goes to
+// the same target: it helps only if the connection is dead, and not if the target is slow.
 const secondCopyDelay clock.Millis = 1000
 
 // secondCopyPollInterval is the interval at which the conditions for a second copy are
@@ -39,77 +41,58 @@
 func (t *targetRequest) sendToTarget(ctx context.Context) (*http.Response, error) {
 	// A request that must run at most once gets a new connection: a server may close
 	// an idle one at any time, and the outcome would be unknown.
-	first, cancelFirst := t.startCopy(ctx, !t.q.route.Repeatable, t.checkBeforeWrite)
 	if !t.q.route.Repeatable || !t.q.body.buffered() || t.exclusive {
-		return t.useCopy(<-first)
+		return t.useCopy(t.startCopy(ctx, !t.q.route.Repeatable, t.checkBeforeWrite)())
 	}
-	if c, ok := t.awaitFirstCopy(ctx, first); ok {
-		return t.useCopy(c)
-	}
-	t.node.metrics.retries.Inc()
-	second, cancelSecond := t.startCopy(ctx, true, t.checkSecondCopyBeforeWrite)
-	var c copyResult
-	select {
-	case c = <-first:
-		c = t.chooseCopy(c, second, cancelSecond)
-	case c = <-second:
-		if c.err == nil {
-			// The other open connections may be dead for the same reason.
-			t.member.requestPool.CloseIdle(string(t.member.target.Address))
-		}
-		c = t.chooseCopy(c, first, cancelFirst)
+	c, outcome := copies.Race[copyResult]{
+		Delay:      secondCopyDelay,
+		Decide:     t.mayStartSecondCopy,
+		Start:      t.startRacingCopy,
+		Wins:       func(c copyResult) bool { return c.err == nil },
+		Choose:     chooseFailedCopy,
+		Discard:    copyResult.discard,
+		Background: func(f func()) { t.node.background.Go(f) },
+	}.Run(ctx)
+	if outcome == copies.SecondWon {
+		// The other open connections may be dead for the same reason.
+		t.member.requestPool.CloseIdle(string(t.member.target.Address))
 	}
 	return t.useCopy(c)
 }
 
-// awaitFirstCopy waits for the result of the first copy. It returns false if a second
-// copy is to be sent: after secondCopyDelay, if the target has responded to a probe
-// recently and the retry budget allows it.
-func (t *targetRequest) awaitFirstCopy(ctx context.Context, first <-chan copyResult) (copyResult, bool) {
-	for timeout := secondCopyDelay; ; timeout = secondCopyPollInterval {
-		if c, ok := awaitCopy(ctx, first, timeout); ok {
-			return c, true
-		}
-		if ctx.Err() != nil {
-			return <-first, true
-		}
-		// A probe that was running when the connections died fails as well. The
-		// condition then holds only after a later probe.
-		if t.member.probes.respondedRecently(t.node.clock.Now()) && t.node.retryBudget.Withdraw() {
-			return copyResult{}, false
-		}
+// mayStartSecondCopy reports whether a second copy is to be sent: if the target has responded
+// to a probe recently and the retry budget allows it.
+func (t *targetRequest) mayStartSecondCopy() (send bool, pause clock.Millis) {
+	// A probe that was running when the connections died fails as well. The condition then
+	// holds only after a later probe.
+	send = t.member.probes.respondedRecently(t.node.clock.Now()) && t.node.retryBudget.Withdraw()
+	return send, secondCopyPollInterval
+}
+
+// startRacingCopy prepares the first or the second copy. The second one needs a new
+// connection.
+func (t *targetRequest) startRacingCopy(ctx context.Context, second bool) func() copyResult {
+	if !second {
+		return t.startCopy(ctx, false, t.checkBeforeWrite)
 	}
+	t.node.metrics.retries.Inc()
+	return t.startCopy(ctx, true, t.checkSecondCopyBeforeWrite)
 }
 
-// awaitCopy waits for the result of a copy and returns false after the timeout.
-func awaitCopy(ctx context.Context, result <-chan copyResult, timeout clock.Millis) (copyResult, bool) {
-	timed, cancel := context.WithTimeout(ctx, timeout.Duration())
-	defer cancel()
-	select {
-	case c := <-result:
-		return c, true
-	case <-timed.Done():
-		return copyResult{}, false
+// chooseFailedCopy chooses between two copies without a response. A copy that may have run
+// is preferred, because the outcome is then unknown.
+func chooseFailedCopy(earlier, later copyResult) copyResult {
+	if exchange.ProgressOf(earlier.err) == exchange.NotSent {
+		return later
 	}
+	return earlier
 }
 
-// chooseCopy returns the result of the copy that ended first, or that of the other one if
-// the first failed. It cancels the copy that is not used.
-func (t *targetRequest) chooseCopy(c copyResult, other <-chan copyResult, cancel context.CancelFunc) copyResult {
-	if c.err != nil {
-		otherCopy := <-other
-		if otherCopy.err == nil || exchange.ProgressOf(c.err) == exchange.NotSent {
-			return otherCopy
-		}
-		return c // this copy may have run, so the outcome is unknown
+// discard closes the response of a copy that is not used.
+func (c copyResult) discard() {
+	if c.err == nil {
+		_ = c.response.Body.Close()
 	}
-	cancel()
-	t.node.background.Go(func() {
-		if otherCopy := <-other; otherCopy.err == nil {
-			_ = otherCopy.response.Body.Close()
-		}
-	})
-	return c
 }
 
 // useCopy returns the response of a copy and stores when it was sent.
@@ -118,8 +101,8 @@
 	return c.response, c.err
 }
 
-// startCopy sends one copy in the background. The returned function cancels it, and so
-// does the end of ctx.
+// startCopy prepares one copy and returns the function that sends it. The end of ctx cancels
+// it.
 //
 // Even after it was cancelled, a copy is in flight for its partition until its connection
 // shows that the target has stopped working on it: no other target may work on the key
@@ -128,18 +111,15 @@
 // the connection is dead, the copy is in flight until the request's deadline, which the
 // target received with the request, as if it had not been cancelled. A planned move waits
 // that long only if the owner is draining, and is cancelled otherwise.
-func (t *targetRequest) startCopy(ctx context.Context, newConnection bool, beforeWrite func() error) (<-chan copyResult, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	out := make(chan copyResult, 1)
+func (t *targetRequest) startCopy(ctx context.Context, newConnection bool, beforeWrite func() error) func() copyResult {
 	id := t.q.inFlightID
 	t.member.inFlight.retain(id)
 	ended := func() { t.member.inFlight.remove(id) }
-	go func() {
+	return func() copyResult {
 		c := copyResult{sentAt: t.node.clock.Now()}
 		c.response, c.err = t.copy(ctx, newConnection, beforeWrite, ended)
-		out <- c
-	}()
-	return out, cancel
+		return c
+	}
 }
 
 func (t *targetRequest) copy(ctx context.Context, newConnection bool, beforeWrite func() error, ended func()) (*http.Response, error) {
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -45,9 +45,11 @@
 	// Ratio is the number of retries that each request adds to the budget. Zero means
 	// 0.1.
 	Ratio float64
-	// Capacity is the largest number of retries in the budget, and the initial number.
-	// Zero means 20.
+	// Capacity is the largest number of retries in the budget. Zero means 20.
 	Capacity int
+	// Initial is the number of retries in the budget at the start, which may be a fraction.
+	// Zero means Capacity.
+	Initial float64
 }
 
 // Budget is a token bucket that requests fill and retries drain. It is safe for
@@ -58,7 +60,7 @@
 	capacityUnits   int64
 }
 
-// NewBudget returns a full budget.
+// NewBudget returns a budget with the initial number of retries.
 func NewBudget(o Options) *Budget {
 	if o.Ratio <= 0 {
 		o.Ratio = defaultRatio
@@ -71,6 +73,9 @@
 		capacityUnits:   int64(o.Capacity) * unitsPerRetry,
 	}
 	b.units.Store(b.capacityUnits)
+	if o.Initial > 0 {
+		b.units.Store(min(int64(o.Initial*unitsPerRetry), b.capacityUnits))
+	}
 	return b
 }
 
@@ -88,10 +93,13 @@
 
 // Withdraw removes one retry from the budget. It returns false if none remains; the
 // request must then not be retried.
-func (b *Budget) Withdraw() bool {
+func (b *Budget) Withdraw() bool { return b.WithdrawN(1) }
+
+// WithdrawN removes n retries from the budget, or none and returns false if it has fewer.
+func (b *Budget) WithdrawN(n int) bool {
 	for {
 		old := b.units.Load()
-		next, ok := afterWithdrawal(old)
+		next, ok := afterWithdrawal(old, int64(n)*unitsPerRetry)
 		if !ok {
 			return false
 		}
@@ -101,15 +109,25 @@
 	}
 }
 
+// Return adds n retries that were withdrawn and not sent.
+func (b *Budget) Return(n int) {
+	for {
+		old := b.units.Load()
+		if b.units.CompareAndSwap(old, afterDeposit(old, int64(n)*unitsPerRetry, b.capacityUnits)) {
+			return
+		}
+	}
+}
+
 func afterDeposit(units, deposit, capacity int64) int64 {
 	return min(units+deposit, capacity)
 }
 
-func afterWithdrawal(units int64) (int64, bool) {
-	if units < unitsPerRetry {
+func afterWithdrawal(units, withdrawal int64) (int64, bool) {
+	if units < withdrawal {
 		return units, false
 	}
-	return units - unitsPerRetry, true
+	return units - withdrawal, true
 }
 
 // Backoff computes the delay before each retry: exponential with full jitter.
