ingress: slow requests that may be repeated get a second copy

A few requests take much longer than the others of their route, because their target pauses or is slow. If the settings allow it (SecondCopies.Ratio, 0 by default), a repeatable request without a response after the time that all but that share of the requests of its route and service take is sent to one other target; the first success is the response and the other copy is cancelled.

No second copy is sent: for a key with an owner, for a streamed body, beyond the maximum of attempts, at 75 % of the slots known to be in use, to a target that is draining, stopping, failing, slower than 1.5 times the mean or not known to have room, when less than the median time is left, beyond the limit, or without a retry in the budget of the service. The host of the other target rejects the copy rather than queue it. A first copy that is known to wait in a queue gets that much longer. A target whose copy lost against a later one counts a failure, since it may not respond at all; a copy that is cancelled during the wait for its connection no longer counts as an unreachable target.

--- a/internal/node/second_copy.go
+++ b/internal/node/second_copy.go
@@ -45,13 +45,13 @@
 		return t.useCopy(t.startCopy(ctx, !t.q.route.Repeatable, t.checkBeforeWrite)())
 	}
 	c, outcome := copies.Race[copyResult]{
-		Delay:      secondCopyDelay,
-		Decide:     t.mayStartSecondCopy,
-		Start:      t.startRacingCopy,
-		Wins:       func(c copyResult) bool { return c.err == nil },
-		Choose:     chooseFailedCopy,
-		Discard:    copyResult.discard,
-		Background: func(f func()) { t.node.background.Go(f) },
+		Delay:        secondCopyDelay,
+		Decide:       t.mayStartSecondCopy,
+		Start:        t.startRacingCopy,
+		Wins:         func(c copyResult) bool { return c.err == nil },
+		PrefersLater: prefersLaterCopy,
+		Discard:      copyResult.discard,
+		Background:   func(f func()) { t.node.background.Go(f) },
 	}.Run(ctx)
 	if outcome == copies.SecondWon {
 		// The other open connections may be dead for the same reason.
@@ -79,13 +79,10 @@
 	return t.startCopy(ctx, true, t.checkSecondCopyBeforeWrite)
 }
 
-// chooseFailedCopy chooses between two copies without a response. A copy that may have run
+// prefersLaterCopy chooses between two copies without a response. A copy that may have run
 // is preferred, because the outcome is then unknown.
-func chooseFailedCopy(earlier, later copyResult) copyResult {
-	if exchange.ProgressOf(earlier.err) == exchange.NotSent {
-		return later
-	}
-	return earlier
+func prefersLaterCopy(earlier, _ copyResult) bool {
+	return exchange.ProgressOf(earlier.err) == exchange.NotSent
 }
 
 // discard closes the response of a copy that is not used.
--- a/internal/settings/host.go
+++ b/internal/settings/host.go
@@ -40,6 +40,7 @@
 	// HeartbeatMillis is the approximate interval between heartbeats of a target.
 	HeartbeatMillis clock.Millis
 	Bounds          HostBounds
+	SecondCopies    HostSecondCopies
 }
 
 // HostListeners holds the IP:port addresses that a process listens on. An address is
@@ -78,6 +79,37 @@
 	EvacuateMillis clock.Millis
 }
 
+// HostSecondCopies limits the second copies of slow requests that may run more than once.
+type HostSecondCopies struct {
+	// Ratio is the number of second copies as a fraction of the requests to a service; 0
+	// means that none are sent.
+	Ratio float64
+	// Burst is the number of second copies to a service in addition, over all hosts.
+	Burst float64
+	// CallsPerRun holds, by name of route, how many requests to other services a run makes. A
+	// second copy counts as one copy and as many more.
+	CallsPerRun map[string]int
+}
+
+// maxSecondCopiesRatio bounds HostSecondCopies.Ratio: a copy is sent after a delay that a
+// fraction of Ratio of the requests exceeds.
+const maxSecondCopiesRatio = 0.5
+
+func (c *checker) checkSecondCopies(s HostSecondCopies) {
+	if !(s.Ratio >= 0 && s.Ratio <= maxSecondCopiesRatio) {
+		c.fail("SecondCopies.Ratio", "is not between 0 and 0.5")
+	}
+	if !(s.Burst >= 0) {
+		c.fail("SecondCopies.Burst", "is negative")
+	}
+	for _, calls := range s.CallsPerRun {
+		if calls < 0 {
+			c.fail("SecondCopies.CallsPerRun", "contains a negative number")
+			return
+		}
+	}
+}
+
 // LoadCore reads and checks the settings of a core replica.
 func LoadCore(file string) (Host, error) {
 	s, c, err := loadHost(file)
@@ -105,6 +137,7 @@
 	if s.Target.Service == "" {
 		c.fail("Target.Service", "is missing")
 	}
+	c.checkSecondCopies(s.SecondCopies)
 	return s, c.err()
 }
 
--- a/internal/settings/host_test.go
+++ b/internal/settings/host_test.go
@@ -42,6 +42,10 @@
 		"no target":           {old: `10.0.0.1:83`, new: ``, wantErr: "Target.Address: is missing"},
 		"no service":          {old: `"catalogue"`, new: `""`, wantErr: "Target.Service: is missing"},
 		"bad port":            {old: `7600`, new: `76000`, wantErr: "PeerPort: is not a port"},
+		"second copies":       {old: `"TolerateHosts"`, new: `"SecondCopies": {"Ratio": 0.05, "Burst": 20, "CallsPerRun": {"browse": 2}}, "TolerateHosts"`},
+		"too many copies":     {old: `"TolerateHosts"`, new: `"SecondCopies": {"Ratio": 0.6}, "TolerateHosts"`, wantErr: "SecondCopies.Ratio: is not between 0 and 0.5"},
+		"negative burst":      {old: `"TolerateHosts"`, new: `"SecondCopies": {"Ratio": 0.1, "Burst": -1}, "TolerateHosts"`, wantErr: "SecondCopies.Burst: is negative"},
+		"negative calls":      {old: `"TolerateHosts"`, new: `"SecondCopies": {"CallsPerRun": {"browse": -1}}, "TolerateHosts"`, wantErr: "SecondCopies.CallsPerRun"},
 		"core without folder": {core: true, wantErr: "DataFolder: is missing"},
 		"core":                {core: true, old: `"DataFolder": ""`, new: `"DataFolder": "/data"`},
 	}
--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -264,7 +264,7 @@
 		Route: request.Route, Rank: request.Rank, Key: request.Key,
 		Deadline: start + request.RemainingMillis, Objective: start + request.ObjectiveMillis,
 	}
-	if rejection := g.waitForSlot(ctx, ticket); rejection != nil {
+	if rejection := g.admit(ctx, request, ticket); rejection != nil {
 		return rejection
 	}
 	now := g.options.Clock.Now()
--- a/internal/traffic/hop/hop.go
+++ b/internal/traffic/hop/hop.go
@@ -26,6 +26,7 @@
 const (
 	requestField = "Gs"
 	limitField   = "Gs-Limit"
+	copyField    = "Gs-Copy"
 	reasonField  = "Gs-Reason"
 	loadField    = "Gs-Load"
 	retryField   = "Gs-Retry"
@@ -59,6 +60,9 @@
 	// RateLimit is how many requests a second the target takes, if a response on the caller's
 	// host has said so; 0 if none has.
 	RateLimit float64
+	// SecondCopy is true for the second copy of a request whose first copy is in flight. It
+	// may not wait for a slot.
+	SecondCopy bool
 }
 
 // SetHeader writes the request to the header fields.
@@ -69,6 +73,10 @@
 	}
 	h[requestField] = []string{fmt.Sprintf("%s %s %d %d %d %d %d %s", q.Service, q.Route, q.RemainingMillis, q.ObjectiveMillis, q.Rank, repeatable, q.Key, q.Fingerprint)}
 	delete(h, limitField) // a caller may have set it
+	delete(h, copyField)
+	if q.SecondCopy {
+		h[copyField] = []string{"1"}
+	}
 	if q.RateLimit > 0 {
 		h[limitField] = []string{strconv.FormatFloat(q.RateLimit, 'g', -1, 64)}
 	}
@@ -77,9 +85,10 @@
 // ParseRequest reads the fields that Request.SetHeader wrote, and removes them from the
 // header.
 func ParseRequest(h http.Header) (Request, error) {
-	parts, limit := strings.Split(h.Get(requestField), " "), h.Get(limitField)
+	parts, limit, secondCopy := strings.Split(h.Get(requestField), " "), h.Get(limitField), h.Get(copyField) != ""
 	delete(h, requestField)
 	delete(h, limitField)
+	delete(h, copyField)
 	if len(parts) != 8 {
 		return Request{}, merry.Wrap(ErrInvalidField)
 	}
@@ -98,7 +107,7 @@
 	return Request{
 		Service: message.ServiceName(parts[0]), Route: parts[1], RemainingMillis: clock.Millis(numbers[0]), ObjectiveMillis: clock.Millis(numbers[1]),
 		Rank: numbers[2], Repeatable: numbers[3] != 0, Key: numbers[4], Fingerprint: parts[7],
-		RateLimit: rateLimit,
+		RateLimit: rateLimit, SecondCopy: secondCopy,
 	}, nil
 }
 
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -22,6 +22,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -86,6 +87,7 @@
 	// RetryRatio and ExtraRetries limit the retries of all sidecars of the deployment.
 	RetryRatio   float64
 	ExtraRetries int
+	SecondCopies SecondCopies
 	Log          zerolog.Logger
 	LogBudget    *process.LineLimiter
 	// RecordResult, if set, is called once for each request when it ends.
@@ -100,6 +102,8 @@
 	// departures are the targets that have said that they are leaving.
 	departures *departures
 	rateLimits *rateLimits
+	// copies decides on second copies; nil if none are sent.
+	copies *secondCopies
 
 	// closeConnections is true when callers are asked to close their connections.
 	closeConnections atomic.Bool
@@ -114,7 +118,7 @@
 
 // New returns an Ingress.
 func New(options Options) *Ingress {
-	return &Ingress{options: options, balancer: placement.New(options.Clock, options.Domain, rand.Float64), throttle: throttle.New(options.Clock, rand.Float64), departures: newDepartures(options.Clock, options.RejectDelay), rateLimits: newRateLimits(options.Names, options.Clock), retryBudgets: map[message.ServiceName]*retry.Budget{}}
+	return &Ingress{options: options, copies: newSecondCopies(options), balancer: placement.New(options.Clock, options.Domain, rand.Float64), throttle: throttle.New(options.Clock, rand.Float64), departures: newDepartures(options.Clock, options.RejectDelay), rateLimits: newRateLimits(options.Names, options.Clock), retryBudgets: map[message.ServiceName]*retry.Budget{}}
 }
 
 // CloseConnections asks callers to close their connections after the next response.
@@ -209,7 +213,8 @@
 		if rejection := in.rejectEarly(req, target); rejection != nil {
 			return rejection
 		}
-		result := in.attempt(ctx, r, req, target)
+		var result *gate.Result
+		result, target = in.attemptWithCopy(ctx, r, req, target)
 		req.attempts = append(req.attempts, string(target.Incarnation.ID)+":"+string(result.Reason))
 		lostKey := req.keyed && (result.Reason == hop.NotOwner || result.Reason == hop.NoTarget)
 		switch {
@@ -362,7 +367,7 @@
 		Request: hop.Request{
 			Service: req.service, Route: req.route.Name, RemainingMillis: req.deadline - now, ObjectiveMillis: req.objective - now,
 			Rank: req.route.Rank, Repeatable: req.route.Repeatable, Key: req.key, Fingerprint: req.fingerprint,
-			RateLimit: in.rateLimits.limit(target.Incarnation),
+			RateLimit: in.rateLimits.limit(target.Incarnation), SecondCopy: req.secondCopy,
 		},
 		ID: req.id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: req.header.Clone(), Length: req.length,
 	}
@@ -385,7 +390,11 @@
 		in.departures.record(target.Incarnation)
 	}
 	in.rateLimits.record(target.Incarnation, result.Header)
-	in.updateBalancer(target.Incarnation.ID, result)
+	if result.Reason == hop.Unreachable && errors.Is(ctx.Err(), context.Canceled) {
+		in.balancer.RecordCancel(target.Incarnation.ID) // it was cancelled during the wait for a connection
+	} else {
+		in.updateBalancer(target.Incarnation.ID, result)
+	}
 	if req.keyed {
 		in.updateThrottle(target.Incarnation.ID, result)
 	}
--- a/internal/traffic/ingress/request.go
+++ b/internal/traffic/ingress/request.go
@@ -39,6 +39,8 @@
 	fingerprint string
 	// reachedTargets counts the targets that the request may have reached.
 	reachedTargets int
+	// secondCopy is true for a second copy.
+	secondCopy bool
 	// attempts holds the target and the result of each attempt, for the log.
 	attempts []string
 }
--- a/internal/traffic/sidecar/metrics.go
+++ b/internal/traffic/sidecar/metrics.go
@@ -17,6 +17,7 @@
 type metrics struct {
 	requests       *prometheus.CounterVec
 	requestSeconds *prometheus.HistogramVec
+	secondCopies   *prometheus.CounterVec
 }
 
 // newMetrics registers all metrics of a sidecar and returns those of its requests.
@@ -47,6 +48,8 @@
 		return 0
 	})
 	return &metrics{
+		secondCopies: factory.NewCounterVec(prometheus.CounterOpts(opts("second_copies_total", "Slow requests by service and what became of their second copy: first-won, second-won and none-won if one was sent, else why it was not: limit, retry-budget, busy, no-target or late.")),
+			[]string{"service", "outcome"}),
 		requests: factory.NewCounterVec(prometheus.CounterOpts(opts("requests_total", "Requests of callers by route, service, reason (empty: the target answered) and status.")),
 			[]string{"route", "service", "reason", "status"}),
 		requestSeconds: factory.NewHistogramVec(prometheus.HistogramOpts{
@@ -62,6 +65,11 @@
 	m.requestSeconds.WithLabelValues(service, string(reason)).Observe(float64(duration) / 1000)
 }
 
+// recordSecondCopy records a request whose first copy was slow.
+func (m *metrics) recordSecondCopy(service, outcome string) {
+	m.secondCopies.WithLabelValues(service, outcome).Inc()
+}
+
 // leaseMetrics are the metrics of a target that takes its keys by calls.
 type leaseMetrics struct {
 	leases    *prometheus.CounterVec
--- a/internal/traffic/sidecar/sidecar.go
+++ b/internal/traffic/sidecar/sidecar.go
@@ -129,11 +129,16 @@
 	s.gate = gate.New(gate.Options{Names: options.Names, Clock: options.Clock, Pool: s.targetPool, OnConnectionLost: s.checkForCrash,
 		OnKeyRejected: func(i message.Incarnation, key message.Key) { s.leaser.keyRejected(i, key) }, OnRateLimit: s.logRateLimit, OnLeaving: s.handleLeaving})
 	s.leaser = newLeaser(s)
+	m := newMetrics(options.Metrics, s)
 	s.ingress = ingress.New(ingress.Options{
 		Names: options.Names, Service: message.ServiceName(options.Settings.Target.Service), Host: message.HostName(options.Settings.Name),
 		Domain: message.FailureDomain(options.Settings.FailureDomain), Clock: options.Clock, Views: s.views, Gate: s.gate, PeerAddress: s.peerAddress(),
 		Pool: s.peerPool, RejectDelay: s.rejectDelay(), RetryRatio: options.Settings.Bounds.RetryRatio, ExtraRetries: options.Settings.Bounds.ExtraRetries,
-		Log: options.Log, LogBudget: s.logBudget, RecordResult: newMetrics(options.Metrics, s).record,
+		Log: options.Log, LogBudget: s.logBudget, RecordResult: m.record,
+		SecondCopies: ingress.SecondCopies{
+			Ratio: options.Settings.SecondCopies.Ratio, Burst: options.Settings.SecondCopies.Burst,
+			CallsPerRun: options.Settings.SecondCopies.CallsPerRun, RecordOutcome: m.recordSecondCopy,
+		},
 	})
 	s.pipeline = pipeline.New(pipeline.Options{Handler: s.ingress, MayRunAhead: s.ingress.MayRunAhead, Clock: options.Clock})
 	return s
@@ -155,6 +160,7 @@
 // target finishes its requests, and only then are the listeners closed.
 func (s *Sidecar) Run(ctx context.Context, l Listeners, control, readiness http.Handler) error {
 	defer s.core.close()
+	defer s.ingress.AwaitCopies()
 	servingCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	callersCtx, stopCallers := context.WithCancel(servingCtx)
--- a/pkg/copies/limit.go
+++ b/pkg/copies/limit.go
@@ -2,6 +2,10 @@
 
 import "github.com/gentiansail/gentiansail/pkg/retry"
 
+// MaxUtilization is the share of a server's slots, and of those of all servers of a service,
+// above which no second copy is sent. The rest is kept for first copies, whose arrivals vary.
+const MaxUtilization = 0.75
+
 // LimitOptions are the settings of a Limit.
 type LimitOptions struct {
 	// Ratio is the number of second copies that each request adds to the limit.
--- a/pkg/copies/race.go
+++ b/pkg/copies/race.go
@@ -26,12 +26,12 @@
 //		return send(ctx, target)
 //	}
 //	result, outcome := copies.Race[result]{
-//		Delay:   delay,
-//		Decide:  func() (bool, clock.Millis) { return limit.Withdraw(1), 0 },
-//		Start:   func(ctx context.Context, second bool) func() result { ... },
-//		Wins:    func(r result) bool { return r.err == nil },
-//		Choose:  func(earlier, later result) result { return earlier },
-//		Discard: func(r result) { r.Close() },
+//		Delay:        delay,
+//		Decide:       func() (bool, clock.Millis) { return limit.Withdraw(1), 0 },
+//		Start:        func(ctx context.Context, second bool) func() result { ... },
+//		Wins:         func(r result) bool { return r.err == nil },
+//		PrefersLater: func(earlier, later result) bool { return false },
+//		Discard:      func(r result) { r.Close() },
 //	}.Run(ctx)
 package copies
 
@@ -55,8 +55,8 @@
 	NoneWon
 )
 
-// Race is one request and the functions that send it. All functions except Discard must be
-// set.
+// Race is one request and the functions that send it. All functions except Discard and
+// Background must be set.
 type Race[T any] struct {
 	// Delay is the time without a result after which Decide is called.
 	Delay clock.Millis
@@ -69,8 +69,9 @@
 	Start func(ctx context.Context, second bool) func() T
 	// Wins reports whether a result is good: it ends the race and cancels the other copy.
 	Wins func(T) bool
-	// Choose chooses between two results that are not good, in the order in which they came.
-	Choose func(earlier, later T) T
+	// PrefersLater reports which of two results that are not good is returned, in the order
+	// in which they came.
+	PrefersLater func(earlier, later T) bool
 	// Discard, if set, is called with each result that Run does not return.
 	Discard func(T)
 	// Background, if set, runs the function that waits for the end of a cancelled copy. The
@@ -157,7 +158,11 @@
 		r.discard(earlier)
 		return later, otherOutcome
 	}
-	return r.Choose(earlier, later), NoneWon
+	if r.PrefersLater(earlier, later) {
+		earlier, later = later, earlier
+	}
+	r.discard(later)
+	return earlier, NoneWon
 }
 
 func (r Race[T]) discard(result T) {
--- a/pkg/copies/race_test.go
+++ b/pkg/copies/race_test.go
@@ -64,9 +64,9 @@
 				}
 			}
 		},
-		Wins:    func(a answer) bool { return a.err == nil },
-		Choose:  func(earlier, _ answer) answer { return earlier },
-		Discard: func(a answer) { p.discarded = append(p.discarded, a.text) },
+		Wins:         func(a answer) bool { return a.err == nil },
+		PrefersLater: func(earlier, _ answer) bool { return earlier.text == "" },
+		Discard:      func(a answer) { p.discarded = append(p.discarded, a.text) },
 	}.Run(ctx)
 }
 
@@ -110,7 +110,11 @@
 		},
 		"both fail": {
 			play: play{first: script{ms(300), answer{err: errLost}}, second: script{ms(20), answer{text: "earlier", err: errLost}}},
-			text: "earlier", err: errLost, outcome: NoneWon, started: []time.Duration{0, ms(100)}, took: ms(300),
+			text: "earlier", err: errLost, outcome: NoneWon, started: []time.Duration{0, ms(100)}, discarded: []string{""}, took: ms(300),
+		},
+		"both fail, the later one is preferred": {
+			play: play{first: script{ms(300), answer{text: "later", err: errLost}}, second: script{ms(20), answer{err: errLost}}},
+			text: "later", err: errLost, outcome: NoneWon, started: []time.Duration{0, ms(100)}, discarded: []string{""}, took: ms(300),
 		},
 		"not allowed": {
 			play: play{first: script{ms(300), answer{text: "first"}}, decide: never}, text: "first", outcome: OnlyFirst, started: []time.Duration{0}, took: ms(300),
