bench, docs: what second copies cost and what they buy

The model of internal/bench/policies compares copies after a delay, copies at once with cancellation in the queue, and placement with full knowledge, at 30 to 95 % load with slow neighbours, a grey and a paused target. It uses placement, limit and delays of the product.

--- a/internal/bench/policies/policies.go
+++ b/internal/bench/policies/policies.go
@@ -7,7 +7,7 @@
 // log and no leases, and the time until nodes learn of a membership change is
 // assumed. The same seed gives the same result on every host.
 //
-// The decision functions are those of pkg/limit, pkg/retry, pkg/balance,
+// The decision functions are those of pkg/copies, pkg/limit, pkg/retry, pkg/balance,
 // pkg/partition and pkg/hotkey, driven by the model's clock.
 //
 // # Usage
@@ -67,7 +67,7 @@
 			return merry.Wrap(ErrOutput, merry.WithCause(err))
 		}
 	}
-	return nil
+	return runCopies(ctx.Err, o, w)
 }
 
 // runSeeds runs all seeds concurrently and returns the means. Runs share no state, so
--- a/internal/integration/mesh/harness_test.go
+++ b/internal/integration/mesh/harness_test.go
@@ -51,6 +51,8 @@
 	stopCore []func()
 	running  sync.WaitGroup
 	ctx      context.Context
+	// secondCopies are the settings of the hosts that are added.
+	secondCopies settings.HostSecondCopies
 }
 
 // freePort returns a port that is currently free on loopback.
@@ -248,7 +250,7 @@
 		Name: fmt.Sprintf("host-%d", number), FailureDomain: "a", IP: ip, PeerPort: s.peerPort,
 		Listen: settings.HostListeners{Callers: h.callerAddress, Control: ip + ":1"}, Seeds: s.seeds[:min(3, len(s.seeds))],
 		Target: settings.HostTarget{Address: targetListener.Addr().String(), Service: string(service)},
-		Bounds: settings.HostBounds{RetryRatio: 0.2, ExtraRetries: 64},
+		Bounds: settings.HostBounds{RetryRatio: 0.2, ExtraRetries: 64}, SecondCopies: s.secondCopies,
 	}
 	h.sidecar = sidecar.New(sidecar.Options{Settings: o, Names: names, Calls: testCalls, Clock: clock.System(), Log: zerolog.Nop(), Metrics: prometheus.NewRegistry()})
 	ctx, cancel := context.WithCancel(s.ctx)
