--- a/internal/traffic/sidecar/metrics.go
+++ b/internal/traffic/sidecar/metrics.go
@@ -18,6 +18,7 @@
 type metrics struct {
 	requests       *prometheus.CounterVec
 	requestSeconds *prometheus.HistogramVec
+	secondCopies   *prometheus.CounterVec
 }
 
 // newMetrics registers all metrics of a sidecar and returns those of its requests.
@@ -60,6 +61,8 @@
 		return 0
 	})
 	return &metrics{
+		secondCopies: factory.NewCounterVec(prometheus.CounterOpts(opts("second_copies_total", "Slow requests by service and what became of their second copy: first-won, second-won and none-won if one was sent, else why it was not: limit, retry-budget, busy, no-target or late.")),
+			[]string{"service", "outcome"}),
 		requests: factory.NewCounterVec(prometheus.CounterOpts(opts("requests_total", "Requests of callers by route, service, reason (empty: the target answered) and status.")),
 			[]string{"route", "service", "reason", "status"}),
 		requestSeconds: factory.NewHistogramVec(prometheus.HistogramOpts{
@@ -83,6 +86,11 @@
 	return func(outcome gate.ColdOutcome) { counter.WithLabelValues(string(outcome)).Inc() }
 }
 
+// recordSecondCopy records a request whose first copy was slow.
+func (m *metrics) recordSecondCopy(service, outcome string) {
+	m.secondCopies.WithLabelValues(service, outcome).Inc()
+}
+
 // leaseMetrics are the metrics of a target that takes its keys by calls.
 type leaseMetrics struct {
 	leases    *prometheus.CounterVec
