--- a/internal/coordination/core/ownership.go
+++ b/internal/coordination/core/ownership.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"slices"
 
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
 	"github.com/gentiansail/gentiansail/internal/coordination/registry"
@@ -197,11 +198,12 @@
 	if l.grantsByCall(service) {
 		silenceLimit = maxLeaseSilence
 	}
+	evacuated := l.machine.EvacuatedDomains()
 	var out []keyrange.Target
 	for _, i := range instances {
 		unresponsive := l.leases.SinceLastHeartbeat(i.Incarnation, now) > silenceLimit
 		out = append(out, keyrange.Target{
-			Incarnation: i.Incarnation, Capacity: l.leases.Capacity(i), Eligible: !i.Draining && !i.Stopping && !unresponsive && !l.machine.Evacuated(i.Domain),
+			Incarnation: i.Incarnation, Capacity: l.leases.Capacity(i), Eligible: !i.Draining && !i.Stopping && !unresponsive && !slices.Contains(evacuated, i.Domain),
 		})
 	}
 	l.holdBackReturned(service, instances, out, now)
--- a/internal/traffic/gate/cold_test.go
+++ b/internal/traffic/gate/cold_test.go
@@ -57,7 +57,7 @@
 }
 
 // Guards against a target that counts as warm although it has ended and will be cold when it
-// is back, and against waits for a cold target that end in a rejection at the deadline.
+// is back.
 func TestEndedTargetIsPresumedCold(t *testing.T) {
 	server := httptest.NewServer(http.NotFoundHandler())
 	var causes []ColdCause
