admission, gate: calls of running work go before new requests

A call that had missed its objective waited behind all new requests that could still meet theirs: at a hot owner, calls of 30 ms waited behind exports of 300 ms until they were late, and the runs that had made them ended with the target's 500.

The sidecar of the caller's host marks a request that comes from the network address of the target beside it. At the target, marked calls go before new requests, in the order of their deadlines, and may wait until then.

--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -17,10 +17,15 @@
 // still meet their objective. There are two exceptions:
 //
 //   - A request whose caller would have no time for a retry may wait until its deadline.
-//     Examples are short calls that a target makes to complete a request.
 //   - At a slow target, a request that would miss its objective without any wait may wait
 //     for half of the time until its deadline.
 //
+// A call is a request of a run that is under way at another target. If it fails, that run
+// has used its slot for nothing. Calls therefore go before new requests, may wait until their
+// deadline, and are ordered by it. New requests still get a part of the slots' time while both
+// wait, so neither can lock the other out, and the time that calls have lately taken counts
+// when a new request is weighed on arrival.
+//
 // A target may name the number of requests a second that it takes. Requests then begin at
 // that pace, and the wait for their turn counts like the wait for a slot.
 //
@@ -84,6 +89,9 @@
 	// retry and be served. A caller with less time, such as a target that makes a call to
 	// complete another request, is better off waiting.
 	minRetryTime clock.Millis = 300
+	// minCallServiceFactor is the fraction of the mean duration that a call must have left to
+	// be started. It is higher than for other requests, since nobody can use a late response.
+	minCallServiceFactor = 1
 	// maxQueuedPerSlot bounds the length of the queue.
 	maxQueuedPerSlot = 6
 	// maxMeasuredRoutes bounds the number of routes with a moving average of their own.
@@ -101,6 +109,8 @@
 	// Objective is the time by which the response should be complete, according to the
 	// latency objective of the route.
 	Objective clock.Millis
+	// Call is true for a request that a run at another target waits for.
+	Call bool
 
 	// sequence is the position in the order of arrival.
 	sequence int
@@ -135,6 +145,8 @@
 	running      int
 	lastSequence int
 	waiting      []*Ticket
+	// calls divides the time of the slots between calls and new requests.
+	calls callShare
 	// pace limits how often a request gets a slot.
 	pace pace
 	// wakeAt is when the earliest scheduled call of advance is due; 0 if there is none.
@@ -187,21 +199,33 @@
 	q.lastSequence++
 	t.sequence = q.lastSequence
 	t.virtualDeadline = now + (t.Objective-now)*clock.Millis(1+t.Rank)
+	if t.Call {
+		t.virtualDeadline = t.Deadline
+	}
 	t.latestStart = t.Deadline - q.minDuration(t)
 	if now > t.latestStart {
 		return TooLate
 	}
-	if q.running < q.slots && len(q.waiting) == 0 && q.pace.wait(now, 0) == 0 {
+	if t.Call {
+		q.calls.recordDemand(q.expectedDuration(t), now)
+	}
+	// A call does not wait behind new requests that leave room for calls.
+	ahead := len(q.waiting)
+	if t.Call {
+		ahead = q.countWaiting(true)
+	}
+	if ahead == 0 && q.hasRoom(t, now) && q.pace.wait(now, 0) == 0 {
 		q.begin(now)
+		q.calls.begin(t)
 		return Admitted
 	}
 	wait := q.expectedWait(t, now)
-	if canRetry := t.latestStart-t.Objective >= minRetryTime; canRetry {
+	if canRetry := !t.Call && t.latestStart-t.Objective >= minRetryTime; canRetry {
 		if t.rejectIfLate = q.canMeetObjective(t, now); !t.rejectIfLate {
 			t.latestStart = now + (t.latestStart-now)/lateWaitDivisor
 		}
 	}
-	if len(q.waiting) >= maxQueuedPerSlot*max(q.slots, 1) || now+wait > t.latestStart || t.rejectIfLate && !q.canMeetObjective(t, now+wait) {
+	if q.countWaiting(t.Call) >= maxQueuedPerSlot*max(q.slots, 1) || now+wait > t.latestStart || t.rejectIfLate && !q.canMeetObjective(t, now+wait) {
 		return Overloaded
 	}
 	t.decided = make(chan struct{})
@@ -210,6 +234,25 @@
 	return Queued
 }
 
+// countWaiting returns the number of waiting calls or of other waiting requests.
+func (q *Queue) countWaiting(calls bool) int {
+	n := 0
+	for _, t := range q.waiting {
+		if t.Call == calls {
+			n++
+		}
+	}
+	return n
+}
+
+// hasRoom reports whether a slot is free that the request may take.
+func (q *Queue) hasRoom(t *Ticket, now clock.Millis) bool {
+	if t.Call {
+		return q.running < q.slots
+	}
+	return q.running+q.calls.reserved(q.slots, now) < q.slots
+}
+
 // begin counts a request that gets a slot.
 func (q *Queue) begin(now clock.Millis) {
 	q.running++
@@ -218,8 +261,8 @@
 
 // scheduleAdvance makes a free slot be assigned when the pace allows it.
 func (q *Queue) scheduleAdvance(now clock.Millis) {
-	if len(q.waiting) == 0 || q.running >= q.slots {
-		return
+	if !slices.ContainsFunc(q.waiting, func(t *Ticket) bool { return q.hasRoom(t, now) }) {
+		return // the next release assigns its slot
 	}
 	wait := max(q.pace.wait(now, 0), 1)
 	if q.wakeAt == 0 || now+wait < q.wakeAt {
@@ -248,6 +291,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.running--
+	q.calls.end(t)
 	if duration > 0 {
 		q.recordDuration(t.Route, float64(duration))
 	}
@@ -324,7 +368,11 @@
 	if _, measured := q.routeMeans[t.Route]; !measured {
 		return 0
 	}
-	return clock.Millis(q.expectedDuration(t) * minServiceFactor)
+	factor := minServiceFactor
+	if t.Call {
+		factor = minCallServiceFactor
+	}
+	return clock.Millis(q.expectedDuration(t) * factor)
 }
 
 // expectedWait returns the expected wait of a ticket behind those that go before it.
@@ -332,12 +380,16 @@
 	work := q.expectedDuration(t) / 2 // on average, a running request has half of its work left
 	first := 0
 	for _, w := range q.waiting {
-		if before(w, t) {
+		if w.Call == t.Call && before(w, t) || w.Call && !t.Call {
 			work += q.expectedDuration(w)
 			first++
 		}
 	}
-	return max(clock.Millis(work/float64(max(q.slots, 1))), q.pace.wait(now, first))
+	slots := float64(max(q.slots, 1))
+	if !t.Call {
+		slots *= 1 - q.calls.usage(q.slots, now)
+	}
+	return max(clock.Millis(work/slots), q.pace.wait(now, first))
 }
 
 // before reports whether a goes before b, for two tickets that can both meet their
@@ -360,15 +412,22 @@
 	now := q.clock.Now()
 	q.rejectLate(now)
 	for q.running < q.slots && len(q.waiting) > 0 && q.pace.wait(now, 0) == 0 {
-		first := 0
-		for i := range q.waiting {
-			if q.preferred(q.waiting[i], q.waiting[first], now) {
+		first := -1
+		for i, t := range q.waiting {
+			if q.hasRoom(t, now) && (first < 0 || q.preferred(t, q.waiting[first], now)) {
 				first = i
 			}
 		}
+		if first < 0 {
+			break
+		}
 		t := q.waiting[first]
+		if q.countWaiting(!t.Call) > 0 {
+			q.calls.recordContended(t.Call, q.expectedDuration(t), q.slots)
+		}
 		q.waiting = append(q.waiting[:first], q.waiting[first+1:]...)
 		q.begin(now)
+		q.calls.begin(t)
 		t.decide(Admitted)
 	}
 	q.scheduleAdvance(now)
@@ -378,7 +437,7 @@
 // other tickets can meet their objective, it also rejects those with rejectIfLate that no
 // longer can. Otherwise they would wait behind the others until their own deadline passes.
 func (q *Queue) rejectLate(now clock.Millis) {
-	anyCanMeetObjective := slices.ContainsFunc(q.waiting, func(t *Ticket) bool { return q.canMeetObjective(t, now) })
+	anyCanMeetObjective := slices.ContainsFunc(q.waiting, func(t *Ticket) bool { return !t.Call && q.canMeetObjective(t, now) })
 	kept := q.waiting[:0]
 	for _, t := range q.waiting {
 		switch {
@@ -396,6 +455,12 @@
 
 // preferred reports whether a gets a slot before b.
 func (q *Queue) preferred(a, b *Ticket, now clock.Millis) bool {
+	if a.Call != b.Call {
+		return a.Call == q.calls.goFirst()
+	}
+	if a.Call {
+		return before(a, b)
+	}
 	canMeetA, canMeetB := q.canMeetObjective(a, now), q.canMeetObjective(b, now)
 	if canMeetA != canMeetB {
 		return canMeetA
--- a/internal/traffic/admission/mixed_load_test.go
+++ b/internal/traffic/admission/mixed_load_test.go
@@ -15,6 +15,8 @@
 	rank                           int
 	perSecond                      float64
 	duration, objective, timeLimit clock.Millis
+	// call is true for calls of runs at other targets.
+	call bool
 }
 
 // workResult counts the requests of one kind.
@@ -22,6 +24,8 @@
 	asked, inTime, late int
 	// busy is the time in slots that they took.
 	busy clock.Millis
+	// longestWait is the longest wait for a slot.
+	longestWait clock.Millis
 }
 
 // play plays a load on a queue for the given time. Durations vary by a half.
@@ -34,6 +38,7 @@
 	type request struct {
 		kind     workKind
 		ticket   *Ticket
+		arrival  clock.Millis
 		end      clock.Millis // 0 while the request waits
 		duration clock.Millis
 	}
@@ -45,6 +50,7 @@
 	begin := func(r *request) {
 		r.duration = r.kind.duration/2 + clock.Millis(random.IntN(int(r.kind.duration)))
 		r.end = clk.Now() + r.duration
+		results[r.kind.route].longestWait = max(results[r.kind.route].longestWait, clk.Now()-r.arrival)
 	}
 	for range length {
 		for _, k := range kinds {
@@ -52,7 +58,7 @@
 				continue
 			}
 			results[k.route].asked++
-			r := &request{kind: k, ticket: &Ticket{Route: k.route, Rank: k.rank, Deadline: clk.Now() + k.timeLimit, Objective: clk.Now() + k.objective}}
+			r := &request{kind: k, arrival: clk.Now(), ticket: &Ticket{Route: k.route, Rank: k.rank, Call: k.call, Deadline: clk.Now() + k.timeLimit, Objective: clk.Now() + k.objective}}
 			switch q.Admit(r.ticket) {
 			case Admitted:
 				begin(r)
--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -262,7 +262,7 @@
 	g.adoptRateLimit(request.RateLimit)
 	ticket := &admission.Ticket{
 		Route: request.Route, Rank: request.Rank, Key: request.Key,
-		Deadline: start + request.RemainingMillis, Objective: start + request.ObjectiveMillis,
+		Deadline: start + request.RemainingMillis, Objective: start + request.ObjectiveMillis, Call: request.Call,
 	}
 	if rejection := g.waitForSlot(ctx, ticket); rejection != nil {
 		return rejection
--- a/internal/traffic/hop/hop.go
+++ b/internal/traffic/hop/hop.go
@@ -26,6 +26,7 @@
 const (
 	requestField = "Gs"
 	limitField   = "Gs-Limit"
+	callField    = "Gs-Call"
 	reasonField  = "Gs-Reason"
 	loadField    = "Gs-Load"
 	retryField   = "Gs-Retry"
@@ -59,6 +60,9 @@
 	// RateLimit is how many requests a second the target takes, if a response on the caller's
 	// host has said so; 0 if none has.
 	RateLimit float64
+	// Call is true if a run that is under way at the target of the caller's host made the
+	// request. The caller's sidecar tells by the address that the request came from.
+	Call bool
 }
 
 // SetHeader writes the request to the header fields.
@@ -68,18 +72,24 @@
 		repeatable = 1
 	}
 	h[requestField] = []string{fmt.Sprintf("%s %s %d %d %d %d %d %s", q.Service, q.Route, q.RemainingMillis, q.ObjectiveMillis, q.Rank, repeatable, q.Key, q.Fingerprint)}
-	delete(h, limitField) // a caller may have set it
+	// A caller may have set these.
+	delete(h, limitField)
+	delete(h, callField)
 	if q.RateLimit > 0 {
 		h[limitField] = []string{strconv.FormatFloat(q.RateLimit, 'g', -1, 64)}
 	}
+	if q.Call {
+		h[callField] = []string{"1"}
+	}
 }
 
 // ParseRequest reads the fields that Request.SetHeader wrote, and removes them from the
 // header.
 func ParseRequest(h http.Header) (Request, error) {
-	parts, limit := strings.Split(h.Get(requestField), " "), h.Get(limitField)
+	parts, limit, call := strings.Split(h.Get(requestField), " "), h.Get(limitField), h.Get(callField)
 	delete(h, requestField)
 	delete(h, limitField)
+	delete(h, callField)
 	if len(parts) != 8 {
 		return Request{}, merry.Wrap(ErrInvalidField)
 	}
@@ -98,7 +108,7 @@
 	return Request{
 		Service: message.ServiceName(parts[0]), Route: parts[1], RemainingMillis: clock.Millis(numbers[0]), ObjectiveMillis: clock.Millis(numbers[1]),
 		Rank: numbers[2], Repeatable: numbers[3] != 0, Key: numbers[4], Fingerprint: parts[7],
-		RateLimit: rateLimit,
+		RateLimit: rateLimit, Call: call == "1",
 	}, nil
 }
 
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -25,6 +25,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 
@@ -77,6 +78,9 @@
 	Views   *view.Store
 	// Gate is the gate of the target on this host.
 	Gate *gate.Gate
+	// TargetAddress is the network address of the target on this host. Requests that come from
+	// it are calls of runs that are under way there. It is not valid if callers share it.
+	TargetAddress netip.Addr
 	// PeerAddress is the address of this host for other sidecars.
 	PeerAddress message.Address
 	Pool        *exchange.Pool
@@ -362,7 +366,7 @@
 		Request: hop.Request{
 			Service: req.service, Route: req.route.Name, RemainingMillis: req.deadline - now, ObjectiveMillis: req.objective - now,
 			Rank: req.route.Rank, Repeatable: req.route.Repeatable, Key: req.key, Fingerprint: req.fingerprint,
-			RateLimit: in.rateLimits.limit(target.Incarnation),
+			RateLimit: in.rateLimits.limit(target.Incarnation), Call: req.call,
 		},
 		ID: req.id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: req.header.Clone(), Length: req.length,
 	}
--- a/internal/traffic/ingress/request.go
+++ b/internal/traffic/ingress/request.go
@@ -4,6 +4,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"net/textproto"
 	"strconv"
 	"strings"
@@ -37,6 +38,8 @@
 	stream      *gate.BodyStream // the rest of a body that is too long to be buffered; nil if there is none
 	length      int64
 	fingerprint string
+	// call is true if a run that is under way at the target of this host made the request.
+	call bool
 	// reachedTargets counts the targets that the request may have reached.
 	reachedTargets int
 	// attempts holds the target and the result of each attempt, for the log.
@@ -45,7 +48,7 @@
 
 // readRequest reads a request, finds its route and chooses its service.
 func (in *Ingress) readRequest(w http.ResponseWriter, r *http.Request, v *view.View, arrival clock.Millis) (*request, hop.Reason) {
-	req := &request{id: r.Header.Get(in.options.Names.RequestID), arrival: arrival, key: hop.NoKey, length: r.ContentLength}
+	req := &request{id: r.Header.Get(in.options.Names.RequestID), arrival: arrival, key: hop.NoKey, length: r.ContentLength, call: in.isCall(r)}
 	req.route = matchRoute(v, r)
 	if req.route == nil {
 		return req, hop.NoRoute
@@ -83,6 +86,13 @@
 	return req, ""
 }
 
+// isCall reports whether the target of this host made a request. Clients have addresses of
+// their own, and only what runs on the host has that of the target.
+func (in *Ingress) isCall(r *http.Request) bool {
+	from, err := netip.ParseAddrPort(r.RemoteAddr)
+	return err == nil && in.options.TargetAddress.IsValid() && from.Addr().Unmap() == in.options.TargetAddress
+}
+
 // matchRoute returns the route of a request, or nil.
 func matchRoute(v *view.View, r *http.Request) *message.Route {
 	host, _, _ := strings.Cut(r.Host, ":")
