platform, gate: a call is known by the run that makes it

Targets name their calls by the id of the request that they run, a dot and a part of its own; the adapter knows this form, and a request counts as a call only while its parent runs at the target beside the caller's sidecar. The log names the route of the parent.

--- a/internal/traffic/admission/call_share.go
+++ b/internal/traffic/admission/call_share.go
@@ -14,8 +14,9 @@
 	// maxCallAdvance bounds how much work, in milliseconds a slot, calls or new requests may be
 	// behind their share and still catch up.
 	maxCallAdvance = 200.0
-	// maxReservedShare bounds the slots that are kept free for calls.
-	maxReservedShare = 0.5
+	// maxReservedShare bounds the slots that are kept free for calls, but one is kept if calls ask
+	// for that much. Calls go first, so a few free slots suffice for them to begin at once.
+	maxReservedShare = 0.125
 	// callUsageHalfLife is the half-life of the work of calls that counts as recent.
 	callUsageHalfLife clock.Millis = 1000
 )
@@ -72,8 +73,9 @@
 // reserved returns how many free slots are kept for calls. Services whose runs wait for calls
 // to each other could otherwise fill all their slots with runs that wait.
 func (s *callShare) reserved(slots int, now clock.Millis) int {
-	share := min(s.usage(slots, now), maxReservedShare)
-	return max(int(share*float64(slots)+0.5)-s.running, 0)
+	asked := int(s.usage(slots, now)*float64(slots) + 0.5)
+	most := max(int(maxReservedShare*float64(slots)), 1)
+	return max(min(asked, most)-s.running, 0)
 }
 
 // usage returns the share of the slots' time that calls have lately asked for, at most
--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -189,6 +189,22 @@
 	return limit.limitSpeed(hop.Load{Running: running, Waiting: waiting, Slots: slots, ServiceMillis: mean}, g.options.Clock.Now())
 }
 
+// RunningRoute returns the route of a request that the target runs, or "" if it runs no request
+// with this id.
+func (g *Gate) RunningRoute(id string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for request := range g.running {
+		if request.ID == id {
+			return request.Route
+		}
+	}
+	return ""
+}
+
+// CallShare returns the share of the slots that calls have lately asked for.
+func (g *Gate) CallShare() float64 { return g.queue.CallShare() }
+
 // TargetRequest is a request to be run by a target.
 type TargetRequest struct {
 	hop.Request
@@ -341,7 +357,7 @@
 	case admission.Removed:
 		return Rejection(g.removalReason(), 0)
 	}
-	return Rejection(hop.Busy, g.queue.RetryAfter())
+	return Rejection(hop.Busy, g.queue.BookReturn(ticket))
 }
 
 // removalReason returns why a queued request was removed from the queue.
--- a/internal/traffic/hop/hop.go
+++ b/internal/traffic/hop/hop.go
@@ -61,7 +61,7 @@
 	// host has said so; 0 if none has.
 	RateLimit float64
 	// Call is true if a run that is under way at the target of the caller's host made the
-	// request. The caller's sidecar tells by the address that the request came from.
+	// request. The caller's sidecar knows what its target runs.
 	Call bool
 }
 
--- a/internal/traffic/sidecar/metrics.go
+++ b/internal/traffic/sidecar/metrics.go
@@ -30,6 +30,7 @@
 	}
 	gauge("target_running_requests", "Requests that the target runs.", func() float64 { return float64(s.gate.Load().Running) })
 	gauge("target_waiting_requests", "Requests that wait for a slot of the target.", func() float64 { return float64(s.gate.Load().Waiting) })
+	gauge("target_call_share", "Share of the target's slots that calls of runs at other targets have lately asked for.", func() float64 { return s.gate.CallShare() })
 	gauge("target_rate_limit", "Requests a second that the target takes from all hosts together; 0 if it names no limit.", func() float64 { return s.gate.RateLimit() })
 	gauge("target_service_milliseconds", "Mean time that the target takes for a request, or the time that its limit corresponds to.", func() float64 { return float64(s.gate.Load().ServiceMillis) })
 	gauge("view_version", "Version of the core's state in force.", func() float64 {
--- a/internal/traffic/sidecar/sidecar.go
+++ b/internal/traffic/sidecar/sidecar.go
@@ -17,7 +17,6 @@
 	"context"
 	"net"
 	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -79,6 +78,9 @@
 	Log      zerolog.Logger
 	// Calls translates the calls to targets that take their keys by calls.
 	Calls TargetCalls
+	// ParentID returns the id of the request whose run made the request with the given id, as far
+	// as the id tells; nil if ids tell nothing.
+	ParentID func(id string) (parent string, ok bool)
 	// Metrics is where the sidecar registers its metrics.
 	Metrics prometheus.Registerer
 }
@@ -132,9 +134,9 @@
 	s.leaser = newLeaser(s)
 	s.ingress = ingress.New(ingress.Options{
 		Names: options.Names, Service: message.ServiceName(options.Settings.Target.Service), Host: message.HostName(options.Settings.Name),
-		Domain: message.FailureDomain(options.Settings.FailureDomain), Clock: options.Clock, Views: s.views, Gate: s.gate, PeerAddress: s.peerAddress(), TargetAddress: targetAddress(options.Settings.Target.Address),
+		Domain: message.FailureDomain(options.Settings.FailureDomain), Clock: options.Clock, Views: s.views, Gate: s.gate, PeerAddress: s.peerAddress(),
 		Pool: s.peerPool, RejectDelay: s.rejectDelay(), RetryRatio: options.Settings.Bounds.RetryRatio, ExtraRetries: options.Settings.Bounds.ExtraRetries,
-		Log: options.Log, LogBudget: s.logBudget, RecordResult: newMetrics(options.Metrics, s).record,
+		Log: options.Log, LogBudget: s.logBudget, ParentID: options.ParentID, RecordResult: newMetrics(options.Metrics, s).record,
 	})
 	s.pipeline = pipeline.New(pipeline.Options{Handler: s.ingress, MayRunAhead: s.ingress.MayRunAhead, Clock: options.Clock})
 	return s
@@ -149,20 +151,6 @@
 	return quorum.PeerAddress(s.options.Settings.Listen.Control, s.options.Settings.PeerPort)
 }
 
-// targetAddress returns the network address of a target. It is not valid for a name, or for a
-// loopback address: all callers on the host share that one.
-func targetAddress(address string) netip.Addr {
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return netip.Addr{}
-	}
-	a, err := netip.ParseAddr(host)
-	if err != nil || a.IsLoopback() {
-		return netip.Addr{}
-	}
-	return a.Unmap()
-}
-
 // Ready reports whether the sidecar accepts new callers: it has a view and is not stopping.
 func (s *Sidecar) Ready() bool { return s.views.Current() != nil && !s.stopping.Load() }
 
