ingress, admission: callers who come back are known and find room

A caller that came back after a rejection had the objective of a new one, so it took the slots of callers that could still be served in time; and all that were rejected at one time were told the same time to come back, that until the queue is empty.

A sidecar knows a caller by the fingerprint of its request and the time at which it gives up, and counts the objective from its first attempt. Late requests go behind those that can meet their objective, no longer count in the wait that those have to expect, and wait for 2 s at most. A rejection books a place on a schedule at half of the slots; Retry-After is that place, or a third of the time that the caller has left.

--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -17,8 +17,9 @@
 // still meet their objective. There are two exceptions:
 //
 //   - A request whose caller would have no time for a retry may wait until its deadline.
-//   - At a slow target, a request that would miss its objective without any wait may wait
-//     for half of the time until its deadline.
+//   - A request that would miss its objective without any wait, because its target is slow or
+//     its caller has come back, may wait for half of the time until its deadline, and 2 s at
+//     most.
 //
 // A call is a request of a run that is under way at another target. If it fails, that run
 // has used its slot for nothing. Calls therefore go before new requests, may wait until their
@@ -85,6 +86,12 @@
 	// request is often rejected in the end, because requests that can meet their objective
 	// go first even if they arrive later. Its caller needs the rest of the time.
 	lateWaitDivisor = 2
+	// maxLateWait bounds that wait. A host that stops waits a few seconds for the requests of
+	// its callers, so they must be decided on by then.
+	maxLateWait clock.Millis = 2000
+	// lateRankDelay orders requests that have already missed their objective: they count as if
+	// it were that far away.
+	lateRankDelay clock.Millis = 100
 	// minRetryTime is the minimum time after the objective in which a rejected caller can
 	// retry and be served. A caller with less time, such as a target that makes a call to
 	// complete another request, is better off waiting.
@@ -94,6 +101,11 @@
 	minCallServiceFactor = 1
 	// maxQueuedPerSlot bounds the length of the queue.
 	maxQueuedPerSlot = 6
+	// maxReturnDelay is the longest time after which a caller is asked to retry.
+	maxReturnDelay clock.Millis = 3000
+	// returnShare is the share of the slots' time that callers who come back are expected to
+	// find.
+	returnShare = 0.5
 	// maxMeasuredRoutes bounds the number of routes with a moving average of their own.
 	maxMeasuredRoutes = 512
 )
@@ -147,6 +159,9 @@
 	waiting      []*Ticket
 	// calls divides the time of the slots between calls and new requests.
 	calls callShare
+	// nextReturn is when the next rejected caller is expected to find room, in milliseconds of
+	// the clock.
+	nextReturn float64
 	// pace limits how often a request gets a slot.
 	pace pace
 	// wakeAt is when the earliest scheduled call of advance is due; 0 if there is none.
@@ -198,7 +213,11 @@
 	now := q.clock.Now()
 	q.lastSequence++
 	t.sequence = q.lastSequence
-	t.virtualDeadline = now + (t.Objective-now)*clock.Millis(1+t.Rank)
+	timeLeft := t.Objective - now
+	if timeLeft < 0 {
+		timeLeft = lateRankDelay
+	}
+	t.virtualDeadline = now + timeLeft*clock.Millis(1+t.Rank)
 	if t.Call {
 		t.virtualDeadline = t.Deadline
 	}
@@ -222,7 +241,7 @@
 	wait := q.expectedWait(t, now)
 	if canRetry := !t.Call && t.latestStart-t.Objective >= minRetryTime; canRetry {
 		if t.rejectIfLate = q.canMeetObjective(t, now); !t.rejectIfLate {
-			t.latestStart = now + (t.latestStart-now)/lateWaitDivisor
+			t.latestStart = now + min((t.latestStart-now)/lateWaitDivisor, maxLateWait)
 		}
 	}
 	if q.countWaiting(t.Call) >= maxQueuedPerSlot*max(q.slots, 1) || now+wait > t.latestStart || t.rejectIfLate && !q.canMeetObjective(t, now+wait) {
@@ -339,10 +358,38 @@
 	return q.running, len(q.waiting), q.slots, clock.Millis(q.mean + 0.5)
 }
 
+// CallShare returns the share of the slots' time that calls have lately asked for.
+func (q *Queue) CallShare() float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.calls.usage(q.slots, q.clock.Now())
+}
+
 // RetryAfter returns the expected time until the queue is empty.
 func (q *Queue) RetryAfter() clock.Millis {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	return q.timeToEmpty()
+}
+
+// BookReturn returns the time after which the caller of a rejected ticket should retry. Each
+// call books a place: the callers come back one after the other once the queue is expected to
+// be empty, at a rate that leaves room for new requests. If all places within maxReturnDelay
+// are taken, it returns maxReturnDelay. A place that is not used is lost.
+func (q *Queue) BookReturn(t *Ticket) clock.Millis {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.clock.Now()
+	place := max(q.nextReturn, float64(now+q.timeToEmpty()))
+	if place > float64(now+maxReturnDelay) {
+		return maxReturnDelay
+	}
+	q.nextReturn = place + q.expectedDuration(t)/(float64(max(q.slots, 1))*returnShare)
+	return clock.Millis(place) - now
+}
+
+// timeToEmpty returns the expected time until the queue is empty. The caller must hold q.mu.
+func (q *Queue) timeToEmpty() clock.Millis {
 	work := 0.0
 	for _, t := range q.waiting {
 		work += q.expectedDuration(t)
@@ -380,7 +427,7 @@
 	work := q.expectedDuration(t) / 2 // on average, a running request has half of its work left
 	first := 0
 	for _, w := range q.waiting {
-		if w.Call == t.Call && before(w, t) || w.Call && !t.Call {
+		if q.goesBefore(w, t, now) {
 			work += q.expectedDuration(w)
 			first++
 		}
@@ -392,6 +439,21 @@
 	return max(clock.Millis(work/slots), q.pace.wait(now, first))
 }
 
+// goesBefore reports whether a ticket that waits is expected to get a slot before b.
+func (q *Queue) goesBefore(a, b *Ticket, now clock.Millis) bool {
+	if a.Call != b.Call {
+		return a.Call
+	}
+	if a.Call {
+		return before(a, b)
+	}
+	canMeetA, canMeetB := q.canMeetObjective(a, now), q.canMeetObjective(b, now)
+	if canMeetA != canMeetB {
+		return canMeetA
+	}
+	return before(a, b)
+}
+
 // before reports whether a goes before b, for two tickets that can both meet their
 // objective or both cannot. They are ordered by virtual deadline:
 //
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -25,7 +25,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 
@@ -78,9 +77,6 @@
 	Views   *view.Store
 	// Gate is the gate of the target on this host.
 	Gate *gate.Gate
-	// TargetAddress is the network address of the target on this host. Requests that come from
-	// it are calls of runs that are under way there. It is not valid if callers share it.
-	TargetAddress netip.Addr
 	// PeerAddress is the address of this host for other sidecars.
 	PeerAddress message.Address
 	Pool        *exchange.Pool
@@ -92,6 +88,9 @@
 	ExtraRetries int
 	Log          zerolog.Logger
 	LogBudget    *process.LineLimiter
+	// ParentID returns the id of the request whose run made the request with the given id, as far
+	// as the id tells. If it is nil, no request counts as a call of a run.
+	ParentID func(id string) (parent string, ok bool)
 	// RecordResult, if set, is called once for each request when it ends.
 	RecordResult func(route, service string, reason hop.Reason, status int, duration clock.Millis)
 }
@@ -104,6 +103,7 @@
 	// departures are the targets that have said that they are leaving.
 	departures *departures
 	rateLimits *rateLimits
+	returns    *returns
 
 	// closeConnections is true when callers are asked to close their connections.
 	closeConnections atomic.Bool
@@ -118,7 +118,7 @@
 
 // New returns an Ingress.
 func New(options Options) *Ingress {
-	return &Ingress{options: options, balancer: placement.New(options.Clock, options.Domain, rand.Float64), throttle: throttle.New(options.Clock, rand.Float64), departures: newDepartures(options.Clock, options.RejectDelay), rateLimits: newRateLimits(options.Names, options.Clock), retryBudgets: map[message.ServiceName]*retry.Budget{}}
+	return &Ingress{options: options, balancer: placement.New(options.Clock, options.Domain, rand.Float64), throttle: throttle.New(options.Clock, rand.Float64), departures: newDepartures(options.Clock, options.RejectDelay), rateLimits: newRateLimits(options.Names, options.Clock), returns: newReturns(options.Clock), retryBudgets: map[message.ServiceName]*retry.Budget{}}
 }
 
 // CloseConnections asks callers to close their connections after the next response.
@@ -366,7 +366,7 @@
 		Request: hop.Request{
 			Service: req.service, Route: req.route.Name, RemainingMillis: req.deadline - now, ObjectiveMillis: req.objective - now,
 			Rank: req.route.Rank, Repeatable: req.route.Repeatable, Key: req.key, Fingerprint: req.fingerprint,
-			RateLimit: in.rateLimits.limit(target.Incarnation), Call: req.call,
+			RateLimit: in.rateLimits.limit(target.Incarnation), Call: req.parentRoute != "",
 		},
 		ID: req.id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: req.header.Clone(), Length: req.length,
 	}
--- a/internal/traffic/ingress/request.go
+++ b/internal/traffic/ingress/request.go
@@ -4,7 +4,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/netip"
 	"net/textproto"
 	"strconv"
 	"strings"
@@ -26,9 +25,13 @@
 	// keyed is true if the service is divided by key.
 	keyed bool
 	// key is hop.NoKey if the service is not keyed or the caller sent no valid key.
-	key      int
-	arrival  clock.Millis
-	deadline clock.Millis
+	key     int
+	arrival clock.Millis
+	// firstArrival is when the first attempt of the caller arrived, as far as it is known.
+	firstArrival clock.Millis
+	deadline     clock.Millis
+	// giveUp is when the caller gives up. The deadline is earlier if the timeout of the route is.
+	giveUp clock.Millis
 	// objective is the time by which the response should be complete, according to the
 	// latency objective of the route.
 	objective clock.Millis
@@ -38,8 +41,9 @@
 	stream      *gate.BodyStream // the rest of a body that is too long to be buffered; nil if there is none
 	length      int64
 	fingerprint string
-	// call is true if a run that is under way at the target of this host made the request.
-	call bool
+	// parentRoute is the route of the request whose run, under way at the target of this host,
+	// made this request; empty for a request of a client.
+	parentRoute string
 	// reachedTargets counts the targets that the request may have reached.
 	reachedTargets int
 	// attempts holds the target and the result of each attempt, for the log.
@@ -48,7 +52,8 @@
 
 // readRequest reads a request, finds its route and chooses its service.
 func (in *Ingress) readRequest(w http.ResponseWriter, r *http.Request, v *view.View, arrival clock.Millis) (*request, hop.Reason) {
-	req := &request{id: r.Header.Get(in.options.Names.RequestID), arrival: arrival, key: hop.NoKey, length: r.ContentLength, call: in.isCall(r)}
+	req := &request{id: r.Header.Get(in.options.Names.RequestID), arrival: arrival, firstArrival: arrival, key: hop.NoKey, length: r.ContentLength}
+	req.parentRoute = in.parentRoute(req.id)
 	req.route = matchRoute(v, r)
 	if req.route == nil {
 		return req, hop.NoRoute
@@ -65,6 +70,7 @@
 	if n, err := strconv.Atoi(r.Header.Get(in.options.Names.RemainingMillis)); err == nil && n >= 0 {
 		timeout = clock.Millis(n)
 	}
+	req.giveUp = arrival + timeout
 	if routeTimeout := clock.Millis(req.route.TimeoutMillis); routeTimeout > 0 {
 		timeout = min(timeout, routeTimeout)
 	}
@@ -83,14 +89,27 @@
 		return req, reason
 	}
 	req.fingerprint = computeFingerprint(r, req, in.options.Service)
+	if first, ok := in.returns.take(req.fingerprint, req.giveUp); ok && req.parentRoute == "" {
+		req.firstArrival = first
+		if req.route.TargetLatencyMillis > 0 {
+			req.objective = first + clock.Millis(req.route.TargetLatencyMillis)
+		}
+	}
 	return req, ""
 }
 
-// isCall reports whether the target of this host made a request. Clients have addresses of
-// their own, and only what runs on the host has that of the target.
-func (in *Ingress) isCall(r *http.Request) bool {
-	from, err := netip.ParseAddrPort(r.RemoteAddr)
-	return err == nil && in.options.TargetAddress.IsValid() && from.Addr().Unmap() == in.options.TargetAddress
+// parentRoute returns the route of the request whose run made the request with the given id,
+// or "". The parent must be under way at the target of this host, so a client that wants its
+// request to count as a call needs to know the id of another one that runs there now.
+func (in *Ingress) parentRoute(id string) string {
+	if in.options.ParentID == nil {
+		return ""
+	}
+	parent, ok := in.options.ParentID(id)
+	if !ok {
+		return ""
+	}
+	return in.options.Gate.RunningRoute(parent)
 }
 
 // matchRoute returns the route of a request, or nil.
--- a/internal/traffic/ingress/response.go
+++ b/internal/traffic/ingress/response.go
@@ -7,6 +7,7 @@
 
 	"github.com/gentiansail/gentiansail/internal/traffic/gate"
 	"github.com/gentiansail/gentiansail/internal/traffic/hop"
+	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
 // relay writes the result of a request to the caller. It returns true if the response was
@@ -20,6 +21,9 @@
 	}
 	committed, err := gate.Relay(w, result, req.stream.SetHeader)
 	if err == nil {
+		if result.Status >= http.StatusInternalServerError {
+			in.recordFailed(req)
+		}
 		in.recordResult(req, result, result.Status)
 		return false
 	}
@@ -57,11 +61,12 @@
 		panic(http.ErrAbortHandler)
 	}
 	in.logError(req, result, status)
+	in.recordFailed(req)
 	header := w.Header()
 	header.Set(in.options.Names.RequestID, req.id)
 	req.stream.SetHeader(header)
 	if status == http.StatusServiceUnavailable && result.Reason != hop.TooLate {
-		header.Set("Retry-After", strconv.FormatFloat(float64(max(result.RetryMillis, 20))/1000, 'f', 3, 64))
+		header.Set("Retry-After", strconv.FormatFloat(float64(in.retryAfter(req, result))/1000, 'f', 3, 64))
 	}
 	header.Set("Content-Type", "text/plain")
 	text := "gentiansail: " + string(result.Reason) + "\n"
@@ -70,6 +75,26 @@
 	_, _ = io.WriteString(w, text)
 }
 
+// recordFailed remembers the caller of a request that failed, in case that it comes back.
+func (in *Ingress) recordFailed(req *request) {
+	if req.fingerprint != "" && req.parentRoute == "" {
+		in.returns.record(req.fingerprint, failedAttempt{firstArrival: req.firstArrival, giveUp: req.giveUp})
+	}
+}
+
+// returnDivisor bounds the pause that a caller is asked for: 1/returnDivisor of the time until it
+// gives up, so that it can come back more than once.
+const returnDivisor = 3
+
+// retryAfter returns the pause after which the caller should retry.
+func (in *Ingress) retryAfter(req *request, result *gate.Result) clock.Millis {
+	pause := result.RetryMillis
+	if req.giveUp > 0 {
+		pause = min(pause, (req.giveUp-in.options.Clock.Now())/returnDivisor)
+	}
+	return max(pause, 20)
+}
+
 // logError records and logs a request that has no complete response from a target. The
 // status is 0 if the caller's connection is aborted.
 func (in *Ingress) logError(req *request, result *gate.Result, status int) {
@@ -79,9 +104,9 @@
 		return
 	}
 	line := in.options.Log.Info().Str("Event", "request").Str("Request", req.id).Str("Reason", string(result.Reason)).Int("Status", status).
-		Int64("TookMillis", int64(in.options.Clock.Now()-req.arrival)).Int("Sent", req.reachedTargets).Strs("Attempts", req.attempts).Int("Key", req.key)
+		Int64("TookMillis", int64(in.options.Clock.Now()-req.arrival)).Int("Sent", req.reachedTargets).Strs("Attempts", req.attempts).Int("Key", req.key).Int64("SinceFirstMillis", int64(in.options.Clock.Now()-req.firstArrival))
 	if req.route != nil {
-		line = line.Str("Route", req.route.Name).Str("Service", string(req.service)).Int64("PatienceMillis", int64(req.deadline-req.arrival)).Bool("Repeatable", req.route.Repeatable)
+		line = line.Str("Route", req.route.Name).Str("Service", string(req.service)).Int64("PatienceMillis", int64(req.deadline-req.arrival)).Bool("Repeatable", req.route.Repeatable).Str("ParentRoute", req.parentRoute)
 	}
 	if v := in.options.Views.Current(); v != nil {
 		line = line.Int("View", int(v.Version)).Int("Configuration", v.Revision)
