--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -223,6 +223,22 @@
 	return capacity
 }
 
+// RunningRoute returns the route of a request that the target runs, or "" if it runs no request
+// with this id.
+func (g *Gate) RunningRoute(id string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for request := range g.running {
+		if request.ID == id {
+			return request.Route
+		}
+	}
+	return ""
+}
+
+// CallShare returns the share of the slots that calls have lately asked for.
+func (g *Gate) CallShare() float64 { return g.queue.CallShare() }
+
 // TargetRequest is a request to be run by a target.
 type TargetRequest struct {
 	hop.Request
@@ -296,7 +312,7 @@
 	g.adoptRateLimit(request.RateLimit)
 	ticket := &admission.Ticket{
 		Route: request.Route, Rank: request.Rank, Key: request.Key,
-		Deadline: start + request.RemainingMillis, Objective: start + request.ObjectiveMillis,
+		Deadline: start + request.RemainingMillis, Objective: start + request.ObjectiveMillis, Call: request.Call,
 	}
 	if rejection := g.admit(ctx, request, ticket); rejection != nil {
 		return rejection
@@ -376,7 +392,7 @@
 	case admission.Removed:
 		return Rejection(g.removalReason(), 0)
 	}
-	return Rejection(hop.Busy, g.queue.RetryAfter())
+	return Rejection(hop.Busy, g.queue.BookReturn(ticket))
 }
 
 // removalReason returns why a queued request was removed from the queue.
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -90,6 +90,9 @@
 	SecondCopies SecondCopies
 	Log          zerolog.Logger
 	LogBudget    *process.LineLimiter
+	// ParentID returns the id of the request whose run made the request with the given id, as far
+	// as the id tells. If it is nil, no request counts as a call of a run.
+	ParentID func(id string) (parent string, ok bool)
 	// RecordResult, if set, is called once for each request when it ends.
 	RecordResult func(route, service string, reason hop.Reason, status int, duration clock.Millis)
 }
@@ -103,7 +106,8 @@
 	departures *departures
 	rateLimits *rateLimits
 	// copies decides on second copies; nil if none are sent.
-	copies *secondCopies
+	copies  *secondCopies
+	returns *returns
 
 	// closeConnections is true when callers are asked to close their connections.
 	closeConnections atomic.Bool
@@ -118,7 +122,7 @@
 
 // New returns an Ingress.
 func New(options Options) *Ingress {
-	return &Ingress{options: options, copies: newSecondCopies(options), balancer: placement.New(options.Clock, options.Domain, rand.Float64), throttle: throttle.New(options.Clock, rand.Float64), departures: newDepartures(options.Clock, options.RejectDelay), rateLimits: newRateLimits(options.Names, options.Clock), retryBudgets: map[message.ServiceName]*retry.Budget{}}
+	return &Ingress{options: options, copies: newSecondCopies(options), balancer: placement.New(options.Clock, options.Domain, rand.Float64), throttle: throttle.New(options.Clock, rand.Float64), departures: newDepartures(options.Clock, options.RejectDelay), rateLimits: newRateLimits(options.Names, options.Clock), returns: newReturns(options.Clock), retryBudgets: map[message.ServiceName]*retry.Budget{}}
 }
 
 // CloseConnections asks callers to close their connections after the next response.
@@ -373,7 +377,7 @@
 		Request: hop.Request{
 			Service: req.service, Route: req.route.Name, RemainingMillis: req.deadline - now, ObjectiveMillis: req.objective - now,
 			Rank: req.route.Rank, Repeatable: req.route.Repeatable, Key: req.key, Fingerprint: req.fingerprint,
-			RateLimit: in.rateLimits.limit(target.Incarnation), SecondCopy: req.secondCopy,
+			RateLimit: in.rateLimits.limit(target.Incarnation), SecondCopy: req.secondCopy, Call: req.parentRoute != "",
 		},
 		ID: req.id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: req.header.Clone(), Length: req.length,
 	}
--- a/internal/traffic/ingress/request.go
+++ b/internal/traffic/ingress/request.go
@@ -25,9 +25,13 @@
 	// keyed is true if the service is divided by key.
 	keyed bool
 	// key is hop.NoKey if the service is not keyed or the caller sent no valid key.
-	key      int
-	arrival  clock.Millis
-	deadline clock.Millis
+	key     int
+	arrival clock.Millis
+	// firstArrival is when the first attempt of the caller arrived, as far as it is known.
+	firstArrival clock.Millis
+	deadline     clock.Millis
+	// giveUp is when the caller gives up. The deadline is earlier if the timeout of the route is.
+	giveUp clock.Millis
 	// objective is the time by which the response should be complete, according to the
 	// latency objective of the route.
 	objective clock.Millis
@@ -37,6 +41,9 @@
 	stream      *gate.BodyStream // the rest of a body that is too long to be buffered; nil if there is none
 	length      int64
 	fingerprint string
+	// parentRoute is the route of the request whose run, under way at the target of this host,
+	// made this request; empty for a request of a client.
+	parentRoute string
 	// reachedTargets counts the targets that the request may have reached.
 	reachedTargets int
 	// secondCopy is true for a second copy.
@@ -47,7 +54,8 @@
 
 // readRequest reads a request, finds its route and chooses its service.
 func (in *Ingress) readRequest(w http.ResponseWriter, r *http.Request, v *view.View, arrival clock.Millis) (*request, hop.Reason) {
-	req := &request{id: r.Header.Get(in.options.Names.RequestID), arrival: arrival, key: hop.NoKey, length: r.ContentLength}
+	req := &request{id: r.Header.Get(in.options.Names.RequestID), arrival: arrival, firstArrival: arrival, key: hop.NoKey, length: r.ContentLength}
+	req.parentRoute = in.parentRoute(req.id)
 	req.route = matchRoute(v, r)
 	if req.route == nil {
 		return req, hop.NoRoute
@@ -64,6 +72,7 @@
 	if n, err := strconv.Atoi(r.Header.Get(in.options.Names.RemainingMillis)); err == nil && n >= 0 {
 		timeout = clock.Millis(n)
 	}
+	req.giveUp = arrival + timeout
 	if routeTimeout := clock.Millis(req.route.TimeoutMillis); routeTimeout > 0 {
 		timeout = min(timeout, routeTimeout)
 	}
@@ -82,9 +91,29 @@
 		return req, reason
 	}
 	req.fingerprint = computeFingerprint(r, req, in.options.Service)
+	if first, ok := in.returns.take(req.fingerprint, req.giveUp); ok && req.parentRoute == "" {
+		req.firstArrival = first
+		if req.route.TargetLatencyMillis > 0 {
+			req.objective = first + clock.Millis(req.route.TargetLatencyMillis)
+		}
+	}
 	return req, ""
 }
 
+// parentRoute returns the route of the request whose run made the request with the given id,
+// or "". The parent must be under way at the target of this host, so a client that wants its
+// request to count as a call needs to know the id of another one that runs there now.
+func (in *Ingress) parentRoute(id string) string {
+	if in.options.ParentID == nil {
+		return ""
+	}
+	parent, ok := in.options.ParentID(id)
+	if !ok {
+		return ""
+	}
+	return in.options.Gate.RunningRoute(parent)
+}
+
 // matchRoute returns the route of a request, or nil.
 func matchRoute(v *view.View, r *http.Request) *message.Route {
 	host, _, _ := strings.Cut(r.Host, ":")
--- a/internal/traffic/sidecar/sidecar.go
+++ b/internal/traffic/sidecar/sidecar.go
@@ -78,6 +78,9 @@
 	Log      zerolog.Logger
 	// Calls translates the calls to targets that take their keys by calls.
 	Calls TargetCalls
+	// ParentID returns the id of the request whose run made the request with the given id, as far
+	// as the id tells; nil if ids tell nothing.
+	ParentID func(id string) (parent string, ok bool)
 	// Metrics is where the sidecar registers its metrics.
 	Metrics prometheus.Registerer
 }
@@ -140,7 +143,7 @@
 		Names: options.Names, Service: message.ServiceName(options.Settings.Target.Service), Host: message.HostName(options.Settings.Name),
 		Domain: message.FailureDomain(options.Settings.FailureDomain), Clock: options.Clock, Views: s.views, Gate: s.gate, PeerAddress: s.peerAddress(),
 		Pool: s.peerPool, RejectDelay: s.rejectDelay(), RetryRatio: options.Settings.Bounds.RetryRatio, ExtraRetries: options.Settings.Bounds.ExtraRetries,
-		Log: options.Log, LogBudget: s.logBudget, RecordResult: m.record,
+		Log: options.Log, LogBudget: s.logBudget, ParentID: options.ParentID, RecordResult: m.record,
 		SecondCopies: ingress.SecondCopies{
 			Ratio: options.Settings.SecondCopies.Ratio, Burst: options.Settings.SecondCopies.Burst,
 			CallsPerRun: options.Settings.SecondCopies.CallsPerRun, RecordOutcome: m.recordSecondCopy,
