--- a/internal/integration/mesh/harness_test.go
+++ b/internal/integration/mesh/harness_test.go
@@ -55,6 +55,8 @@
 	domains map[int]string
 	// evacuateBound is the bound for evacuations of hosts that are started from now on.
 	evacuateBound clock.Millis
+	// secondCopies are the settings of the hosts that are added.
+	secondCopies settings.HostSecondCopies
 }
 
 // freePort returns a port that is currently free on loopback.
@@ -254,7 +256,7 @@
 		Name: fmt.Sprintf("host-%d", number), FailureDomain: "a", IP: ip, PeerPort: s.peerPort,
 		Listen: settings.HostListeners{Callers: h.callerAddress, Control: ip + ":1"}, Seeds: s.seeds[:min(3, len(s.seeds))],
 		Target: settings.HostTarget{Address: targetListener.Addr().String(), Service: string(service)},
-		Bounds: settings.HostBounds{RetryRatio: 0.2, ExtraRetries: 64, ColdOverage: 1.5, ColdSlack: 8, EvacuateMillis: s.evacuateBound},
+		Bounds: settings.HostBounds{RetryRatio: 0.2, ExtraRetries: 64, ColdOverage: 1.5, ColdSlack: 8, EvacuateMillis: s.evacuateBound}, SecondCopies: s.secondCopies,
 	}
 	if domain := s.domains[number]; domain != "" {
 		o.FailureDomain = domain
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -17,9 +17,15 @@
 // still meet their objective. There are two exceptions:
 //
 //   - A request whose caller would have no time for a retry may wait until its deadline.
-//     Examples are short calls that a target makes to complete a request.
-//   - At a slow target, a request that would miss its objective without any wait may wait
-//     for half of the time until its deadline.
+//   - A request that would miss its objective without any wait, because its target is slow or
+//     its caller has come back, may wait for half of the time until its deadline, and 2 s at
+//     most.
+//
+// A call is a request of a run that is under way at another target. If it fails, that run
+// has used its slot for nothing. Calls therefore go before new requests, may wait until their
+// deadline, and are ordered by it. New requests still get a part of the slots' time while both
+// wait, so neither can lock the other out, and the time that calls have lately taken counts
+// when a new request is weighed on arrival.
 //
 // A target may name the number of requests a second that it takes. Requests then begin at
 // that pace, and the wait for their turn counts like the wait for a slot. The same holds for
@@ -82,12 +88,26 @@
 	// request is often rejected in the end, because requests that can meet their objective
 	// go first even if they arrive later. Its caller needs the rest of the time.
 	lateWaitDivisor = 2
+	// maxLateWait bounds that wait. A host that stops waits a few seconds for the requests of
+	// its callers, so they must be decided on by then.
+	maxLateWait clock.Millis = 2000
+	// lateRankDelay orders requests that have already missed their objective: they count as if
+	// it were that far away.
+	lateRankDelay clock.Millis = 100
 	// minRetryTime is the minimum time after the objective in which a rejected caller can
 	// retry and be served. A caller with less time, such as a target that makes a call to
 	// complete another request, is better off waiting.
 	minRetryTime clock.Millis = 300
+	// minCallServiceFactor is the fraction of the mean duration that a call must have left to
+	// be started. It is higher than for other requests, since nobody can use a late response.
+	minCallServiceFactor = 1
 	// maxQueuedPerSlot bounds the length of the queue.
 	maxQueuedPerSlot = 6
+	// maxReturnDelay is the longest time after which a caller is asked to retry.
+	maxReturnDelay clock.Millis = 3000
+	// returnShare is the share of the slots' time that callers who come back are expected to
+	// find.
+	returnShare = 0.5
 	// maxMeasuredRoutes bounds the number of routes with a moving average of their own.
 	maxMeasuredRoutes = 512
 )
@@ -103,6 +123,8 @@
 	// Objective is the time by which the response should be complete, according to the
 	// latency objective of the route.
 	Objective clock.Millis
+	// Call is true for a request that a run at another target waits for.
+	Call bool
 
 	// sequence is the position in the order of arrival.
 	sequence int
@@ -139,6 +161,11 @@
 	running      int
 	lastSequence int
 	waiting      []*Ticket
+	// calls divides the time of the slots between calls and new requests.
+	calls callShare
+	// nextReturn is when the next rejected caller is expected to find room, in milliseconds of
+	// the clock.
+	nextReturn float64
 	// pace limits how often a request gets a slot.
 	pace pace
 	// cold limits how often a request gets a slot while the target is cold.
@@ -192,22 +219,38 @@
 	now := q.clock.Now()
 	q.lastSequence++
 	t.sequence = q.lastSequence
-	t.virtualDeadline = now + (t.Objective-now)*clock.Millis(1+t.Rank)
+	timeLeft := t.Objective - now
+	if timeLeft < 0 {
+		timeLeft = lateRankDelay
+	}
+	t.virtualDeadline = now + timeLeft*clock.Millis(1+t.Rank)
+	if t.Call {
+		t.virtualDeadline = t.Deadline
+	}
 	t.latestStart = t.Deadline - q.minDuration(t)
 	if now > t.latestStart {
 		return TooLate
 	}
-	if q.running < q.slots && len(q.waiting) == 0 && q.turn(now, 0) == 0 {
+	if t.Call {
+		q.calls.recordDemand(q.expectedDuration(t), now)
+	}
+	// A call does not wait behind new requests that leave room for calls.
+	ahead := len(q.waiting)
+	if t.Call {
+		ahead = q.countWaiting(true)
+	}
+	if ahead == 0 && q.hasRoom(t, now) && q.turn(now, 0) == 0 {
 		q.begin(t, now)
+		q.calls.begin(t)
 		return Admitted
 	}
 	wait := q.expectedWait(t, now)
-	if canRetry := t.latestStart-t.Objective >= minRetryTime; canRetry {
+	if canRetry := !t.Call && t.latestStart-t.Objective >= minRetryTime; canRetry {
 		if t.rejectIfLate = q.canMeetObjective(t, now); !t.rejectIfLate {
-			t.latestStart = now + (t.latestStart-now)/lateWaitDivisor
+			t.latestStart = now + min((t.latestStart-now)/lateWaitDivisor, maxLateWait)
 		}
 	}
-	if len(q.waiting) >= maxQueuedPerSlot*max(q.slots, 1) || now+wait > t.latestStart || t.rejectIfLate && !q.canMeetObjective(t, now+wait) {
+	if q.countWaiting(t.Call) >= maxQueuedPerSlot*max(q.slots, 1) || now+wait > t.latestStart || t.rejectIfLate && !q.canMeetObjective(t, now+wait) {
 		return Overloaded
 	}
 	t.decided = make(chan struct{})
@@ -216,6 +259,25 @@
 	return Queued
 }
 
+// countWaiting returns the number of waiting calls or of other waiting requests.
+func (q *Queue) countWaiting(calls bool) int {
+	n := 0
+	for _, t := range q.waiting {
+		if t.Call == calls {
+			n++
+		}
+	}
+	return n
+}
+
+// hasRoom reports whether a slot is free that the request may take.
+func (q *Queue) hasRoom(t *Ticket, now clock.Millis) bool {
+	if t.Call {
+		return q.running < q.slots
+	}
+	return q.running+q.calls.reserved(q.slots, now) < q.slots
+}
+
 // begin counts a request that gets a slot.
 func (q *Queue) begin(t *Ticket, now clock.Millis) {
 	q.running++
@@ -226,8 +288,8 @@
 
 // scheduleAdvance makes a free slot be assigned when the pace allows it.
 func (q *Queue) scheduleAdvance(now clock.Millis) {
-	if len(q.waiting) == 0 || q.running >= q.slots {
-		return
+	if !slices.ContainsFunc(q.waiting, func(t *Ticket) bool { return q.hasRoom(t, now) }) {
+		return // the next release assigns its slot
 	}
 	wait := max(q.turn(now, 0), 1)
 	if q.wakeAt == 0 || now+wait < q.wakeAt {
@@ -256,6 +318,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.running--
+	q.calls.end(t)
 	if duration > 0 {
 		q.recordDuration(t.Route, float64(duration))
 	}
@@ -303,10 +366,38 @@
 	return q.running, len(q.waiting), q.slots, clock.Millis(q.mean + 0.5)
 }
 
+// CallShare returns the share of the slots' time that calls have lately asked for.
+func (q *Queue) CallShare() float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.calls.usage(q.slots, q.clock.Now())
+}
+
 // RetryAfter returns the expected time until the queue is empty.
 func (q *Queue) RetryAfter() clock.Millis {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	return q.timeToEmpty()
+}
+
+// BookReturn returns the time after which the caller of a rejected ticket should retry. Each
+// call books a place: the callers come back one after the other once the queue is expected to
+// be empty, at a rate that leaves room for new requests. If all places within maxReturnDelay
+// are taken, it returns maxReturnDelay. A place that is not used is lost.
+func (q *Queue) BookReturn(t *Ticket) clock.Millis {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.clock.Now()
+	place := max(q.nextReturn, float64(now+q.timeToEmpty()))
+	if place > float64(now+maxReturnDelay) {
+		return maxReturnDelay
+	}
+	q.nextReturn = place + q.expectedDuration(t)/(float64(max(q.slots, 1))*returnShare)
+	return clock.Millis(place) - now
+}
+
+// timeToEmpty returns the expected time until the queue is empty. The caller must hold q.mu.
+func (q *Queue) timeToEmpty() clock.Millis {
 	work := 0.0
 	for _, t := range q.waiting {
 		work += q.expectedDuration(t)
@@ -349,7 +440,11 @@
 	if _, measured := q.routeMeans[t.Route]; !measured {
 		return 0
 	}
-	return clock.Millis(q.expectedDuration(t) * minServiceFactor)
+	factor := minServiceFactor
+	if t.Call {
+		factor = minCallServiceFactor
+	}
+	return clock.Millis(q.expectedDuration(t) * factor)
 }
 
 // expectedWait returns the expected wait of a ticket behind those that go before it.
@@ -357,12 +452,31 @@
 	work := q.expectedDuration(t) / 2 // on average, a running request has half of its work left
 	first := 0
 	for _, w := range q.waiting {
-		if before(w, t) {
+		if q.goesBefore(w, t, now) {
 			work += q.expectedDuration(w)
 			first++
 		}
 	}
-	return max(clock.Millis(work/float64(max(q.slots, 1))), q.turn(now, first))
+	slots := float64(max(q.slots, 1))
+	if !t.Call {
+		slots *= 1 - q.calls.usage(q.slots, now)
+	}
+	return max(clock.Millis(work/slots), q.turn(now, first))
+}
+
+// goesBefore reports whether a ticket that waits is expected to get a slot before b.
+func (q *Queue) goesBefore(a, b *Ticket, now clock.Millis) bool {
+	if a.Call != b.Call {
+		return a.Call
+	}
+	if a.Call {
+		return before(a, b)
+	}
+	canMeetA, canMeetB := q.canMeetObjective(a, now), q.canMeetObjective(b, now)
+	if canMeetA != canMeetB {
+		return canMeetA
+	}
+	return before(a, b)
 }
 
 // before reports whether a goes before b, for two tickets that can both meet their
@@ -386,15 +500,22 @@
 	q.rejectLate(now)
 	q.rejectBeyondTurn(now)
 	for q.running < q.slots && len(q.waiting) > 0 && q.turn(now, 0) == 0 {
-		first := 0
-		for i := range q.waiting {
-			if q.preferred(q.waiting[i], q.waiting[first], now) {
+		first := -1
+		for i, t := range q.waiting {
+			if q.hasRoom(t, now) && (first < 0 || q.preferred(t, q.waiting[first], now)) {
 				first = i
 			}
 		}
+		if first < 0 {
+			break
+		}
 		t := q.waiting[first]
+		if q.countWaiting(!t.Call) > 0 {
+			q.calls.recordContended(t.Call, q.expectedDuration(t), q.slots)
+		}
 		q.waiting = append(q.waiting[:first], q.waiting[first+1:]...)
 		q.begin(t, now)
+		q.calls.begin(t)
 		t.decide(Admitted)
 	}
 	q.scheduleAdvance(now)
@@ -404,7 +525,7 @@
 // other tickets can meet their objective, it also rejects those with rejectIfLate that no
 // longer can. Otherwise they would wait behind the others until their own deadline passes.
 func (q *Queue) rejectLate(now clock.Millis) {
-	anyCanMeetObjective := slices.ContainsFunc(q.waiting, func(t *Ticket) bool { return q.canMeetObjective(t, now) })
+	anyCanMeetObjective := slices.ContainsFunc(q.waiting, func(t *Ticket) bool { return !t.Call && q.canMeetObjective(t, now) })
 	kept := q.waiting[:0]
 	for _, t := range q.waiting {
 		switch {
@@ -422,6 +543,12 @@
 
 // preferred reports whether a gets a slot before b.
 func (q *Queue) preferred(a, b *Ticket, now clock.Millis) bool {
+	if a.Call != b.Call {
+		return a.Call == q.calls.goFirst()
+	}
+	if a.Call {
+		return before(a, b)
+	}
 	canMeetA, canMeetB := q.canMeetObjective(a, now), q.canMeetObjective(b, now)
 	if canMeetA != canMeetB {
 		return canMeetA
--- a/internal/traffic/sidecar/metrics.go
+++ b/internal/traffic/sidecar/metrics.go
@@ -18,6 +18,7 @@
 type metrics struct {
 	requests       *prometheus.CounterVec
 	requestSeconds *prometheus.HistogramVec
+	secondCopies   *prometheus.CounterVec
 }
 
 // newMetrics registers all metrics of a sidecar and returns those of its requests.
@@ -31,6 +32,7 @@
 	}
 	gauge("target_running_requests", "Requests that the target runs.", func() float64 { return float64(s.gate.Load().Running) })
 	gauge("target_waiting_requests", "Requests that wait for a slot of the target.", func() float64 { return float64(s.gate.Load().Waiting) })
+	gauge("target_call_share", "Share of the target's slots that calls of runs at other targets have lately asked for.", func() float64 { return s.gate.CallShare() })
 	gauge("target_rate_limit", "Requests a second that the target takes from all hosts together; 0 if it names no limit.", func() float64 { return s.gate.RateLimit() })
 	gauge("target_service_milliseconds", "Mean time that the target takes for a request, or the time that its limit corresponds to.", func() float64 { return float64(s.gate.Load().ServiceMillis) })
 	gauge("target_cold", "1 while the target is, or may be, cold.", func() float64 {
@@ -60,6 +62,8 @@
 		return 0
 	})
 	return &metrics{
+		secondCopies: factory.NewCounterVec(prometheus.CounterOpts(opts("second_copies_total", "Slow requests by service and what became of their second copy: first-won, second-won and none-won if one was sent, else why it was not: limit, retry-budget, busy, no-target or late.")),
+			[]string{"service", "outcome"}),
 		requests: factory.NewCounterVec(prometheus.CounterOpts(opts("requests_total", "Requests of callers by route, service, reason (empty: the target answered) and status.")),
 			[]string{"route", "service", "reason", "status"}),
 		requestSeconds: factory.NewHistogramVec(prometheus.HistogramOpts{
@@ -83,6 +87,11 @@
 	return func(outcome gate.ColdOutcome) { counter.WithLabelValues(string(outcome)).Inc() }
 }
 
+// recordSecondCopy records a request whose first copy was slow.
+func (m *metrics) recordSecondCopy(service, outcome string) {
+	m.secondCopies.WithLabelValues(service, outcome).Inc()
+}
+
 // leaseMetrics are the metrics of a target that takes its keys by calls.
 type leaseMetrics struct {
 	leases    *prometheus.CounterVec
