inbound: bound the memory and descriptors of connections that others open

Callers that do not keep to the limits made a process hold memory without a bound: a head of 2,000 short fields cost up to 680 KB, pipelined requests were all parsed at once, a body of known length was allocated before it arrived, frames between processes were read to 64 MB each, and nothing bounded the number of connections.

One budget, a quarter of the memory in the settings, is charged with estimates of what each connection holds, at every listener. When it runs short, connections are closed in the order of what they hold and how long they made no progress; reads that hold much wait until that memory is released. Each listener has a share of the descriptors; beyond it the most idle connection is closed. A closed connection promises nothing about its request. At most seven requests of a connection are parsed ahead, with their arrival times kept. The length of a body cannot overflow the end of a request any more.

--- a/internal/integration/crowd/crowd_test.go
+++ b/internal/integration/crowd/crowd_test.go
@@ -151,6 +151,9 @@
 			most = max(most, n)
 		}
 	})
+	if d.path != "" && *during {
+		s.t.Logf("an ordinary request meanwhile: %v", s.ordinary(ip, d.port, d.method, d.path, d.want))
+	}
 	peak, err := peakMegabytes(pid)
 	leave()
 	select {
@@ -160,8 +163,8 @@
 	}
 	qt.Assert(s.t, err, qt.IsNil)
 	s.t.Logf("peak %.0f MB, %d descriptors", peak, most)
-	qt.Check(s.t, peak <= memoryMegabytes, qt.IsTrue, qt.Commentf("peak of memory: %.0f MB", peak))
-	qt.Check(s.t, most <= maxDescriptors, qt.IsTrue, qt.Commentf("%d descriptors", most))
+	qt.Check(s.t, peak <= float64(*memoryMegabytes), qt.IsTrue, qt.Commentf("peak of memory: %.0f MB", peak))
+	qt.Check(s.t, most <= *maxDescriptors, qt.IsTrue, qt.Commentf("%d descriptors", most))
 	s.checkAnswers(process, ip, d)
 }
 
@@ -192,7 +195,7 @@
 	var sending, open sync.WaitGroup
 	// sent ends the wait for connections whose bytes the process no longer takes.
 	sent := make(chan struct{})
-	for n := range connections {
+	for n := range *connections {
 		sending.Add(1)
 		open.Go(func() {
 			var done sync.Once
--- a/internal/integration/crowd/system_test.go
+++ b/internal/integration/crowd/system_test.go
@@ -5,6 +5,7 @@
 // # Usage
 //
 //	go test ./internal/integration/crowd -run TestCrowdsAtDoors/route
+//	go test ./internal/integration/crowd -crowd.memory=184 -crowd.descriptors=4100 -crowd.connections=1000
 //
 // The program is the one of the build target; -crowd.program names another one.
 package crowd
@@ -22,6 +23,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,15 +34,17 @@
 	"github.com/gentiansail/gentiansail/internal/wire"
 )
 
-var program = flag.String("crowd.program", "../../../bin/gentiansail", "the program")
-
-const (
+var (
+	program = flag.String("crowd.program", "../../../bin/gentiansail", "the program")
 	// memoryMegabytes and maxDescriptors are what the settings allow each process, and the
 	// bounds of the tests.
-	memoryMegabytes = 64
-	maxDescriptors  = 256
-	// connections is the size of a crowd.
-	connections = 300
+	memoryMegabytes = flag.Int("crowd.memory", 64, "memory of each process in megabytes")
+	maxDescriptors  = flag.Int("crowd.descriptors", 256, "descriptors of each process")
+	connections     = flag.Int("crowd.connections", 300, "size of a crowd")
+	during          = flag.Bool("crowd.during", false, "log whether an ordinary request is served while the crowd presses")
+)
+
+const (
 	// startTimeout and answerTimeout only end tests that would otherwise hang.
 	startTimeout  = 60 * time.Second
 	answerTimeout = 20 * time.Second
@@ -69,13 +73,15 @@
 	t             *testing.T
 	core, sidecar *cluster.Process
 	coreIP, ip    string
+	// ran is the number of requests that the target has begun to run.
+	ran atomic.Int64
 }
 
 func startSystem(t *testing.T) *system {
 	pid := os.Getpid()
 	s := &system{t: t, coreIP: fmt.Sprintf("127.%d.%d.%d", 160, pid>>8&255, pid&255), ip: fmt.Sprintf("127.%d.%d.%d", 161, pid>>8&255, pid&255)}
 	s.core, s.sidecar = s.start("core", s.coreIP), s.start("sidecar", s.ip)
-	target := &http.Server{Handler: http.HandlerFunc(serveTarget), ReadHeaderTimeout: startTimeout}
+	target := &http.Server{Handler: http.HandlerFunc(s.serveTarget), ReadHeaderTimeout: startTimeout}
 	l, err := net.Listen("tcp", address(s.ip, targetPort))
 	qt.Assert(t, err, qt.IsNil)
 	served, stop, stopped := make(chan error, 1), make(chan struct{}), make(chan struct{})
@@ -102,7 +108,7 @@
 	folder := s.t.TempDir()
 	h := settings.Host{
 		Name: role + "-0", FailureDomain: "a", IP: ip, PeerPort: peerPort, Seeds: []string{address(s.coreIP, controlPort)}, FirstStart: true,
-		MemoryMegabytes: memoryMegabytes, MaxDescriptors: maxDescriptors, DataFolder: filepath.Join(folder, "data"), HeartbeatMillis: 870,
+		MemoryMegabytes: *memoryMegabytes, MaxDescriptors: *maxDescriptors, DataFolder: filepath.Join(folder, "data"), HeartbeatMillis: 870,
 		Listen: settings.HostListeners{Callers: address(ip, callerPort), Readiness: address(ip, readyPort), Control: address(ip, controlPort)},
 		Target: settings.HostTarget{Address: address(ip, targetPort), Service: "s1"},
 		Bounds: settings.HostBounds{MaxLeaseMillis: 6000, DrainMillis: 1200, StopSeconds: 5, RetryRatio: 0.2, ExtraRetries: 64},
@@ -140,7 +146,8 @@
 }
 
 // serveTarget answers once it has read the body.
-func serveTarget(w http.ResponseWriter, r *http.Request) {
+func (s *system) serveTarget(w http.ResponseWriter, r *http.Request) {
+	s.ran.Add(1)
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -25,6 +25,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
+
+	"github.com/gentiansail/gentiansail/internal/transport/inbound"
 )
 
 // ErrListener means that an HTTP listener failed.
@@ -33,6 +35,9 @@
 // metricsStopTimeout limits how long a planned stop waits for a scrape in progress.
 const metricsStopTimeout = time.Second
 
+// metricsIdleTimeout is longer than the interval between two scrapes.
+const metricsIdleTimeout = 2 * time.Minute
+
 // NewLogger returns a logger that writes JSON lines with the process's role, its name
 // and the time.
 func NewLogger(w io.Writer, role, name string) zerolog.Logger {
@@ -66,5 +71,5 @@
 	// Profiles show where a process under load spends its time, without a restart.
 	r.HandleFunc("/debug/pprof/*", pprof.Index)
 	r.HandleFunc("/debug/pprof/profile", pprof.Profile)
-	return ServeHTTP(ctx, l, &http.Server{Handler: r, ReadHeaderTimeout: 5 * time.Second}, metricsStopTimeout)
+	return ServeHTTP(ctx, l, &http.Server{Handler: inbound.Handler(r), ConnContext: inbound.ConnContext, MaxHeaderBytes: inbound.MaxHeaderBytes, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: metricsIdleTimeout}, metricsStopTimeout)
 }
--- a/internal/process/serve.go
+++ b/internal/process/serve.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/gentiansail/gentiansail/internal/transport/inbound"
 )
 
 // firstRequestTimeout limits how long a planned stop waits for the first request on
@@ -31,7 +33,10 @@
 // to get the time limit for requests in flight.
 func ServeHTTPWithTimeoutFunc(ctx context.Context, l net.Listener, s *http.Server, stopTimeout func() time.Duration) error {
 	conns := &connTracker{states: make(map[net.Conn]http.ConnState), changed: make(chan struct{})}
-	s.ConnState = conns.setState
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		inbound.ConnState(c, state)
+		conns.setState(c, state)
+	}
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- s.Serve(l) }()
 	select {
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -11,6 +11,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/gentiansail/gentiansail/internal/transport/inbound"
 	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
@@ -86,7 +87,7 @@
 }
 
 func (s *Server) add(ctx context.Context, raw net.Conn) {
-	stream := jsonrpc2.NewBufferedStream(&timeoutConn{Conn: raw, idleTimeout: serverIdleTimeout}, frameCodec{})
+	stream := jsonrpc2.NewBufferedStream(&timeoutConn{Conn: raw, idleTimeout: serverIdleTimeout}, frameCodec{account: inbound.AccountOf(raw)})
 	h := &connHandler{server: s, slots: make(chan struct{}, maxCallsPerConnection)}
 	conn := jsonrpc2.NewConn(ctx, stream, h, discardLog)
 	s.mu.Lock()
--- a/internal/traffic/pipeline/pipeline.go
+++ b/internal/traffic/pipeline/pipeline.go
@@ -33,6 +33,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gentiansail/gentiansail/internal/transport/inbound"
 	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
@@ -50,6 +51,15 @@
 	// are short, and most connections idle.
 	minReadSize = 1 << 10
 	maxReadSize = 8 << 10
+	// maxLine bounds the requests of one connection that are parsed and not handed over. A
+	// parsed request costs many times its bytes.
+	maxLine = maxAheadPerConnection + 1
+	// maxReads bounds the reads of one connection whose times are kept.
+	maxReads = 16
+	// bufferCost accounts for a buffer that grows by doubling.
+	bufferCost = 2
+	// maxLength bounds the length of a body whose end is computed, far from an overflow.
+	maxLength = 1 << 60
 )
 
 // Options configure a Server.
@@ -119,7 +129,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, server: l.server, changed: make(chan struct{}), cancel: func() {}}, nil
+	return &conn{Conn: raw, server: l.server, account: inbound.AccountOf(raw), changed: make(chan struct{}), cancel: func() {}}, nil
 }
 
 // waiting is a request that was read from a connection and was not handed over yet.
@@ -135,6 +145,14 @@
 	// on.
 	ahead *response
 	taken bool
+	// cost is what is held for the parsed request.
+	cost int32
+}
+
+// readTime is when the bytes before end were read.
+type readTime struct {
+	end int
+	at  clock.Millis
 }
 
 // conn is a connection of a caller. Read hands over the bytes of one request, and blocks
@@ -142,8 +160,10 @@
 type conn struct {
 	net.Conn
 	server *Server
-	ctx    context.Context
-	cancel context.CancelFunc
+	// account is nil if the listener does not limit connections.
+	account *inbound.Account
+	ctx     context.Context
+	cancel  context.CancelFunc
 
 	mu sync.Mutex
 	// changed is closed and replaced when a Read may continue.
@@ -154,6 +174,8 @@
 	buffered []byte
 	parsed   int
 	line     []*waiting
+	// reads are the times of the buffered bytes.
+	reads []readTime
 	// current is the request that is being handed over or served; nil if there is none. rest
 	// is how many of its bytes have not been handed over.
 	current *waiting
@@ -176,10 +198,10 @@
 	b, room := make([]byte, minReadSize), maxBufferedRequests
 	for {
 		n, err := c.Conn.Read(b[:min(len(b), room)])
+		c.account.AwaitParse(b[:n])
 		c.mu.Lock()
 		if !c.closed {
-			c.buffered = append(c.buffered, b[:n]...)
-			c.server.buffered.Add(int64(n))
+			c.append(b[:n])
 		}
 		if err != nil {
 			c.err = err
@@ -194,6 +216,12 @@
 			return
 		}
 		if room = c.awaitRoom(); room == 0 {
+			c.mu.Lock()
+			if c.err == nil {
+				c.err = net.ErrClosed
+			}
+			c.wake()
+			c.mu.Unlock()
 			return
 		}
 		if n == len(b) && n < maxReadSize {
@@ -202,6 +230,48 @@
 	}
 }
 
+// append adds bytes that were read. The caller must hold c.mu.
+func (c *conn) append(b []byte) {
+	c.buffered = append(c.buffered, b...)
+	c.server.buffered.Add(int64(len(b)))
+	c.account.Hold(int64(len(b)) * bufferCost)
+	now := c.server.options.Clock.Now()
+	if last := len(c.reads) - 1; last >= 0 && (c.reads[last].at == now || len(c.reads) == maxReads) {
+		c.reads[last].end = len(c.buffered)
+		return
+	}
+	c.reads = append(c.reads, readTime{len(c.buffered), now})
+}
+
+// arrival returns when the buffered bytes before end had been read. The caller must hold
+// c.mu.
+func (c *conn) arrival(end int) clock.Millis {
+	for _, r := range c.reads {
+		if r.end >= end {
+			return r.at
+		}
+	}
+	return c.server.options.Clock.Now()
+}
+
+// discard removes n buffered bytes that were handed over. The caller must hold c.mu.
+func (c *conn) discard(n int) {
+	c.buffered = c.buffered[n:]
+	c.server.buffered.Add(int64(-n))
+	c.account.Hold(int64(-n) * bufferCost)
+	c.parsed = max(c.parsed-n, 0)
+	kept := c.reads[:0]
+	for _, r := range c.reads {
+		if r.end -= n; r.end > 0 {
+			kept = append(kept, r)
+		}
+	}
+	c.reads = kept
+	if len(c.buffered) == 0 {
+		c.buffered = nil
+	}
+}
+
 // awaitRoom waits until more may be read ahead, and returns how much; 0 if the connection
 // has been closed.
 func (c *conn) awaitRoom() int {
@@ -223,27 +293,32 @@
 // parse finds the requests in the buffered bytes, with the parser of net/http. The caller
 // must hold c.mu.
 func (c *conn) parse() {
-	for !c.raw && c.parsed < len(c.buffered) {
+	for !c.raw && c.parsed < len(c.buffered) && len(c.line) < maxLine {
 		rest := c.buffered[c.parsed:]
 		if !bytes.Contains(rest, []byte("\n\r\n")) && !bytes.Contains(rest, []byte("\n\n")) {
 			c.raw = len(rest) >= maxBufferedRequests
 			break
 		}
 		if c.current == nil && len(c.line) == 0 && isSingleHeader(rest) {
-			c.line = append(c.line, &waiting{length: len(rest), arrival: c.server.options.Clock.Now(), header: rest})
+			c.line = append(c.line, &waiting{length: len(rest), arrival: c.arrival(c.parsed + len(rest)), header: rest})
 			c.parsed += len(rest)
 			return
 		}
+		if c.account.Closed() {
+			break
+		}
 		r, header, err := parseRequest(rest)
 		if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
 			break
 		}
-		if err != nil || r.ContentLength < 0 {
+		if err != nil || r.ContentLength < 0 || r.ContentLength > maxLength {
 			c.raw = true // an invalid request, or a body of unknown length
 			break
 		}
-		c.line = append(c.line, &waiting{length: header + int(r.ContentLength), arrival: c.server.options.Clock.Now(), request: r})
-		c.parsed += header + int(r.ContentLength)
+		w := &waiting{length: header + int(r.ContentLength), arrival: c.arrival(c.parsed + header + int(r.ContentLength)), request: r, cost: int32(inbound.HeadCost(rest[:header]))}
+		c.line = append(c.line, w)
+		c.account.Hold(int64(w.cost))
+		c.parsed += w.length
 	}
 	c.runAhead()
 }
@@ -324,6 +399,10 @@
 		n, err := c.take(b)
 		changed, deadline := c.changed, c.deadline
 		c.mu.Unlock()
+		c.account.Read(b[:n])
+		if c.account.Closed() {
+			return 0, net.ErrClosed // so that nothing is parsed
+		}
 		if n > 0 || err != nil {
 			return n, err
 		}
@@ -360,7 +439,7 @@
 	if c.current == nil && len(c.line) > 0 {
 		c.current, c.line = c.line[0], c.line[1:]
 		c.rest = c.current.length
-		c.runAhead()
+		c.parse()
 	}
 	available := 0
 	switch {
@@ -373,15 +452,10 @@
 		return 0, c.err
 	}
 	n := copy(b, c.buffered[:available])
-	c.buffered = c.buffered[n:]
-	c.server.buffered.Add(int64(-n))
-	c.parsed = max(c.parsed-n, 0)
+	c.discard(n)
 	if c.current != nil {
 		c.rest -= n
 	}
-	if len(c.buffered) == 0 {
-		c.buffered = nil
-	}
 	c.wake()
 	return n, nil
 }
@@ -407,7 +481,7 @@
 	defer c.mu.Unlock()
 	c.drop()
 	c.server.buffered.Add(int64(-len(c.buffered)))
-	c.buffered, c.parsed, c.closed = nil, 0, true
+	c.buffered, c.reads, c.parsed, c.closed = nil, nil, 0, true
 	if c.err == nil {
 		c.err = net.ErrClosed
 	}
@@ -424,6 +498,7 @@
 		c.current = nil
 	}
 	for _, w := range c.line {
+		c.account.Hold(-int64(w.cost))
 		if w.ahead != nil {
 			c.server.ahead.Add(-1)
 		}
@@ -431,6 +506,9 @@
 	c.line = nil
 }
 
+// Account returns the account of the connection, or nil.
+func (c *conn) Account() *inbound.Account { return c.account }
+
 // CloseWrite closes the sending direction. net/http does so before it closes a connection
 // on which the caller may still be sending.
 func (c *conn) CloseWrite() error {
@@ -444,6 +522,9 @@
 func (c *conn) served() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.current != nil {
+		c.account.Hold(-int64(c.current.cost))
+	}
 	if c.rest == 0 {
 		c.current = nil
 	} else {
--- a/internal/traffic/sidecar/peer.go
+++ b/internal/traffic/sidecar/peer.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
+	"slices"
 
 	"github.com/gentiansail/gentiansail/internal/exchange"
 	"github.com/gentiansail/gentiansail/internal/traffic/gate"
@@ -62,8 +64,8 @@
 	case r.ContentLength == 0:
 		return nil, nil
 	case r.ContentLength > 0 && r.ContentLength <= gate.MaxBufferedBody:
-		body := make([]byte, r.ContentLength)
-		if _, err := io.ReadFull(r.Body, body); err != nil {
+		body, err := readBody(r)
+		if err != nil {
 			return nil, err
 		}
 		request.Body = exchange.Body(body)
@@ -76,3 +78,31 @@
 	request.Body = io.NopCloser(stream.Reader())
 	return stream, nil
 }
+
+// firstBodyBytes bounds the memory for a body of which nothing has arrived.
+const firstBodyBytes = 4 << 10
+
+// readBody reads a body of known length. Memory is allocated only as bytes arrive.
+func readBody(r *http.Request) ([]byte, error) {
+	if r.ContentLength <= firstBodyBytes {
+		body := make([]byte, r.ContentLength)
+		_, err := io.ReadFull(r.Body, body)
+		return body, err
+	}
+	body := make([]byte, 0, firstBodyBytes)
+	for int64(len(body)) < r.ContentLength {
+		if len(body) == cap(body) {
+			body = slices.Grow(body, min(len(body), int(r.ContentLength)-len(body)))
+		}
+		n, err := r.Body.Read(body[len(body):min(cap(body), int(r.ContentLength))])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) == r.ContentLength:
+		case errors.Is(err, io.EOF):
+			return nil, io.ErrUnexpectedEOF
+		case err != nil:
+			return nil, err
+		}
+	}
+	return body, nil
+}
--- a/internal/traffic/sidecar/sidecar.go
+++ b/internal/traffic/sidecar/sidecar.go
@@ -36,6 +36,7 @@
 	"github.com/gentiansail/gentiansail/internal/traffic/link"
 	"github.com/gentiansail/gentiansail/internal/traffic/pipeline"
 	"github.com/gentiansail/gentiansail/internal/traffic/view"
+	"github.com/gentiansail/gentiansail/internal/transport/inbound"
 	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
@@ -148,6 +149,11 @@
 	return quorum.PeerAddress(s.options.Settings.Listen.Control, s.options.Settings.PeerPort)
 }
 
+// connContext is the hook of the servers of all listeners.
+func (s *Sidecar) connContext(ctx context.Context, c net.Conn) context.Context {
+	return s.pipeline.ConnContext(inbound.ConnContext(ctx, c), c)
+}
+
 // Ready reports whether the sidecar accepts new callers: it has a view and is not stopping.
 func (s *Sidecar) Ready() bool { return s.views.Current() != nil && !s.stopping.Load() }
 
@@ -165,7 +171,7 @@
 			serveCtx, cancel := context.WithCancel(treeCtx)
 			defer context.AfterFunc(listenerCtx, cancel)()
 			defer cancel()
-			err := process.ServeHTTPWithTimeoutFunc(serveCtx, l, &http.Server{Handler: h, ConnContext: s.pipeline.ConnContext, IdleTimeout: callerIdleTimeout, ReadHeaderTimeout: 10 * time.Second, ErrorLog: discardLog}, s.remainingStopTime)
+			err := process.ServeHTTPWithTimeoutFunc(serveCtx, l, &http.Server{Handler: inbound.Handler(h), ConnContext: s.connContext, MaxHeaderBytes: inbound.MaxHeaderBytes, IdleTimeout: callerIdleTimeout, ReadHeaderTimeout: 10 * time.Second, ErrorLog: discardLog}, s.remainingStopTime)
 			if listenerCtx.Err() != nil {
 				return nil
 			}
