ingress: apply the operator's limits of head and body

maxHeaderBytes and maxBodyBytes were kept as text and never applied: a head of 70 KB ran, and a length over the limit got no answer. They are published to sidecars as an item and checked before anything is passed on, on any path: 431 and 413, and the connection is closed. Malformed chunks of a body that is read into memory get 400 instead of a closed connection.

--- a/internal/coordination/message/doc.go
+++ b/internal/coordination/message/doc.go
@@ -38,4 +38,5 @@
 	ItemQuarantine  = "quarantine/"
 	ItemRevision    = "revision/"
 	ItemEvacuation  = "evacuation/"
+	ItemLimits      = "limits/"
 )
--- a/internal/coordination/message/message.go
+++ b/internal/coordination/message/message.go
@@ -61,6 +61,16 @@
 	Members []ReplicaMember `json:"Members"`
 }
 
+// CallerLimits bound what a caller may send in a request, in bytes; 0 means no
+// limit.
+type CallerLimits struct {
+	// Longest body of a request.
+	MaxBodyBytes int `json:"MaxBodyBytes"`
+
+	// Longest head of a request.
+	MaxHeaderBytes int `json:"MaxHeaderBytes"`
+}
+
 // Command is an entry of the replicated log. Exactly one of its fields is set, and
 // Before beside Register.
 type Command struct {
@@ -99,6 +109,9 @@
 	// Version that the change builds on.
 	BaseVersion int `json:"Base"`
 
+	// Caller limits as decoded from Limits.
+	CallerLimits *CallerLimits `json:"CallerLimits,omitempty"`
+
 	// Identifies this change, so that a resent change is recognized.
 	Digest string `json:"Digest"`
 
--- a/internal/coordination/registry/configuration.go
+++ b/internal/coordination/registry/configuration.go
@@ -55,6 +55,12 @@
 		s.Digests = slices.Clone(s.Digests[n-maxDigests:])
 	}
 	s.publishConfiguration(routes, services)
+	switch {
+	case c.CallerLimits != nil:
+		s.publish(message.ItemLimits, *c.CallerLimits)
+	case limits == "":
+		s.unpublish(message.ItemLimits)
+	}
 	s.Routes, s.Services, s.Limits = routes, services, limits
 	s.publish(message.ItemRevision, s.Revision)
 	return Outcome{Status: Done}
--- a/internal/traffic/hop/hop.go
+++ b/internal/traffic/hop/hop.go
@@ -140,6 +140,9 @@
 	NoOwner Reason = "no-owner"
 	// BadRequest means that the request is not valid.
 	BadRequest Reason = "bad-request"
+	// HeaderTooLarge and BodyTooLarge mean that the request exceeds the operator's limits.
+	HeaderTooLarge Reason = "header-too-large"
+	BodyTooLarge   Reason = "body-too-large"
 )
 
 // Reasons that mean that the request may have run.
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -158,6 +158,11 @@
 		in.writeError(w, r, &request{arrival: arrival}, gate.Rejection(hop.NoConfiguration, ownerRetryAfter))
 		return
 	}
+	if reason := overLimits(v.Limits, r); reason != "" {
+		w.Header().Set("Connection", "close")
+		in.writeError(w, r, &request{arrival: arrival, id: r.Header.Get(in.options.Names.RequestID), key: hop.NoKey}, gate.Rejection(reason, 0))
+		return
+	}
 	req, reason := in.readRequest(w, r, v, arrival)
 	if reason != "" {
 		in.writeError(w, r, req, gate.Rejection(reason, 0))
--- a/internal/traffic/ingress/request.go
+++ b/internal/traffic/ingress/request.go
@@ -1,8 +1,11 @@
 package ingress
 
 import (
+	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -76,7 +79,7 @@
 	req.header = endToEndHeader(r.Header)
 	req.header[textproto.CanonicalMIMEHeaderKey(in.options.Names.CallerService)] = []string{string(in.options.Service)}
 	delete(req.header, textproto.CanonicalMIMEHeaderKey(in.options.Names.Instance))
-	if reason := in.readBody(w, r, req); reason != "" {
+	if reason := in.readBody(w, r, v, req); reason != "" {
 		return req, reason
 	}
 	req.fingerprint = computeFingerprint(r, req, in.options.Service)
@@ -113,14 +116,22 @@
 
 // readBody reads a short body into memory. It reads only the beginning of a long one and
 // leaves the rest to be streamed.
-func (in *Ingress) readBody(w http.ResponseWriter, r *http.Request, req *request) hop.Reason {
+func (in *Ingress) readBody(w http.ResponseWriter, r *http.Request, v *view.View, req *request) hop.Reason {
 	if r.ContentLength == 0 {
 		return ""
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, gate.MaxBufferedBody))
+	if isMalformed(err) {
+		w.Header().Set("Connection", "close")
+		return hop.BadRequest
+	}
 	if err != nil {
 		return hop.CallerDisconnected
 	}
+	if limit := v.Limits.MaxBodyBytes; limit > 0 && len(body) > limit {
+		w.Header().Set("Connection", "close")
+		return hop.BodyTooLarge
+	}
 	req.body = body
 	if len(body) < gate.MaxBufferedBody {
 		req.length = int64(len(body))
@@ -131,13 +142,20 @@
 	if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
 		return hop.BadRequest
 	}
-	req.stream = gate.NewBodyStream(r.Body)
+	req.stream = gate.NewBodyStream(limitBody(r.Body, v.Limits, len(body)))
 	return ""
 }
 
 // endAttempt ends the current attempt. It reports whether the whole body can be sent again.
 func (req *request) endAttempt() bool { return req.stream == nil || req.stream.EndAttempt() }
 
+// isMalformed reports whether an error of a body means that its chunks are malformed, rather
+// than that the connection has ended.
+func isMalformed(err error) bool {
+	var network net.Error
+	return err != nil && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) && !errors.As(err, &network) && !errors.Is(err, context.Canceled)
+}
+
 // computeFingerprint returns a hash of the content of a request. It is used to recognize
 // further copies of a request that has crashed targets. Of a streamed body, only the
 // beginning that is in memory is included.
--- a/internal/traffic/ingress/response.go
+++ b/internal/traffic/ingress/response.go
@@ -43,6 +43,7 @@
 // Unavailable.
 var statusByReason = map[hop.Reason]int{
 	hop.NoRoute: http.StatusNotFound, hop.BadRequest: http.StatusBadRequest,
+	hop.HeaderTooLarge: http.StatusRequestHeaderFieldsTooLarge, hop.BodyTooLarge: http.StatusRequestEntityTooLarge,
 	hop.ResponseLost: http.StatusBadGateway, hop.Expired: http.StatusGatewayTimeout,
 }
 
--- a/internal/traffic/view/view.go
+++ b/internal/traffic/view/view.go
@@ -31,6 +31,8 @@
 	Version message.Version
 	// Revision is the version of the configuration; 0 if there is none.
 	Revision int
+	// Limits are those of callers.
+	Limits message.CallerLimits
 	// routes is keyed by host name and then by path prefix.
 	routes        map[string]map[string]*message.Route
 	services      map[message.ServiceName]message.ServiceSpec
@@ -196,6 +198,8 @@
 		return unmarshal[message.Instance](text)
 	case message.ItemRangeOwners:
 		return unmarshal[[]message.RangeOwner](text)
+	case message.ItemLimits:
+		return unmarshal[message.CallerLimits](text)
 	case message.ItemRevision:
 		return unmarshal[configurationVersion](text)
 	}
@@ -246,6 +250,12 @@
 			v.evacuated[message.FailureDomain(domain)] = true
 		}
 	}
+	if changed(message.ItemLimits) {
+		v.Limits = message.CallerLimits{}
+		for _, value := range e[message.ItemLimits] {
+			v.Limits = *value.(*message.CallerLimits)
+		}
+	}
 	if changed(message.ItemRevision) {
 		for _, value := range e[message.ItemRevision] {
 			v.Revision = value.(*configurationVersion).Version
