sidecar, link: a busy link of its host counts as load of a target

Cause: on links of 2.9 Mbit/s the hosts of filings carry bodies of 9 KB and thousands of calls. Other hosts saw free slots behind a full link, and their requests, calls and control messages queued there. Change: a sidecar measures the bytes of its connections with other hosts, and reports at least as many requests as correspond to the part of the link that is in use. Metric link_utilization.

--- a/internal/traffic/placement/uneven_test.go
+++ b/internal/traffic/placement/uneven_test.go
@@ -133,8 +133,8 @@
 			}
 		})
 	}
-	var arrive func()
-	arrive = func() {
+
+	arrive := func() {
 		now := manual.Clock().Now()
 		host := random.IntN(u.hosts)
 		if random.Float64() < u.concentration {
--- a/internal/traffic/sidecar/metrics.go
+++ b/internal/traffic/sidecar/metrics.go
@@ -47,6 +47,7 @@
 		}
 		return 0
 	})
+	gauge("link_utilization", "Part of the bandwidth of the host's link that is in use in the busier direction; 0 if the bandwidth is not known.", s.options.Link.Utilization)
 	gauge("view_version", "Version of the core's state in force.", func() float64 {
 		if v := s.views.Current(); v != nil {
 			return float64(v.Version)
--- a/internal/traffic/sidecar/peer.go
+++ b/internal/traffic/sidecar/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"slices"
 
@@ -27,7 +28,23 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), hopRequest.RemainingMillis.Duration())
 	defer cancel()
-	stream.Serve(w, func() { s.respondPeer(w, request, stream, s.gate.Do(ctx, request)) })
+	stream.Serve(w, func() {
+		result := s.gate.Do(ctx, request)
+		result.Load = addLinkLoad(result.Load, s.options.Link.Utilization())
+		s.respondPeer(w, request, stream, result)
+	})
+}
+
+// fullLink is the utilization of a link from which on packets queue for long: traffic comes in
+// bursts.
+const fullLink = 0.8
+
+// addLinkLoad returns the load that other hosts are told. A target behind a link that is in use
+// counts as one of which as many slots are in use.
+func addLinkLoad(load hop.Load, utilization float64) hop.Load {
+	requests := int(math.Ceil(float64(load.Slots) * utilization / fullLink))
+	load.Waiting = max(load.Waiting, requests-load.Running)
+	return load
 }
 
 // respondPeer writes the result of a request to the other sidecar. The stream is nil for a
--- a/internal/traffic/sidecar/sidecar.go
+++ b/internal/traffic/sidecar/sidecar.go
@@ -82,6 +82,9 @@
 	// ParentID returns the id of the request whose run made the request with the given id, as far
 	// as the id tells; nil if ids tell nothing.
 	ParentID func(id string) (parent string, ok bool)
+	// Link measures the link of the host, with the connections of Listeners.Peers; nil if its
+	// bandwidth is not known.
+	Link *link.Meter
 	// Metrics is where the sidecar registers its metrics.
 	Metrics prometheus.Registerer
 }
@@ -133,8 +136,11 @@
 		seeds = append(seeds, quorum.PeerAddress(seed, options.Settings.PeerPort))
 	}
 	s.core = newCoreClient(options.Clock, options.Log, seeds)
+	if s.options.Link == nil {
+		s.options.Link = link.NewMeter(options.Clock, 0)
+	}
 	s.targetPool = exchange.NewPool(exchange.Options{MaxPerAddress: maxTargetConnections, IdleConnTimeout: targetIdleLimit, Clock: options.Clock, Dial: link.Dial})
-	s.peerPool = exchange.NewPool(exchange.Options{MaxPerAddress: maxPeerConnections, IdleConnTimeout: peerIdleLimit, Clock: options.Clock, Dial: link.Dial})
+	s.peerPool = exchange.NewPool(exchange.Options{MaxPerAddress: maxPeerConnections, IdleConnTimeout: peerIdleLimit, Clock: options.Clock, Dial: s.options.Link.Dial})
 	s.gate = gate.New(gate.Options{Names: options.Names, Clock: options.Clock, Pool: s.targetPool, OnConnectionLost: s.checkForCrash,
 		OnKeyRejected: func(i message.Incarnation, key message.Key) { s.leaser.keyRejected(i, key) }, OnRateLimit: s.logRateLimit, OnLeaving: s.handleLeaving,
 		OnCold: s.logCold, OnColdRequest: newColdCounter(options.Metrics)})
