--- a/internal/integration/mesh/harness_test.go
+++ b/internal/integration/mesh/harness_test.go
@@ -53,6 +53,10 @@
 	ctx      context.Context
 	// secondCopies are the settings of the hosts that are added.
 	secondCopies settings.HostSecondCopies
+	// domains are the failure domains of hosts by number, if not a.
+	domains map[int]string
+	// evacuateBound is the bound for evacuations of hosts that are started from now on.
+	evacuateBound clock.Millis
 }
 
 // freePort returns a port that is currently free on loopback.
@@ -189,7 +193,9 @@
 	released []message.RangeGrant
 	draining bool
 	sequence int
-	crashed  chan struct{}
+	// coldUntil is the end of the cold time that the heartbeats state.
+	coldUntil time.Time
+	crashed   chan struct{}
 	// idleLimit is a time.Duration: a connection that was idle for longer is reset by
 	// the next bytes that arrive; 0 for no limit.
 	idleLimit atomic.Int64
@@ -249,8 +255,12 @@
 	o := settings.Host{
 		Name: fmt.Sprintf("host-%d", number), FailureDomain: "a", IP: ip, PeerPort: s.peerPort,
 		Listen: settings.HostListeners{Callers: h.callerAddress, Control: ip + ":1"}, Seeds: s.seeds[:min(3, len(s.seeds))],
-		Target: settings.HostTarget{Address: targetListener.Addr().String(), Service: string(service)},
-		Bounds: settings.HostBounds{RetryRatio: 0.2, ExtraRetries: 64}, SecondCopies: s.secondCopies,
+		Target:       settings.HostTarget{Address: targetListener.Addr().String(), Service: string(service)},
+		Bounds:       settings.HostBounds{RetryRatio: 0.2, ExtraRetries: 64, ColdOverage: 1.5, ColdSlack: 8, EvacuateMillis: s.evacuateBound},
+		SecondCopies: s.secondCopies,
+	}
+	if domain := s.domains[number]; domain != "" {
+		o.FailureDomain = domain
 	}
 	h.sidecar = sidecar.New(sidecar.Options{Settings: o, Names: names, Calls: testCalls, Clock: clock.System(), Log: zerolog.Nop(), Metrics: prometheus.NewRegistry()})
 	ctx, cancel := context.WithCancel(s.ctx)
@@ -313,7 +323,8 @@
 	}
 	c := sidecar.Heartbeat{
 		Incarnation: x.incarnation, Service: x.service, Address: message.Address(x.address), Slots: 8, Draining: x.draining, Sequence: x.sequence,
-		Grants: append([]message.RangeGrant(nil), x.grants...), Released: append([]message.RangeGrant(nil), x.released...),
+		ColdMillis: clock.FromDuration(max(x.coldUntil.Sub(sent), 0)),
+		Grants:     append([]message.RangeGrant(nil), x.grants...), Released: append([]message.RangeGrant(nil), x.released...),
 	}
 	x.mu.Unlock()
 	reply, err := x.host.sidecar.HandleHeartbeat(x.host.mesh.ctx, c)
--- a/internal/traffic/ingress/second_copy.go
+++ b/internal/traffic/ingress/second_copy.go
@@ -239,7 +239,7 @@
 	if !known || in.options.Clock.Now()+median > req.deadline {
 		return copyLate
 	}
-	instances := v.Instances(req.service)
+	instances := v.Available(req.service)
 	if utilization, known := in.balancer.Utilization(instances); !known || utilization >= copies.MaxUtilization {
 		return copyBusy
 	}
--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -2,7 +2,10 @@
 // by key.
 //
 // Each sidecar decides on its own. It uses the load that the sidecar on a target's host
-// reports in each response, and the number of its own requests that are still in flight.
+// reports in each response, and the number of its own requests that are still in flight. One
+// sidecar of many sees few of a target's responses, so the older a report is, the more the
+// choice is left to chance. Reports passed on by other sidecars would be newer, but all
+// sidecars would then follow the same ones.
 // The outcome of requests takes precedence over what a target reports: a target that could
 // not be reached gets no requests for a while and is then tried again.
 //
@@ -35,7 +38,7 @@
 	maxLoadAge clock.Millis = 1000
 	// otherDomainPenalty is the part of the mean service time that is added to the cost
 	// of targets in other failure domains.
-	otherDomainPenalty = 0.3
+	otherDomainPenalty = 0.6
 	// minPause and maxPause bound how long a target that could not be reached gets no
 	// requests. The pause doubles with each consecutive failure.
 	minPause clock.Millis = 300
@@ -48,9 +51,16 @@
 	// target costs as much as one that is three times as slow, so that other targets
 	// with spare capacity are chosen first.
 	failureCostFactor = 6
+	// newTargetShare is the share of a warm target's requests that a target gets that has just
+	// joined and has not responded to this sidecar yet.
+	newTargetShare = 0.3
 	// costJitter randomizes the choice between targets of nearly equal cost, so that many
-	// sidecars do not all choose the same one.
-	costJitter = 0.1
+	// sidecars do not all choose the same one. outdatedCostJitter is added as a report ages:
+	// sidecars that last heard of the targets long ago would otherwise all send to the one
+	// that they remember as the fastest. jitterHalfLife is the age at which half is added.
+	costJitter                      = 0.1
+	outdatedCostJitter              = 3
+	jitterHalfLife     clock.Millis = 500
 )
 
 // Balancer holds what one sidecar knows about the targets and chooses among them.
@@ -67,6 +77,8 @@
 	load hop.Load
 	// loadTime is when the load was reported; 0 if never.
 	loadTime clock.Millis
+	// newUntil is until when a target counts as new that has not responded yet.
+	newUntil clock.Millis
 	// inFlight is the number of this sidecar's requests without a response.
 	// inFlightAtLoad is that number at loadTime; the reported load includes those.
 	inFlight, inFlightAtLoad int
@@ -90,6 +102,11 @@
 	s.failureRate, s.failureRateTime = rate+failureRateWeight*(failed-rate), now
 }
 
+// jitter returns the part of its cost by which the cost of the target is randomized.
+func (s *targetState) jitter(now clock.Millis) float64 {
+	return costJitter + outdatedCostJitter*(1-math.Exp2(-float64(now-s.loadTime)/float64(jitterHalfLife)))
+}
+
 // New returns a balancer for a sidecar in the given failure domain. The function random
 // returns numbers in [0, 1).
 func New(clk clock.Clock, domain message.FailureDomain, random func() float64) *Balancer {
@@ -118,6 +135,16 @@
 	return s.unreachableCount >= unreachableThreshold && b.clock.Now() < s.pausedUntil
 }
 
+// ServiceMillis returns the mean time that a target takes for a request, as far as it is known.
+func (b *Balancer) ServiceMillis(id message.InstanceID) clock.Millis {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if reported := b.state(id).load.ServiceMillis; reported > 0 {
+		return reported
+	}
+	return defaultServiceMillis
+}
+
 // Choose returns the target with the lowest expected response time. It skips targets that
 // were tried, are paused or are draining. A target whose host is about to stop is chosen
 // only if there is no other: its host still serves for a while.
@@ -135,15 +162,22 @@
 // caller must hold b.mu.
 func (b *Balancer) choose(instances []message.Instance, tried map[message.InstanceID]bool, stopping bool) (message.Instance, bool) {
 	now := b.clock.Now()
-	meanMillis := b.meanServiceMillis(instances)
+	meanMillis := b.meanServiceMillis(instances, now)
+	available := func(instance message.Instance, s *targetState) bool {
+		return !instance.Draining && instance.Stopping == stopping && !tried[instance.Incarnation.ID] && now >= s.pausedUntil
+	}
+	target, onlyWarm := b.chooseLimited(instances, available, meanMillis, now)
+	if target != nil {
+		return *target, true
+	}
 	var best message.Instance
 	lowestCost, found := 0.0, false
 	for _, instance := range instances {
 		s := b.state(instance.Incarnation.ID)
-		if instance.Draining || instance.Stopping != stopping || tried[instance.Incarnation.ID] || now < s.pausedUntil {
+		if !available(instance, s) || onlyWarm && s.isLimited(now) {
 			continue
 		}
-		cost := b.cost(instance, s, meanMillis, now) * (1 + costJitter*b.random())
+		cost := b.cost(instance, s, meanMillis, now) * (1 + s.jitter(now)*b.random())
 		if !found || cost < lowestCost {
 			best, lowestCost, found = instance, cost, true
 		}
@@ -151,12 +185,13 @@
 	return best, found
 }
 
-// meanServiceMillis returns the mean of the reported service times.
-func (b *Balancer) meanServiceMillis(instances []message.Instance) float64 {
+// meanServiceMillis returns the mean of the reported service times of targets that are not
+// cold.
+func (b *Balancer) meanServiceMillis(instances []message.Instance, now clock.Millis) float64 {
 	sum, n := 0.0, 0.0
 	for _, instance := range instances {
-		if s := b.state(instance.Incarnation.ID); s.load.ServiceMillis > 0 {
-			sum, n = sum+float64(s.load.ServiceMillis), n+1
+		if s := b.state(instance.Incarnation.ID); s.serviceMillis(now) > 0 && !s.isCold(now) {
+			sum, n = sum+s.serviceMillis(now), n+1
 		}
 	}
 	if n == 0 {
@@ -169,7 +204,7 @@
 // targets in other failure domains. A nearly full target costs more than its service time,
 // because other sidecars send requests to it at the same time.
 func (b *Balancer) cost(instance message.Instance, s *targetState, meanMillis float64, now clock.Millis) float64 {
-	serviceMillis, requests := float64(s.load.ServiceMillis), float64(s.load.Running+s.load.Waiting)
+	serviceMillis, requests := s.serviceMillis(now), float64(s.load.Running+s.load.Waiting)
 	if serviceMillis == 0 {
 		serviceMillis = meanMillis
 	}
--- a/internal/traffic/sidecar/sidecar.go
+++ b/internal/traffic/sidecar/sidecar.go
@@ -105,6 +105,11 @@
 	// stopStarted is when a planned stop started, in clock.Millis.
 	stopStarted       atomic.Int64
 	crashCheckRunning atomic.Bool
+	// viewConfirmed is when the latest watch was sent whose response was applied, in
+	// clock.Millis; 0 before the first response. The view has all changes from before.
+	viewConfirmed atomic.Int64
+	// evacuationMu serializes what the gate is told of evacuations.
+	evacuationMu sync.Mutex
 
 	// started is when this process started.
 	started      clock.Millis
@@ -127,7 +132,8 @@
 	s.targetPool = exchange.NewPool(exchange.Options{MaxPerAddress: maxTargetConnections, IdleConnTimeout: targetIdleLimit, Clock: options.Clock, Dial: link.Dial})
 	s.peerPool = exchange.NewPool(exchange.Options{MaxPerAddress: maxPeerConnections, IdleConnTimeout: peerIdleLimit, Clock: options.Clock, Dial: link.Dial})
 	s.gate = gate.New(gate.Options{Names: options.Names, Clock: options.Clock, Pool: s.targetPool, OnConnectionLost: s.checkForCrash,
-		OnKeyRejected: func(i message.Incarnation, key message.Key) { s.leaser.keyRejected(i, key) }, OnRateLimit: s.logRateLimit, OnLeaving: s.handleLeaving})
+		OnKeyRejected: func(i message.Incarnation, key message.Key) { s.leaser.keyRejected(i, key) }, OnRateLimit: s.logRateLimit, OnLeaving: s.handleLeaving,
+		OnCold: s.logCold, OnColdRequest: newColdCounter(options.Metrics)})
 	s.leaser = newLeaser(s)
 	m := newMetrics(options.Metrics, s)
 	s.ingress = ingress.New(ingress.Options{
@@ -184,6 +190,7 @@
 		serve("control", servingCtx, l.Control, control),
 		serve("peers", servingCtx, l.Peers, http.HandlerFunc(s.servePeer)),
 		supervisor.Child{Name: "watch", Run: s.watch, Policy: supervisor.Restart},
+		supervisor.Child{Name: "evacuations", Run: s.runEvacuations},
 		supervisor.Child{Name: "lease renewals", Run: s.leaser.runRenewals},
 		supervisor.Child{Name: "lease watch", Run: s.leaser.runWatch},
 		supervisor.Child{Name: "grants", Run: s.leaser.runDelivery},
--- a/internal/traffic/sidecar/target.go
+++ b/internal/traffic/sidecar/target.go
@@ -7,6 +7,7 @@
 
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
 	"github.com/gentiansail/gentiansail/internal/rpc"
+	"github.com/gentiansail/gentiansail/internal/traffic/coldstart"
 	"github.com/gentiansail/gentiansail/internal/traffic/gate"
 	"github.com/gentiansail/gentiansail/internal/traffic/link"
 	"github.com/gentiansail/gentiansail/pkg/clock"
@@ -61,23 +62,31 @@
 		return message.HeartbeatReply{}, errors.Join(ErrCoreUnavailable, err)
 	}
 	if err := s.admitHeartbeat(h, received); err != nil {
+		if errors.Is(err, errUnproven) {
+			// It may run at the address already, under the id that the gate names to it.
+			s.gate.PresumeCold(gate.ColdUnproven)
+		}
 		return message.HeartbeatReply{}, err
 	}
 	keyed, byCall := false, s.leaser.applies()
 	if byCall {
 		if err := s.leaser.heard(h.Incarnation, received); err != nil {
+			s.gate.PresumeCold(gate.ColdUnproven)
 			return message.HeartbeatReply{}, errors.Join(ErrCoreUnavailable, err)
 		}
 	}
 	alreadyDraining := false // whether the core has published this incarnation as draining
+	var cold coldstart.Bounds
 	if v := s.views.Current(); v != nil {
 		spec, _ := v.Service(h.Service)
-		keyed = spec.Keyed
+		keyed, cold = spec.Keyed, s.coldBounds(spec)
 		instance, ok := v.Instance(h.Incarnation.ID)
 		alreadyDraining = ok && instance.Incarnation == h.Incarnation && instance.Draining
 	}
+	// The view may be newer than what the gate was told.
+	s.observeEvacuation()
 	_, seenBefore := s.gate.Target()
-	s.gate.SetTarget(gate.Target{Incarnation: h.Incarnation, Service: h.Service, Address: string(h.Address), Slots: h.Slots, Keyed: keyed})
+	s.gate.SetTarget(gate.Target{Incarnation: h.Incarnation, Service: h.Service, Address: string(h.Address), Slots: h.Slots, Keyed: keyed, ColdMillis: h.ColdMillis, Cold: cold})
 	switch {
 	case alreadyDraining && !seenBefore:
 		// A previous process of this host may have acknowledged the drain long ago.
@@ -87,13 +96,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, coreCallTimeout.Duration())
 	defer cancel()
-	load, answered := s.gate.Load(), s.incarnations.lastAnswer(h.Incarnation, h.Sequence)
+	load, capacity, answered := s.gate.Load(), s.gate.Capacity(), s.incarnations.lastAnswer(h.Incarnation, h.Sequence)
 	reply, err := call[message.HeartbeatReply](ctx, s.core, message.MethodHeartbeat, message.Heartbeat{
 		Instance: message.Instance{
 			Incarnation: h.Incarnation, Service: h.Service, Target: h.Address, Peer: s.peerAddress(), Host: message.HostName(s.options.Settings.Name),
 			Domain: message.FailureDomain(s.options.Settings.FailureDomain), Slots: h.Slots, Draining: h.Draining || s.isLeaving(h.Incarnation), Stopping: s.stopping.Load(),
 		},
-		Sequence: h.Sequence, Grants: emptyIfNil(h.Grants), Released: emptyIfNil(h.Released), Loads: s.gate.TakeKeyLoads(), ServiceMillis: message.Millis(load.ServiceMillis),
+		Sequence: h.Sequence, Grants: emptyIfNil(h.Grants), Released: emptyIfNil(h.Released), Loads: s.gate.TakeKeyLoads(), ServiceMillis: message.Millis(load.ServiceMillis), Capacity: &capacity,
 		Before: s.incarnations.predecessor(h.Incarnation), Answered: &answered,
 	}, coreCallTimeout)
 	if rpc.IsCode(err, rpc.CodeRejected) {
@@ -244,6 +253,7 @@
 			return
 		}
 		s.incarnations.markEnded(incarnation)
+		s.gate.PresumeCold(gate.ColdDown)
 		s.log.Warn().Str("Event", "target-down").Str("Target", string(incarnation.ID)).Int("InFlight", len(fingerprints)).Msg("target refuses connections")
 		if s.leaser.applies() {
 			s.leaser.markEnded(incarnation)
