--- a/internal/traffic/placement/room.go
+++ b/internal/traffic/placement/room.go
@@ -11,8 +11,7 @@
 	// slots. It is longer than maxLoadAge because the target's host checks again.
 	maxRoomAge clock.Millis = 3000
 	// maxRoomFailureRate is the failure rate, and maxRoomSlowness the multiple of the mean
-	// service time, above which a target gets no second copies. A cold target reports a long
-	// service time.
+	// service time, above which a target gets no second copies.
 	maxRoomFailureRate = 0.05
 	maxRoomSlowness    = 1.5
 )
@@ -26,12 +25,21 @@
 	b.state(id).updateFailureRate(b.clock.Now(), 1)
 }
 
+// known returns what is known of a target. It doesn't add the target to b.targets: ExpectCold
+// takes targets without a state for new ones. The caller must hold b.mu.
+func (b *Balancer) known(id message.InstanceID) *targetState {
+	if s := b.targets[id]; s != nil {
+		return s
+	}
+	return &targetState{}
+}
+
 // HasRoom reports whether a target may get a second copy of a request: it is known to have
 // free slots, to be no slower than others and to fail hardly any requests.
 func (b *Balancer) HasRoom(instance message.Instance, instances []message.Instance) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s, now := b.state(instance.Incarnation.ID), b.clock.Now()
+	s, now := b.known(instance.Incarnation.ID), b.clock.Now()
 	utilization, known := s.utilization(instance, now)
 	switch {
 	case !known || utilization >= copies.MaxUtilization || instance.Draining || instance.Stopping:
@@ -39,7 +47,7 @@
 	case now < s.pausedUntil || s.isLimited(now) || s.decayedFailureRate(now) > maxRoomFailureRate:
 		return false
 	}
-	return float64(s.load.ServiceMillis) <= maxRoomSlowness*b.meanServiceMillis(instances, now)
+	return s.serviceMillis(now) <= maxRoomSlowness*b.meanServiceMillis(instances, now)
 }
 
 // Utilization returns the share of slots in use at the targets whose load is known. ok is
@@ -50,7 +58,7 @@
 	now := b.clock.Now()
 	used, slots := 0.0, 0.0
 	for _, instance := range instances {
-		if u, known := b.state(instance.Incarnation.ID).utilization(instance, now); known {
+		if u, known := b.known(instance.Incarnation.ID).utilization(instance, now); known {
 			used, slots = used+u*float64(max(instance.Slots, 1)), slots+float64(max(instance.Slots, 1))
 		}
 	}
@@ -62,7 +70,7 @@
 func (b *Balancer) ExpectedWait(instance message.Instance) clock.Millis {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.state(instance.Incarnation.ID)
+	s := b.known(instance.Incarnation.ID)
 	utilization, known := s.utilization(instance, b.clock.Now())
 	if !known || utilization < 1 {
 		return 0
@@ -85,5 +93,5 @@
 func (b *Balancer) InFlight(id message.InstanceID) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.state(id).inFlight
+	return b.known(id).inFlight
 }
