--- a/internal/traffic/admission/calls_test.go
+++ b/internal/traffic/admission/calls_test.go
@@ -60,7 +60,6 @@
 	until  clock.Millis
 	call   *callingRun // the call that it waits for
 	isCall bool
-	called bool
 }
 
 // Guards against two services that call each other and fill all their slots with runs that wait
