rpc, sidecar: connections to the core survive late responses on a congested link

The links of the hosts of filings (2.9 Mbit/s) are congested; sidecar-cairo-a-12 lost its connection at 21.976 s after 750 ms without a byte, and was not connected again before 24.824 s, after 14 attempts of 300 ms. It had no news for 3.6 s. Change: while the measured link of the host is at half of its bandwidth or more, a connection to the core may be silent for 2 s, and a call has that time. Result: TestKeepSilentWaitsForLateResponses fails without it (ErrLost).

--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -22,6 +22,8 @@
 	address string
 	dial    func(ctx context.Context, address string) (net.Conn, error)
 	traffic traffic
+	// mayBeSilent is the function set by KeepSilent.
+	mayBeSilent func(clock.Millis) bool
 
 	// dialCtx ends when the client is closed.
 	dialCtx    context.Context
@@ -54,6 +56,12 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
+// KeepSilent sets a function that is asked whether to keep a connection on which no byte has
+// arrived for the given time; without it, such a connection is closed after 750 ms. It must be
+// called before the first call. It is for links that the client knows to be congested: a new
+// connection would take longer than the bytes that are on their way.
+func (c *Client) KeepSilent(mayBeSilent func(silent clock.Millis) bool) { c.mayBeSilent = mayBeSilent }
+
 // Connected reports whether a connection is open, as far as the client knows.
 func (c *Client) Connected() bool {
 	c.mu.Lock()
@@ -217,7 +225,7 @@
 
 // use makes raw the connection of the client. c.mu must be held.
 func (c *Client) use(raw net.Conn) {
-	transport := &timeoutConn{Conn: raw, idleTimeout: clientIdleTimeout, traffic: &c.traffic}
+	transport := &timeoutConn{Conn: raw, idleTimeout: clientIdleTimeout, mayBeSilent: c.mayBeSilent, traffic: &c.traffic}
 	transport.lastReceived.Store(int64(clock.System().Now()))
 	stream := jsonrpc2.NewBufferedStream(transport, frameCodec{})
 	c.conn = jsonrpc2.NewConn(c.dialCtx, stream, rejectAll{}, discardLog)
--- a/internal/rpc/client_test.go
+++ b/internal/rpc/client_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
 // Guards against a client that never connects over a congested link, because it gives up
@@ -67,3 +70,47 @@
 	_, err = Call[greeting](t.Context(), c, "Greet", greeting{})
 	qt.Assert(t, errors.Is(err, ErrConnect), qt.IsTrue)
 }
+
+// Guards against connections over a congested link that are closed while responses are on their
+// way: each new connection takes as long.
+func TestKeepSilentWaitsForLateResponses(t *testing.T) {
+	address, _ := startServer(t)
+	slow, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer slow.Close()
+	go func() {
+		for {
+			client, err := slow.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer client.Close()
+				time.Sleep((clientIdleTimeout + 350).Duration())
+				server, err := net.Dial("tcp", address)
+				if err != nil {
+					return
+				}
+				defer server.Close()
+				go func() { _, _ = io.Copy(server, client) }()
+				_, _ = io.Copy(client, server)
+			}()
+		}
+	}()
+	for name, tt := range map[string]struct {
+		mayBeSilent func(clock.Millis) bool
+		want        error
+	}{
+		"congested":       {mayBeSilent: func(silent clock.Millis) bool { return silent < 10_000 }},
+		"not congested":   {mayBeSilent: func(clock.Millis) bool { return false }, want: ErrLost},
+		"silent too long": {mayBeSilent: func(silent clock.Millis) bool { return silent < clientIdleTimeout }, want: ErrLost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := NewClient(slow.Addr().String())
+			defer c.Close()
+			c.KeepSilent(tt.mayBeSilent)
+			_, err := Call[greeting](t.Context(), c, "Greet", greeting{Name: "x"})
+			qt.Check(t, errors.Is(err, tt.want), qt.IsTrue, qt.Commentf("%v", err))
+		})
+	}
+}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -28,6 +28,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -145,6 +146,9 @@
 type timeoutConn struct {
 	net.Conn
 	idleTimeout clock.Millis
+	// mayBeSilent, if set, reports whether to keep the connection after the given time without
+	// a byte.
+	mayBeSilent func(clock.Millis) bool
 	// traffic, if set, counts the bytes of the connection.
 	traffic *traffic
 	// lastReceived is the time of the last read that returned bytes, in clock.Millis.
@@ -158,10 +162,10 @@
 }
 
 func (c *timeoutConn) Read(b []byte) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(c.idleTimeout.Duration())); err != nil {
-		return 0, err
+	n, err := c.readWithin(b)
+	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.mayBeSilent != nil && c.mayBeSilent(clock.System().Now()-clock.Millis(c.lastReceived.Load())) {
+		n, err = c.readWithin(b)
 	}
-	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.lastReceived.Store(int64(clock.System().Now()))
 	}
@@ -171,6 +175,14 @@
 	return n, err
 }
 
+// readWithin reads once, for at most idleTimeout.
+func (c *timeoutConn) readWithin(b []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(c.idleTimeout.Duration())); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(b)
+}
+
 func (c *timeoutConn) Write(b []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout.Duration())); err != nil {
 		return 0, err
--- a/internal/traffic/sidecar/core_client.go
+++ b/internal/traffic/sidecar/core_client.go
@@ -22,6 +22,8 @@
 	clock clock.Clock
 	log   zerolog.Logger
 	seeds []message.Address
+	// linkBusy reports whether the link of this host is congested.
+	linkBusy func() bool
 
 	mu       sync.Mutex
 	clients  map[message.Address]*rpc.Client
@@ -40,8 +42,17 @@
 	lastFailure    string
 }
 
-func newCoreClient(clk clock.Clock, log zerolog.Logger, seeds []message.Address) *coreClient {
-	return &coreClient{clock: clk, log: log, seeds: seeds, clients: map[message.Address]*rpc.Client{}}
+func newCoreClient(clk clock.Clock, log zerolog.Logger, seeds []message.Address, linkBusy func() bool) *coreClient {
+	return &coreClient{clock: clk, log: log, seeds: seeds, linkBusy: linkBusy, clients: map[message.Address]*rpc.Client{}}
+}
+
+// maxBusySilence is how long a replica may be silent while the link of this host is congested. Its
+// responses are late then, and a new connection would be later still.
+const maxBusySilence clock.Millis = 2000
+
+// mayBeSilent reports whether to keep a connection after the given time without a byte.
+func (c *coreClient) mayBeSilent(silent clock.Millis) bool {
+	return silent < maxBusySilence && c.linkBusy()
 }
 
 func (c *coreClient) close() {
@@ -91,6 +102,7 @@
 	client := c.clients[address]
 	if client == nil {
 		client = rpc.NewClient(string(address))
+		client.KeepSilent(c.mayBeSilent)
 		c.clients[address] = client
 	}
 	return client
@@ -132,11 +144,16 @@
 
 // call calls the leader of the core. It retries, at other replicas if needed, until a call
 // succeeds, the context ends or a replica rejects the call for good. The core may
-// therefore receive the call more than once. Each attempt ends after attemptTimeout.
+// therefore receive the call more than once. Each attempt ends after attemptTimeout, or later
+// while the link of this host is congested.
 func call[Response any](ctx context.Context, c *coreClient, method string, request any, attemptTimeout clock.Millis) (Response, error) {
 	for {
 		address, client := c.chooseReplica()
-		attemptCtx, cancel := context.WithTimeout(ctx, attemptTimeout.Duration())
+		timeout := attemptTimeout
+		if c.linkBusy() {
+			timeout = max(timeout, maxBusySilence)
+		}
+		attemptCtx, cancel := context.WithTimeout(ctx, timeout.Duration())
 		response, err := rpc.Call[Response](attemptCtx, client, method, request)
 		cancel()
 		if ctx.Err() == nil || err == nil {
--- a/internal/traffic/sidecar/core_client_test.go
+++ b/internal/traffic/sidecar/core_client_test.go
@@ -30,7 +30,7 @@
 	}()
 	connected := message.Address(l.Addr().String())
 	seeds := []message.Address{"127.0.0.1:1", "127.0.0.1:2", connected}
-	c := newCoreClient(clock.System(), zerolog.Nop(), seeds)
+	c := newCoreClient(clock.System(), zerolog.Nop(), seeds, func() bool { return false })
 	defer c.close()
 	// An even number of candidates, so that alternation does not leave out every second one.
 	c.setReplicas(append([]message.Address{"127.0.0.1:3", "127.0.0.1:4"}, seeds...))
--- a/internal/traffic/sidecar/peer.go
+++ b/internal/traffic/sidecar/peer.go
@@ -39,6 +39,13 @@
 // bursts.
 const fullLink = 0.8
 
+// busyLink is the utilization of a link from which on packets may queue: bursts of a few tens of
+// milliseconds are shorter than what is measured.
+const busyLink = 0.5
+
+// linkBusy reports whether packets may queue at the link of this host.
+func (s *Sidecar) linkBusy() bool { return s.options.Link.Utilization() >= busyLink }
+
 // addLinkLoad returns the load that other hosts are told. A target behind a link that is in use
 // counts as one of which as many slots are in use.
 func addLinkLoad(load hop.Load, utilization float64) hop.Load {
--- a/internal/traffic/sidecar/sidecar.go
+++ b/internal/traffic/sidecar/sidecar.go
@@ -135,7 +135,7 @@
 	for _, seed := range options.Settings.Seeds {
 		seeds = append(seeds, quorum.PeerAddress(seed, options.Settings.PeerPort))
 	}
-	s.core = newCoreClient(options.Clock, options.Log, seeds)
+	s.core = newCoreClient(options.Clock, options.Log, seeds, s.linkBusy)
 	if s.options.Link == nil {
 		s.options.Link = link.NewMeter(options.Clock, 0)
 	}
