--- a/internal/traffic/gate/second_copy.go
+++ b/internal/traffic/gate/second_copy.go
@@ -17,11 +17,11 @@
 	return g.waitForSlot(ctx, ticket)
 }
 
-// admitSecondCopy gives a second copy a slot if the target has enough free ones. It never
+// admitSecondCopy gives a second copy a slot if the target is warm and has enough free ones. It never
 // makes the copy wait: in a queue it would take the place of a first copy, which has no other.
 func (g *Gate) admitSecondCopy(ticket *admission.Ticket) *Result {
 	load := g.Load()
-	if float64(load.Running+load.Waiting) >= copies.MaxUtilization*float64(load.Slots) {
+	if g.Cold() || float64(load.Running+load.Waiting) >= copies.MaxUtilization*float64(load.Slots) {
 		return Rejection(hop.Busy, 0)
 	}
 	switch g.queue.Admit(ticket) {
--- a/internal/traffic/placement/room_test.go
+++ b/internal/traffic/placement/room_test.go
@@ -22,6 +22,7 @@
 		"nearly full":  {load: newLoad(8, 60)},
 		"queue":        {load: hop.Load{Running: 3, Waiting: 5, Slots: 10, ServiceMillis: 60}},
 		"slow or cold": {load: newLoad(0, 400)},
+		"cold":         {load: hop.Load{Slots: 10, ServiceMillis: 60, ColdMillis: 500}},
 		"draining":     {load: newLoad(0, 60), change: func(i *message.Instance) { i.Draining = true }},
 		"stopping":     {load: newLoad(0, 60), change: func(i *message.Instance) { i.Stopping = true }},
 		"old load":     {load: newLoad(0, 60), before: func(_ *Balancer, m *clock.Manual) { m.Advance(maxRoomAge + 1) }},
@@ -44,6 +45,7 @@
 			}
 			instances := []message.Instance{a, other}
 			qt.Assert(t, b.HasRoom(a, instances), qt.IsFalse, qt.Commentf("not known"))
+			qt.Assert(t, b.targets, qt.HasLen, 0, qt.Commentf("ExpectCold would not take the target for a new one"))
 			for id, load := range map[message.InstanceID]hop.Load{"a": tt.load, "b": newLoad(0, 60)} {
 				b.RecordSent(id)
 				b.RecordResponse(id, load, false)
--- a/internal/traffic/sidecar/peer.go
+++ b/internal/traffic/sidecar/peer.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"math"
 	"net/http"
+	"slices"
 
 	"github.com/gentiansail/gentiansail/internal/exchange"
 	"github.com/gentiansail/gentiansail/internal/traffic/gate"
@@ -25,7 +28,30 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), hopRequest.RemainingMillis.Duration())
 	defer cancel()
-	stream.Serve(w, func() { s.respondPeer(w, request, stream, s.gate.Do(ctx, request)) })
+	stream.Serve(w, func() {
+		result := s.gate.Do(ctx, request)
+		result.Load = addLinkLoad(result.Load, s.options.Link.Utilization())
+		s.respondPeer(w, request, stream, result)
+	})
+}
+
+// fullLink is the utilization of a link from which on packets queue for long: traffic comes in
+// bursts.
+const fullLink = 0.8
+
+// busyLink is the utilization of a link from which on packets may queue: bursts of a few tens of
+// milliseconds are shorter than what is measured.
+const busyLink = 0.5
+
+// linkBusy reports whether packets may queue at the link of this host.
+func (s *Sidecar) linkBusy() bool { return s.options.Link.Utilization() >= busyLink }
+
+// addLinkLoad returns the load that other hosts are told. A target behind a link that is in use
+// counts as one of which as many slots are in use.
+func addLinkLoad(load hop.Load, utilization float64) hop.Load {
+	requests := int(math.Ceil(float64(load.Slots) * utilization / fullLink))
+	load.Waiting = max(load.Waiting, requests-load.Running)
+	return load
 }
 
 // respondPeer writes the result of a request to the other sidecar. The stream is nil for a
@@ -62,8 +88,8 @@
 	case r.ContentLength == 0:
 		return nil, nil
 	case r.ContentLength > 0 && r.ContentLength <= gate.MaxBufferedBody:
-		body := make([]byte, r.ContentLength)
-		if _, err := io.ReadFull(r.Body, body); err != nil {
+		body, err := readBody(r)
+		if err != nil {
 			return nil, err
 		}
 		request.Body = exchange.Body(body)
@@ -76,3 +102,31 @@
 	request.Body = io.NopCloser(stream.Reader())
 	return stream, nil
 }
+
+// firstBodyBytes bounds the memory for a body of which nothing has arrived.
+const firstBodyBytes = 4 << 10
+
+// readBody reads a body of known length. Memory is allocated only as bytes arrive.
+func readBody(r *http.Request) ([]byte, error) {
+	if r.ContentLength <= firstBodyBytes {
+		body := make([]byte, r.ContentLength)
+		_, err := io.ReadFull(r.Body, body)
+		return body, err
+	}
+	body := make([]byte, 0, firstBodyBytes)
+	for int64(len(body)) < r.ContentLength {
+		if len(body) == cap(body) {
+			body = slices.Grow(body, min(len(body), int(r.ContentLength)-len(body)))
+		}
+		n, err := r.Body.Read(body[len(body):min(cap(body), int(r.ContentLength))])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) == r.ContentLength:
+		case errors.Is(err, io.EOF):
+			return nil, io.ErrUnexpectedEOF
+		case err != nil:
+			return nil, err
+		}
+	}
+	return body, nil
+}
--- a/internal/traffic/sidecar/sidecar.go
+++ b/internal/traffic/sidecar/sidecar.go
@@ -36,6 +36,7 @@
 	"github.com/gentiansail/gentiansail/internal/traffic/link"
 	"github.com/gentiansail/gentiansail/internal/traffic/pipeline"
 	"github.com/gentiansail/gentiansail/internal/traffic/view"
+	"github.com/gentiansail/gentiansail/internal/transport/inbound"
 	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
@@ -81,6 +82,9 @@
 	// ParentID returns the id of the request whose run made the request with the given id, as far
 	// as the id tells; nil if ids tell nothing.
 	ParentID func(id string) (parent string, ok bool)
+	// Link measures the link of the host, with the connections of Listeners.Peers; nil if its
+	// bandwidth is not known.
+	Link *link.Meter
 	// Metrics is where the sidecar registers its metrics.
 	Metrics prometheus.Registerer
 }
@@ -131,9 +135,12 @@
 	for _, seed := range options.Settings.Seeds {
 		seeds = append(seeds, quorum.PeerAddress(seed, options.Settings.PeerPort))
 	}
-	s.core = newCoreClient(options.Clock, options.Log, seeds)
+	s.core = newCoreClient(options.Clock, options.Log, seeds, s.linkBusy)
+	if s.options.Link == nil {
+		s.options.Link = link.NewMeter(options.Clock, 0)
+	}
 	s.targetPool = exchange.NewPool(exchange.Options{MaxPerAddress: maxTargetConnections, IdleConnTimeout: targetIdleLimit, Clock: options.Clock, Dial: link.Dial})
-	s.peerPool = exchange.NewPool(exchange.Options{MaxPerAddress: maxPeerConnections, IdleConnTimeout: peerIdleLimit, Clock: options.Clock, Dial: link.Dial})
+	s.peerPool = exchange.NewPool(exchange.Options{MaxPerAddress: maxPeerConnections, IdleConnTimeout: peerIdleLimit, Clock: options.Clock, Dial: s.options.Link.Dial})
 	s.gate = gate.New(gate.Options{Names: options.Names, Clock: options.Clock, Pool: s.targetPool, OnConnectionLost: s.checkForCrash,
 		OnKeyRejected: func(i message.Incarnation, key message.Key) { s.leaser.keyRejected(i, key) }, OnRateLimit: s.logRateLimit, OnLeaving: s.handleLeaving,
 		OnCold: s.logCold, OnColdRequest: newColdCounter(options.Metrics)})
@@ -162,6 +169,11 @@
 	return quorum.PeerAddress(s.options.Settings.Listen.Control, s.options.Settings.PeerPort)
 }
 
+// connContext is the hook of the servers of all listeners.
+func (s *Sidecar) connContext(ctx context.Context, c net.Conn) context.Context {
+	return s.pipeline.ConnContext(inbound.ConnContext(ctx, c), c)
+}
+
 // Ready reports whether the sidecar accepts new callers: it has a view and is not stopping.
 func (s *Sidecar) Ready() bool { return s.views.Current() != nil && !s.stopping.Load() }
 
@@ -180,7 +192,7 @@
 			serveCtx, cancel := context.WithCancel(treeCtx)
 			defer context.AfterFunc(listenerCtx, cancel)()
 			defer cancel()
-			err := process.ServeHTTPWithTimeoutFunc(serveCtx, l, &http.Server{Handler: h, ConnContext: s.pipeline.ConnContext, IdleTimeout: callerIdleTimeout, ReadHeaderTimeout: 10 * time.Second, ErrorLog: discardLog}, s.remainingStopTime)
+			err := process.ServeHTTPWithTimeoutFunc(serveCtx, l, &http.Server{Handler: inbound.Handler(h), ConnContext: s.connContext, MaxHeaderBytes: inbound.MaxHeaderBytes, IdleTimeout: callerIdleTimeout, ReadHeaderTimeout: 10 * time.Second, ErrorLog: discardLog}, s.remainingStopTime)
 			if listenerCtx.Err() != nil {
 				return nil
 			}
