admission: scheduled wake-ups do not multiply

Cause: advance forgot all scheduled wake-ups when one of them was due. Each time that the next turn came sooner than the wake-up that was scheduled (a raised limit, a request that was taken back at a cold target), one more was scheduled; both then scheduled the same next one, for as long as requests waited for their turn. Change: the queue keeps the times of all wake-ups that are still scheduled. Result: TestWakeUpsDoNotMultiply failed with 41 wake-ups scheduled at the same time after 40 changes of the limit, and passes with at most 2. go test -race of the package passes.

--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -170,8 +170,8 @@
 	pace pace
 	// cold limits how often a request gets a slot while the target is cold.
 	cold *coldstart.Limiter
-	// wakeAt is when the earliest scheduled call of advance is due; 0 if there is none.
-	wakeAt clock.Millis
+	// wakes are the times at which scheduled calls of advance are due, the earliest last.
+	wakes []clock.Millis
 	// after calls a function after a time.
 	after func(clock.Millis, func())
 	// routeMeans and mean are moving averages of the duration of requests, in
@@ -208,7 +208,9 @@
 func (q *Queue) advance() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.wakeAt = 0
+	if n := len(q.wakes); n > 0 {
+		q.wakes = q.wakes[:n-1]
+	}
 	q.assignSlots()
 }
 
@@ -292,8 +294,9 @@
 		return // the next release assigns its slot
 	}
 	wait := max(q.turn(now, 0), 1)
-	if q.wakeAt == 0 || now+wait < q.wakeAt {
-		q.wakeAt = now + wait
+	// The calls that are scheduled already are not cancelled, so they are not scheduled again.
+	if n := len(q.wakes); n == 0 || now+wait < q.wakes[n-1] {
+		q.wakes = append(q.wakes, now+wait)
 		q.after(wait, q.advance)
 	}
 }
--- /dev/null
+++ b/internal/traffic/admission/wake_test.go
@@ -0,0 +1,66 @@
+package admission
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+// wakes runs the scheduled calls of advance of a queue by a manual clock.
+type wakes struct {
+	manual *clock.Manual
+	queue  *Queue
+	due    []clock.Millis
+	calls  int
+}
+
+func newWakes(manual *clock.Manual, q *Queue) *wakes {
+	w := &wakes{manual: manual, queue: q}
+	q.after = func(d clock.Millis, _ func()) { w.due = append(w.due, manual.Clock().Now()+d) }
+	return w
+}
+
+// advance moves the clock on in steps of 1 ms.
+func (w *wakes) advance(millis int) {
+	for range millis {
+		w.manual.Advance(1)
+		due := w.due
+		w.due = nil
+		for _, at := range due {
+			if at > w.manual.Clock().Now() {
+				w.due = append(w.due, at)
+				continue
+			}
+			w.calls++
+			w.queue.advance()
+		}
+	}
+}
+
+// Guards against scheduled calls of advance that multiply: each change of the limit that makes
+// the next turn come sooner left one more, and each of them scheduled another.
+func TestWakeUpsDoNotMultiply(t *testing.T) {
+	manual := clock.NewManual(10_000)
+	q := New(manual.Clock())
+	w := newWakes(manual, q)
+	q.SetSlots(200)
+	q.SetRate(5)
+	admit := func() {
+		for len(q.waiting) < 20 {
+			now := manual.Clock().Now()
+			if d := q.Admit(&Ticket{Route: "r", Deadline: now + 60_000, Objective: now + 60_000}); d != Queued && d != Admitted {
+				t.Fatalf("decision %v", d)
+			}
+		}
+	}
+	for range 40 {
+		admit()
+		q.SetRate(2)
+		w.advance(50)
+		q.SetRate(20)
+		w.advance(50)
+	}
+	qt.Assert(t, len(w.due) <= 2, qt.IsTrue, qt.Commentf("%d wake-ups are scheduled at the same time", len(w.due)))
+}
