admission: give back a slot that is kept for calls

Cause: a free slot is kept for calls while calls have lately asked for one. That decays with time, but only an arrival or the end of a run made the queue look again. While the other slots had long runs and nothing arrived, a new request waited beside a free slot until its own deadline. Change: while requests wait and free slots are kept for calls, the queue looks again every 50 ms.

--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -288,12 +288,16 @@
 	q.cold.Begin(now)
 }
 
-// scheduleAdvance makes a free slot be assigned when the pace allows it.
+// scheduleAdvance makes a free slot be assigned when the pace allows it, or when it may no
+// longer be kept for calls.
 func (q *Queue) scheduleAdvance(now clock.Millis) {
-	if !slices.ContainsFunc(q.waiting, func(t *Ticket) bool { return q.hasRoom(t, now) }) {
+	if len(q.waiting) == 0 || q.running >= q.slots {
 		return // the next release assigns its slot
 	}
 	wait := max(q.turn(now, 0), 1)
+	if !slices.ContainsFunc(q.waiting, func(t *Ticket) bool { return q.hasRoom(t, now) }) {
+		wait = max(wait, reservedCheckInterval)
+	}
 	// The calls that are scheduled already are not cancelled, so they are not scheduled again.
 	if n := len(q.wakes); n == 0 || now+wait < q.wakes[n-1] {
 		q.wakes = append(q.wakes, now+wait)
--- a/internal/traffic/admission/call_share.go
+++ b/internal/traffic/admission/call_share.go
@@ -19,6 +19,9 @@
 	maxReservedShare = 0.125
 	// callUsageHalfLife is the half-life of the work of calls that counts as recent.
 	callUsageHalfLife clock.Millis = 1000
+	// reservedCheckInterval is the time after which a free slot that is kept for calls is looked
+	// at again. No event marks the end of that: the work of calls just decays.
+	reservedCheckInterval clock.Millis = 50
 )
 
 // callShare divides the time of a target's slots between calls and new requests.
--- a/internal/traffic/admission/wake_test.go
+++ b/internal/traffic/admission/wake_test.go
@@ -39,6 +39,40 @@
 	}
 }
 
+func isDecided(t *Ticket) bool {
+	select {
+	case <-t.Decided():
+		return true
+	default:
+		return false
+	}
+}
+
+// Guards against new requests that wait beside a free slot that was kept for calls, after calls
+// have stopped arriving and while the runs that have the other slots last.
+func TestSlotKeptForCallsIsGivenBack(t *testing.T) {
+	manual := clock.NewManual(10_000)
+	q := New(manual.Clock())
+	w := newWakes(manual, q)
+	q.SetSlots(4)
+	for range 200 {
+		call := &Ticket{Route: "call", Deadline: manual.Clock().Now() + 500, Objective: manual.Clock().Now() + 100, Call: true}
+		qt.Assert(t, q.Admit(call), qt.Equals, Admitted)
+		w.advance(20)
+		q.Release(call, 20)
+	}
+	now := manual.Clock().Now()
+	for range 3 {
+		qt.Assert(t, q.Admit(&Ticket{Route: "long", Deadline: now + 60_000, Objective: now + 60_000}), qt.Equals, Admitted)
+	}
+	waiting := &Ticket{Route: "long", Deadline: now + 60_000, Objective: now + 60_000}
+	qt.Assert(t, q.Admit(waiting), qt.Equals, Queued)
+	w.advance(5000)
+	qt.Assert(t, isDecided(waiting), qt.IsTrue, qt.Commentf("the request still waits beside a free slot"))
+	qt.Assert(t, waiting.Decision(), qt.Equals, Admitted)
+	qt.Assert(t, w.calls <= 200, qt.IsTrue, qt.Commentf("%d wake-ups in 9 s", w.calls))
+}
+
 // Guards against scheduled calls of advance that multiply: each change of the limit that makes
 // the next turn come sooner left one more, and each of them scheduled another.
 func TestWakeUpsDoNotMultiply(t *testing.T) {
