admission: the only slot of a target is not kept for calls

Cause: one slot was kept for calls that ask for half of a slot's time, also if the target has one slot. Nothing else ran there then, not even while it was idle, although new requests are to get a quarter of the time. Targets of the present deployments have 4 slots and more. Change: at least one slot is never kept. Result: TestOnlySlotIsNotKeptForCalls failed (a new request was queued at an idle target) and passes.

--- a/internal/traffic/admission/call_share.go
+++ b/internal/traffic/admission/call_share.go
@@ -14,8 +14,9 @@
 	// maxCallAdvance bounds how much work, in milliseconds a slot, calls or new requests may be
 	// behind their share and still catch up.
 	maxCallAdvance = 200.0
-	// maxReservedShare bounds the slots that are kept free for calls, but one is kept if calls ask
-	// for that much. Calls go first, so a few free slots suffice for them to begin at once.
+	// maxReservedShare bounds the slots that are kept free for calls, but one of several is kept
+	// if calls ask for that much. Calls go first, so a few free slots suffice for them to begin
+	// at once.
 	maxReservedShare = 0.125
 	// callUsageHalfLife is the half-life of the work of calls that counts as recent.
 	callUsageHalfLife clock.Millis = 1000
@@ -77,7 +78,7 @@
 // to each other could otherwise fill all their slots with runs that wait.
 func (s *callShare) reserved(slots int, now clock.Millis) int {
 	asked := int(s.usage(slots, now)*float64(slots) + 0.5)
-	most := max(int(maxReservedShare*float64(slots)), 1)
+	most := min(max(int(maxReservedShare*float64(slots)), 1), slots-1)
 	return max(min(asked, most)-s.running, 0)
 }
 
--- a/internal/traffic/admission/wake_test.go
+++ b/internal/traffic/admission/wake_test.go
@@ -73,6 +73,24 @@
 	qt.Assert(t, w.calls <= 200, qt.IsTrue, qt.Commentf("%d wake-ups in 9 s", w.calls))
 }
 
+// Guards against new requests that a target with one slot never runs because the slot is kept
+// for calls.
+func TestOnlySlotIsNotKeptForCalls(t *testing.T) {
+	manual := clock.NewManual(10_000)
+	q := New(manual.Clock())
+	w := newWakes(manual, q)
+	q.SetSlots(1)
+	for range 100 {
+		call := &Ticket{Route: "call", Deadline: manual.Clock().Now() + 500, Objective: manual.Clock().Now() + 100, Call: true}
+		qt.Assert(t, q.Admit(call), qt.Equals, Admitted)
+		w.advance(15)
+		q.Release(call, 15)
+		w.advance(5)
+	}
+	now := manual.Clock().Now()
+	qt.Assert(t, q.Admit(&Ticket{Route: "new", Deadline: now + 1000, Objective: now + 500}), qt.Equals, Admitted)
+}
+
 // Guards against scheduled calls of advance that multiply: each change of the limit that makes
 // the next turn come sooner left one more, and each of them scheduled another.
 func TestWakeUpsDoNotMultiply(t *testing.T) {
