hop: a target cannot make its response pass for a rejection

Cause: the sidecar of a target wrote Gs-Reason and Gs-Retry only if it had something to state, and passed on the fields of the target's response. A target that sets Gs-Reason itself, or echoes the header of a request in which a caller has set it, made its response pass for a rejection: the caller's sidecar sent a request that must run at most once again, or answered 503. Change: SetHeader removes both fields first, as Request.SetHeader does. Result: TestReplyReplacesFieldsOfTheTarget failed (reason busy for a response of the target) and passes.

--- a/internal/traffic/hop/hop.go
+++ b/internal/traffic/hop/hop.go
@@ -202,6 +202,9 @@
 
 // SetHeader writes the reply to the header fields.
 func (r Reply) SetHeader(h http.Header) {
+	// The target may have set these.
+	delete(h, reasonField)
+	delete(h, retryField)
 	if r.Reason != "" {
 		h[reasonField] = []string{string(r.Reason)}
 	}
--- a/internal/traffic/hop/hop_test.go
+++ b/internal/traffic/hop/hop_test.go
@@ -56,3 +56,15 @@
 	_, ok := ParseReply(http.Header{loadField: {"3 1 9"}})
 	qt.Assert(t, ok, qt.IsFalse)
 }
+
+// Guards against a response that passes for a rejection, so that a request that has run is sent
+// again: the target may have set a field of the sidecars itself.
+func TestReplyReplacesFieldsOfTheTarget(t *testing.T) {
+	h := http.Header{reasonField: {string(Busy)}, retryField: {"500"}, loadField: {"9 9 9 9 9"}, "Accept": {"text/plain"}}
+	want := Reply{Load: Load{Running: 1, Slots: 4, ServiceMillis: 20}}
+	want.SetHeader(h)
+	got, ok := ParseReply(h)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, got, qt.Equals, want)
+	qt.Assert(t, h, qt.DeepEquals, http.Header{"Accept": {"text/plain"}})
+}
