sidecar: reject the queue once the gate knows of an evacuation

Cause: the child that rejects queued requests waited for a newer view, but the gate is told of an evacuation after the view is in force. If the child looked in between, it saw no evacuation and waited for the next view. Queued requests then stayed at the evacuated target, where each was rejected only at its turn or at the end of its own time, too late to try another target. Change: observeEvacuation wakes the child after it has told the gate. Result: TestQueueIsRejectedAfterGateLearnsOfEvacuation failed (still waiting after 2 s) and passes. go test -race of the package passes.

--- a/internal/traffic/sidecar/evacuation.go
+++ b/internal/traffic/sidecar/evacuation.go
@@ -46,6 +46,7 @@
 	// The view that is read last is also the last one that the gate is told of.
 	s.evacuationMu.Lock()
 	defer s.evacuationMu.Unlock()
+	defer signal(s.evacuationObserved)
 	v := s.views.Current()
 	if v == nil {
 		return
@@ -71,7 +72,6 @@
 // reject new ones.
 func (s *Sidecar) runEvacuations(ctx context.Context) error {
 	for ctx.Err() == nil {
-		changed := s.views.Changed()
 		var wait clock.Millis
 		if begun, rejectFrom := s.gate.Evacuation(); begun {
 			s.gate.RejectEvacuated()
@@ -79,14 +79,14 @@
 		}
 		if wait <= 0 {
 			select {
-			case <-changed:
+			case <-s.evacuationObserved:
 			case <-ctx.Done():
 			}
 			continue
 		}
 		waitCtx, cancel := context.WithTimeout(ctx, wait.Duration())
 		select {
-		case <-changed:
+		case <-s.evacuationObserved:
 		case <-waitCtx.Done():
 		}
 		cancel()
--- a/internal/traffic/sidecar/evacuation_test.go
+++ b/internal/traffic/sidecar/evacuation_test.go
@@ -1,7 +1,10 @@
 package sidecar
 
 import (
+	"context"
+	"net/http"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
@@ -9,6 +12,7 @@
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
 	"github.com/gentiansail/gentiansail/internal/settings"
 	"github.com/gentiansail/gentiansail/internal/traffic/gate"
+	"github.com/gentiansail/gentiansail/internal/traffic/hop"
 	"github.com/gentiansail/gentiansail/internal/traffic/view"
 	"github.com/gentiansail/gentiansail/pkg/clock"
 )
@@ -59,3 +63,36 @@
 		})
 	}
 }
+
+// Guards against queued requests that stay at an evacuated target because the view with the
+// evacuation was seen before the gate had been told of it.
+func TestQueueIsRejectedAfterGateLearnsOfEvacuation(t *testing.T) {
+	s, _ := newTestSidecar(t, clock.System())
+	s.options.Settings.FailureDomain = "b"
+	service := message.Item{Name: message.ItemService + "finder", Text: `{"Name":"finder","MaxConnections":1,"GrantsByCall":false,"Source":"{}","ColdPerSecond":0,"ColdMillis":0,"Keyed":false}`}
+	qt.Assert(t, s.views.Apply(message.WatchReply{Version: 1, Full: true, Items: []message.Item{service}}), qt.IsNil)
+	s.gate.SetTarget(gate.Target{Incarnation: message.Incarnation{ID: "i-1", StartTime: 1}, Service: "finder", Address: "127.0.0.1:9", Slots: 0})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- s.runEvacuations(ctx) }()
+	defer func() {
+		cancel()
+		qt.Check(t, <-ended, qt.IsNil)
+	}()
+	result := make(chan hop.Reason, 1)
+	go func() {
+		result <- s.gate.Do(t.Context(), &gate.TargetRequest{Request: hop.Request{Service: "finder", Route: "r", RemainingMillis: 10_000, ObjectiveMillis: 10_000, Key: hop.NoKey}, ID: "q", Method: http.MethodGet, URI: "/a", Host: "mesh.example", Header: http.Header{}}).Reason
+	}()
+	for s.gate.Load().Waiting == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	qt.Assert(t, s.views.Apply(message.WatchReply{Version: 2, Items: []message.Item{{Name: message.ItemEvacuation + "b", Text: "true"}}}), qt.IsNil)
+	time.Sleep(50 * time.Millisecond)
+	s.observeEvacuation()
+	select {
+	case reason := <-result:
+		qt.Assert(t, reason, qt.Equals, hop.NoTarget)
+	case <-time.After(2 * time.Second):
+		t.Fatal("the request still waits 2 s after the gate was told of the evacuation")
+	}
+}
--- a/internal/traffic/sidecar/sidecar.go
+++ b/internal/traffic/sidecar/sidecar.go
@@ -114,6 +114,8 @@
 	viewConfirmed atomic.Int64
 	// evacuationMu serializes what the gate is told of evacuations.
 	evacuationMu sync.Mutex
+	// evacuationObserved has an entry after the gate may have been told of an evacuation.
+	evacuationObserved chan struct{}
 
 	// started is when this process started.
 	started      clock.Millis
@@ -126,7 +128,7 @@
 
 // New returns a sidecar that is not running yet.
 func New(options Options) *Sidecar {
-	s := &Sidecar{options: options, log: options.Log, views: view.NewStore(), logBudget: process.NewLineLimiter(options.Clock, logLinesPerSecond), started: options.Clock.Now()}
+	s := &Sidecar{options: options, log: options.Log, views: view.NewStore(), logBudget: process.NewLineLimiter(options.Clock, logLinesPerSecond), started: options.Clock.Now(), evacuationObserved: make(chan struct{}, 1)}
 	s.incarnations = newIncarnations(options.Settings.HeartbeatMillis)
 	var seeds []message.Address
 	for _, seed := range options.Settings.Seeds {
