sidecar: an evacuated target counts as cold only when the evacuation ends

Cause: the sidecar made its target count as cold with each response to a watch while its failure domain was evacuated, not only with the one that ends the evacuation. From the second response on, at most 1 s after the evacuation began, the gate held a warm target that still owned its keys to the rate of a cold one and rejected the rest, until its keys had moved (2.3 s and more). Change: the target is presumed cold if the response removes the evacuation. Result: TestTargetIsPresumedColdOnlyWhenEvacuationEnds failed in its four cases in which the evacuation goes on, and passes. go test -race of the package passes.

--- a/internal/traffic/sidecar/cold.go
+++ b/internal/traffic/sidecar/cold.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"slices"
+
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
 	"github.com/gentiansail/gentiansail/internal/traffic/coldstart"
 	"github.com/gentiansail/gentiansail/internal/traffic/gate"
@@ -21,13 +23,23 @@
 }
 
 // presumeColdAfterEvacuation is called before a newer view is in force. Requests that the end
-// of an evacuation allows must find a target that counts as cold.
-func (s *Sidecar) presumeColdAfterEvacuation() {
-	if v := s.views.Current(); v != nil && v.Evacuated(message.FailureDomain(s.options.Settings.FailureDomain)) {
+// of an evacuation allows must find a target that counts as cold. As long as the evacuation
+// lasts, the target may still serve its keys and is not limited.
+func (s *Sidecar) presumeColdAfterEvacuation(reply message.WatchReply) {
+	domain := s.options.Settings.FailureDomain
+	if v := s.views.Current(); v != nil && v.Evacuated(message.FailureDomain(domain)) && removesItem(reply, message.ItemEvacuation+domain) {
 		s.gate.PresumeCold(gate.ColdEvacuated)
 	}
 }
 
+// removesItem reports whether an item is not in the state after a reply.
+func removesItem(reply message.WatchReply, name string) bool {
+	if slices.ContainsFunc(reply.Items, func(i message.Item) bool { return i.Name == name }) {
+		return false
+	}
+	return reply.Full || slices.Contains(reply.Removed, name)
+}
+
 // logCold logs that the target turns cold, or is cold no longer.
 func (s *Sidecar) logCold(incarnation message.Incarnation, cold bool, cause gate.ColdCause) {
 	skipped, ok := s.logBudget.Allow("target-cold")
--- a/internal/traffic/sidecar/cold_test.go
+++ b/internal/traffic/sidecar/cold_test.go
@@ -29,8 +29,13 @@
 	if evacuated {
 		items = append(items, message.Item{Name: message.ItemEvacuation + "a", Version: h.version, Text: "{}"})
 	}
-	h.sidecar.presumeColdAfterEvacuation()
-	qt.Assert(h.t, h.sidecar.views.Apply(message.WatchReply{Version: h.version, Full: true, Items: items}), qt.IsNil)
+	h.applyCold(message.WatchReply{Version: h.version, Full: true, Items: items})
+}
+
+// applyCold applies a response to a watch as the sidecar does.
+func (h *host) applyCold(reply message.WatchReply) {
+	h.sidecar.presumeColdAfterEvacuation(reply)
+	qt.Assert(h.t, h.sidecar.views.Apply(reply), qt.IsNil)
 }
 
 // Guards against a target that the core takes for a fast one because its heartbeat counts
@@ -64,6 +69,32 @@
 	qt.Assert(t, h.sidecar.gate.Cold(), qt.IsFalse)
 }
 
+// Guards against an evacuated target that is limited as a cold one by each view until it has given
+// up its keys, and against the end of an evacuation that goes unseen in a partial view.
+func TestTargetIsPresumedColdOnlyWhenEvacuationEnds(t *testing.T) {
+	domain := message.ItemEvacuation + "a"
+	for name, tt := range map[string]struct {
+		reply message.WatchReply
+		want  bool
+	}{
+		"nothing changed":          {message.WatchReply{}, false},
+		"evacuated all the while":  {message.WatchReply{Items: []message.Item{{Name: domain, Text: "true"}}}, false},
+		"another evacuation ended": {message.WatchReply{Removed: []string{message.ItemEvacuation + "b"}}, false},
+		"ended and begun again":    {message.WatchReply{Removed: []string{domain}, Items: []message.Item{{Name: domain, Text: "true"}}}, false},
+		"ended":                    {message.WatchReply{Removed: []string{domain}}, true},
+		"ended, whole state":       {message.WatchReply{Full: true}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newColdHost(t, true)
+			qt.Assert(t, h.beat(firstStart, 1, false), qt.IsNil)
+			h.version++
+			tt.reply.Version = h.version
+			h.applyCold(tt.reply)
+			qt.Assert(t, h.sidecar.gate.Cold(), qt.Equals, tt.want)
+		})
+	}
+}
+
 // Guards against a burst to a target that has turned cold while the process of its sidecar was
 // frozen, before the heartbeats of that time are read.
 func TestSilentTargetIsPresumedCold(t *testing.T) {
--- a/internal/traffic/sidecar/watch.go
+++ b/internal/traffic/sidecar/watch.go
@@ -33,7 +33,7 @@
 			_ = s.options.Clock.Sleep(ctx, retryPause*4)
 			continue
 		}
-		s.presumeColdAfterEvacuation()
+		s.presumeColdAfterEvacuation(reply)
 		if err := s.views.Apply(reply); err != nil {
 			s.log.Error().Err(err).Str("Event", "view-refused").Int("Version", int(reply.Version)).Msg("reply of the core cannot be applied")
 			_ = s.options.Clock.Sleep(ctx, retryPause*4)
