admission: simulations run wake-ups by their own clock

Cause: simulations with calls advance a manual clock, but the queue scheduled its wake-ups with timers of the real clock. These ran in other goroutines at arbitrary simulated times, while the simulation read decisions without waiting for them. Since the queue looks again at slots that are kept for calls, this is frequent: 2 of 5 runs of the package with -race failed; the output of one was kept and shows a data race in play (TestCallsOfRunningWorkGoFirst). The queue itself is not at fault. Change: the simulations make the scheduled calls when their own clock reaches them. All checks and bounds are as before.

--- a/internal/traffic/admission/calls_test.go
+++ b/internal/traffic/admission/calls_test.go
@@ -72,7 +72,9 @@
 	clk := m.Clock()
 	random := rand.New(rand.NewPCG(5, 6))
 	queues := [2]*Queue{New(clk), New(clk)}
-	for _, q := range queues {
+	var wakeUps [2]*wakes
+	for i, q := range queues {
+		wakeUps[i] = newWakes(m, q)
 		q.SetSlots(slots)
 	}
 	var runs []*callingRun
@@ -151,6 +153,9 @@
 			runs = append(runs, r)
 		}
 		m.Advance(1)
+		for _, w := range wakeUps {
+			w.run()
+		}
 	}
 	t.Logf("served %v, failed in their run %d of %d", served, failed, begun)
 	for at, n := range served {
--- a/internal/traffic/admission/mixed_load_test.go
+++ b/internal/traffic/admission/mixed_load_test.go
@@ -33,6 +33,7 @@
 	m := clock.NewManual(1000)
 	clk := m.Clock()
 	q := New(clk)
+	w := newWakes(m, q)
 	q.SetSlots(slots)
 	random := rand.New(rand.NewPCG(5, 6))
 	type request struct {
@@ -88,7 +89,7 @@
 			unfinished = append(unfinished, r)
 		}
 		all = unfinished
-		m.Advance(1)
+		w.advance(1)
 	}
 	return results
 }
--- a/internal/traffic/admission/wake_test.go
+++ b/internal/traffic/admission/wake_test.go
@@ -8,7 +8,8 @@
 	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
-// wakes runs the scheduled calls of advance of a queue by a manual clock.
+// wakes runs the scheduled calls of advance of a queue by a manual clock. Timers of the real
+// clock would run them at any time of a test, in another goroutine.
 type wakes struct {
 	manual *clock.Manual
 	queue  *Queue
@@ -26,16 +27,21 @@
 func (w *wakes) advance(millis int) {
 	for range millis {
 		w.manual.Advance(1)
-		due := w.due
-		w.due = nil
-		for _, at := range due {
-			if at > w.manual.Clock().Now() {
-				w.due = append(w.due, at)
-				continue
-			}
-			w.calls++
-			w.queue.advance()
+		w.run()
+	}
+}
+
+// run makes the calls that are due.
+func (w *wakes) run() {
+	due := w.due
+	w.due = nil
+	for _, at := range due {
+		if at > w.manual.Clock().Now() {
+			w.due = append(w.due, at)
+			continue
 		}
+		w.calls++
+		w.queue.advance()
 	}
 }
 
