settings: settings without calls per run load again after they are written

Cause: the crowd tests marshal settings.Host into the file of each process. With second copies, a nil CallsPerRun became null, which the loader rejects, so all crowd tests failed at the start of the core: 'SecondCopies.CallsPerRun: must be an object'.

Change: CallsPerRun is left out when it is empty. TestLoadMarshalledHost writes and loads settings; it failed before with the error above.

--- a/internal/settings/host.go
+++ b/internal/settings/host.go
@@ -88,7 +88,7 @@
 	Burst float64
 	// CallsPerRun holds, by name of route, how many requests to other services a run makes. A
 	// second copy counts as one copy and as many more.
-	CallsPerRun map[string]int
+	CallsPerRun map[string]int `json:",omitempty"`
 }
 
 // maxSecondCopiesRatio bounds HostSecondCopies.Ratio: a copy is sent after a delay that a
--- a/internal/settings/host_test.go
+++ b/internal/settings/host_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"encoding/json"
 	"os"
 	"path/filepath"
 	"strings"
@@ -66,3 +67,15 @@
 		})
 	}
 }
+
+// Guards against settings that a deployment tool writes without optional fields and that
+// cannot be loaded again.
+func TestLoadMarshalledHost(t *testing.T) {
+	want, err := LoadSidecar(writeHostFile(t, sidecarSettings))
+	qt.Assert(t, err, qt.IsNil)
+	text, err := json.Marshal(want)
+	qt.Assert(t, err, qt.IsNil)
+	got, err := LoadSidecar(writeHostFile(t, string(text)))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, got, qt.DeepEquals, want)
+}
