inbound: a connection yields the processor after each response

Cause: while 300 connections sent requests ahead and read no answers, an ordinary request to the same process timed out after 2 and 3 s. A connection whose next request has already arrived never blocks, so the Go scheduler ran its goroutine for a time slice of 10 ms; with one processor each step of an ordinary request waited that long for each connection of the crowd. The processor was busy with the crowd all the time (377 ticks in 3.9 s).

Change: inbound.ConnState, the hook of all listeners, yields once the response to a request has been sent. Each connection gets one request a turn.

--- a/internal/transport/inbound/inbound.go
+++ b/internal/transport/inbound/inbound.go
@@ -23,6 +23,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -626,10 +627,14 @@
 }
 
 // ConnState is a hook of an http.Server. It ends the request of a connection: net/http may
-// read the rest of its body after the handler has returned.
+// read the rest of its body after the handler has returned. It also lets the goroutines of
+// other connections run. A connection whose next request has already arrived does not block,
+// so it would run until the scheduler preempts it after 10 ms, and an ordinary request would
+// wait that long for each connection of a crowd. The response has been sent by then.
 func ConnState(c net.Conn, state http.ConnState) {
 	if state == http.StateIdle {
 		AccountOf(c).finish()
+		runtime.Gosched()
 	}
 }
 
