inbound, pipeline: lines of a body are not charged like fields of a head

Cause: the first read of a request with a body holds the head and the beginning of the body, and each line of it was charged like a field, 384 bytes. A body of 24 KB with many short lines was charged 1.5 MB. The last read of a body was charged as if it were the next head, as long as the connection was idle.

Change: package pipeline knows where the head ends, and states it to the account.

Reads of other listeners and of connections after a chunked request are charged as before.

--- a/internal/traffic/pipeline/pipeline.go
+++ b/internal/traffic/pipeline/pipeline.go
@@ -397,9 +397,14 @@
 	for {
 		c.mu.Lock()
 		n, err := c.take(b)
+		head, known := c.headPart(n)
 		changed, deadline := c.changed, c.deadline
 		c.mu.Unlock()
-		c.account.Read(b[:n])
+		if known {
+			c.account.ReadRequest(b[:head], b[head:n])
+		} else {
+			c.account.Read(b[:n])
+		}
 		if c.account.Closed() {
 			return 0, net.ErrClosed // so that nothing is parsed
 		}
@@ -460,6 +465,19 @@
 	return n, nil
 }
 
+// headPart returns how many of the n bytes that were handed over last belong to the head of
+// the current request; ok is false if that is not known. The caller must hold c.mu.
+func (c *conn) headPart(n int) (head int, ok bool) {
+	if c.current == nil {
+		return 0, false
+	}
+	length := c.current.length
+	if c.current.request != nil {
+		length -= int(c.current.request.ContentLength)
+	}
+	return min(max(length-(c.current.length-c.rest-n), 0), n), true
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
--- a/internal/transport/inbound/inbound.go
+++ b/internal/transport/inbound/inbound.go
@@ -484,8 +484,7 @@
 	a.mu.Lock()
 	var n int64
 	if a.serving {
-		body := min(a.body+int64(float64(len(b))*bodyByteCost), int64(float64(a.door.heldBody)*bodyByteCost))
-		n, a.body = body-a.body, body
+		n = a.chargeBody(len(b))
 		if len(b) <= bufferedRead {
 			a.lastBytes, a.lastLines = len(b), bytes.Count(b, newline)
 		} else {
@@ -504,6 +503,43 @@
 	}
 }
 
+// ReadRequest charges bytes that the server has read from the connection, where it is known
+// which of them belong to the head and which to the body of one request. Lines of a body
+// cost nothing.
+func (a *Account) ReadRequest(head, body []byte) {
+	if a == nil || len(head)+len(body) == 0 {
+		return
+	}
+	a.progress()
+	a.mu.Lock()
+	var n int64
+	if len(body) > 0 {
+		n = a.chargeBody(len(body))
+	}
+	a.lastBytes, a.lastLines = 0, 0 // none of them belong to the next head
+	if !a.serving {
+		a.headBytes += len(head)
+		a.headLines += bytes.Count(head, newline)
+		n += a.chargeHead()
+	} else {
+		// net/http has begun to read the next request before this one has ended.
+		a.lastBytes, a.lastLines = len(head), bytes.Count(head, newline)
+	}
+	a.mu.Unlock()
+	a.Hold(n)
+	if n > 0 {
+		a.await(0)
+	}
+}
+
+// chargeBody adds bytes of the body, and returns the difference. a.mu must be held.
+func (a *Account) chargeBody(size int) int64 {
+	body := min(a.body+int64(float64(size)*bodyByteCost), int64(float64(a.door.heldBody)*bodyByteCost))
+	n := body - a.body
+	a.body = body
+	return n
+}
+
 var newline = []byte("\n")
 
 // chargeHead sets what the head costs, and returns the difference. a.mu must be held.
