process: OPTIONS * is left to the handler

Cause: net/http answers 'OPTIONS *' itself and does not call the handler. Package pipeline then waited for the end of that request, so that no further request of the connection was handed over or answered, and the account of the connection kept the cost of its head.

Change: ServeHTTPWithTimeoutFunc, through which all listeners are served, sets DisableGeneralOptionsHandler. The request gets the handler's answer: 404, as no prefix begins with '*'.

Result: TestRequestAfterOptionsOfServer failed before (second request: i/o timeout) and passes; tests of process, pipeline and sidecar pass.

--- a/internal/process/serve.go
+++ b/internal/process/serve.go
@@ -37,6 +37,9 @@
 		inbound.ConnState(c, state)
 		conns.setState(c, state)
 	}
+	// net/http would answer "OPTIONS *" itself. A handler that follows the requests of a
+	// connection would take that one for unanswered, and hand over no further request.
+	s.DisableGeneralOptionsHandler = true
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- s.Serve(l) }()
 	select {
--- a/internal/process/serve_test.go
+++ b/internal/process/serve_test.go
@@ -10,6 +10,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/gentiansail/gentiansail/internal/traffic/pipeline"
+	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
 // Guards against a planned stop that closes a connection accepted before the stop
@@ -88,3 +91,34 @@
 	}
 	return response.Body.Close()
 }
+
+// Guards against connections that hang after "OPTIONS *", which net/http used to answer
+// without the handler, so that no further request of the connection was handed over.
+func TestRequestAfterOptionsOfServer(t *testing.T) {
+	handler := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }
+	p := pipeline.New(pipeline.Options{Handler: http.HandlerFunc(handler), MayRunAhead: func(*http.Request) bool { return false }, Clock: clock.System()})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() {
+		done <- ServeHTTP(ctx, p.Listener(l), &http.Server{Handler: p, ConnContext: p.ConnContext}, time.Second)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-done // an error states that requests were aborted, which the checks below report
+	})
+	c, err := net.Dial("tcp", l.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = c.Close() }()
+	qt.Assert(t, c.SetDeadline(time.Now().Add(5*time.Second)), qt.IsNil)
+	reader := bufio.NewReader(c)
+	for _, line := range []string{"OPTIONS *", "GET /a"} {
+		_, err = io.WriteString(c, line+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		qt.Assert(t, err, qt.IsNil)
+		response, err := http.ReadResponse(reader, nil)
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", line))
+		_, err = io.Copy(io.Discard, response.Body)
+		qt.Assert(t, err, qt.IsNil)
+	}
+}
--- a/internal/traffic/pipeline/pipeline.go
+++ b/internal/traffic/pipeline/pipeline.go
@@ -16,7 +16,7 @@
 // # Usage
 //
 //	p := pipeline.New(pipeline.Options{Handler: ingress, MayRunAhead: ingress.MayRunAhead, Clock: clock.System()})
-//	s := &http.Server{Handler: p, ConnContext: p.ConnContext}
+//	s := &http.Server{Handler: p, ConnContext: p.ConnContext, DisableGeneralOptionsHandler: true}
 //	err := s.Serve(p.Listener(l))
 package pipeline
 
