inbound: lines after a head are not charged like fields

Change: what follows the blank line is charged like a body. Of a read that may hold the beginning of the next head, the longest run of lines without a blank line is charged, which is as much as a head can have there.

--- a/internal/transport/inbound/inbound.go
+++ b/internal/transport/inbound/inbound.go
@@ -486,15 +486,16 @@
 	if a.serving {
 		n = a.chargeBody(len(b))
 		if len(b) <= bufferedRead {
-			a.lastBytes, a.lastLines = len(b), bytes.Count(b, newline)
+			a.lastBytes, a.lastLines = len(b), longestHead(b)
 		} else {
 			a.lastBytes, a.lastLines = 0, 0 // not through the buffer of net/http
 		}
 	} else {
-		a.lastBytes, a.lastLines = len(b), bytes.Count(b, newline)
-		a.headBytes += a.lastBytes
-		a.headLines += a.lastLines
-		n = a.chargeHead()
+		head, body := splitHead(b)
+		a.lastBytes, a.lastLines = len(b), longestHead(b)
+		a.headBytes += len(head)
+		a.headLines += bytes.Count(head, newline)
+		n = a.chargeHead() + a.chargeBody(len(body))
 	}
 	a.mu.Unlock()
 	a.Hold(n)
@@ -532,6 +533,34 @@
 	}
 }
 
+// splitHead returns what belongs to the head that begins in b, or goes on there, and the rest.
+func splitHead(b []byte) (head, rest []byte) {
+	end := len(b)
+	for _, blank := range []string{"\n\r\n", "\n\n"} {
+		if i := bytes.Index(b[:end], []byte(blank)); i >= 0 {
+			end = i + len(blank)
+		}
+	}
+	return b[:end], b[end:]
+}
+
+// longestHead returns the largest number of lines in b that may belong to one head, which has
+// no blank line in it.
+func longestHead(b []byte) int {
+	most, lines := 0, 0
+	for {
+		i := bytes.IndexByte(b, '\n')
+		if i < 0 {
+			return max(most, lines)
+		}
+		lines++
+		if i == 0 || i == 1 && b[0] == '\r' {
+			most, lines = max(most, lines), 0
+		}
+		b = b[i+1:]
+	}
+}
+
 // chargeBody adds bytes of the body, and returns the difference. a.mu must be held.
 func (a *Account) chargeBody(size int) int64 {
 	body := min(a.body+int64(float64(size)*bodyByteCost), int64(float64(a.door.heldBody)*bodyByteCost))
--- a/internal/transport/inbound/inbound_test.go
+++ b/internal/transport/inbound/inbound_test.go
@@ -167,3 +167,43 @@
 	largestHead := int64(16<<10*headByteCost + 16<<10/3*fieldBytes)
 	qt.Assert(t, largestHead < g.options.MaxBytes/4, qt.IsTrue)
 }
+
+// Guards against bodies with many short lines that are charged like fields of a head, so that
+// ordinary connections are closed although little memory is held.
+func TestLinesOfBodyAreNoFields(t *testing.T) {
+	const connections = 100
+	s := startServer(t, Peers, Limits(184, 4100))
+	body := strings.Repeat("\n", 24<<10)
+	for range connections {
+		c, err := net.Dial("tcp", s.address)
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = c.Close() }()
+		_, err = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	// 32 KB for a connection with a request, and 1.5 bytes for each byte of the body.
+	want := int64(connections * (68 << 10))
+	eventually(t, "all requests have arrived, or connections were closed", func() bool {
+		return s.guard.Held() >= want || s.guard.ClosedCount(Peers.Name, Memory) > 0
+	})
+	qt.Assert(t, s.guard.ClosedCount(Peers.Name, Memory), qt.Equals, 0)
+	qt.Assert(t, s.guard.Held() <= connections*(74<<10), qt.IsTrue, qt.Commentf("%d bytes are held", s.guard.Held()))
+}
+
+// Guards against a head that costs less because it comes with the end of a body.
+func TestLongestHead(t *testing.T) {
+	tests := map[string]struct {
+		read string
+		want int
+	}{
+		"nothing":                   {"", 0},
+		"one head":                  {"GET / HTTP/1.1\r\nA: 1\r\n\r\n", 3},
+		"end of a body and a head":  {"x\n\ny\n\nGET / HTTP/1.1\r\nA: 1\r\nB: 2\r\n", 3},
+		"two heads":                 {"GET / HTTP/1.1\nA: 1\nB: 2\n\nGET / HTTP/1.1\n\n", 4},
+		"empty lines":               {"\n\n\n\n", 1},
+		"rest of a line in between": {" 1\r\nA: 1\r\n", 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) { qt.Assert(t, longestHead([]byte(tt.read)), qt.Equals, tt.want) })
+	}
+}
