--- a/internal/transport/inbound/inbound.go
+++ b/internal/transport/inbound/inbound.go
@@ -23,6 +23,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -483,18 +484,18 @@
 	a.mu.Lock()
 	var n int64
 	if a.serving {
-		body := min(a.body+int64(float64(len(b))*bodyByteCost), int64(float64(a.door.heldBody)*bodyByteCost))
-		n, a.body = body-a.body, body
+		n = a.chargeBody(len(b))
 		if len(b) <= bufferedRead {
-			a.lastBytes, a.lastLines = len(b), bytes.Count(b, newline)
+			a.lastBytes, a.lastLines = len(b), longestHead(b)
 		} else {
 			a.lastBytes, a.lastLines = 0, 0 // not through the buffer of net/http
 		}
 	} else {
-		a.lastBytes, a.lastLines = len(b), bytes.Count(b, newline)
-		a.headBytes += a.lastBytes
-		a.headLines += a.lastLines
-		n = a.chargeHead()
+		head, body := splitHead(b)
+		a.lastBytes, a.lastLines = len(b), longestHead(b)
+		a.headBytes += len(head)
+		a.headLines += bytes.Count(head, newline)
+		n = a.chargeHead() + a.chargeBody(len(body))
 	}
 	a.mu.Unlock()
 	a.Hold(n)
@@ -503,6 +504,71 @@
 	}
 }
 
+// ReadRequest charges bytes that the server has read from the connection, where it is known
+// which of them belong to the head and which to the body of one request. Lines of a body
+// cost nothing.
+func (a *Account) ReadRequest(head, body []byte) {
+	if a == nil || len(head)+len(body) == 0 {
+		return
+	}
+	a.progress()
+	a.mu.Lock()
+	var n int64
+	if len(body) > 0 {
+		n = a.chargeBody(len(body))
+	}
+	a.lastBytes, a.lastLines = 0, 0 // none of them belong to the next head
+	if !a.serving {
+		a.headBytes += len(head)
+		a.headLines += bytes.Count(head, newline)
+		n += a.chargeHead()
+	} else {
+		// net/http has begun to read the next request before this one has ended.
+		a.lastBytes, a.lastLines = len(head), bytes.Count(head, newline)
+	}
+	a.mu.Unlock()
+	a.Hold(n)
+	if n > 0 {
+		a.await(0)
+	}
+}
+
+// splitHead returns what belongs to the head that begins in b, or goes on there, and the rest.
+func splitHead(b []byte) (head, rest []byte) {
+	end := len(b)
+	for _, blank := range []string{"\n\r\n", "\n\n"} {
+		if i := bytes.Index(b[:end], []byte(blank)); i >= 0 {
+			end = i + len(blank)
+		}
+	}
+	return b[:end], b[end:]
+}
+
+// longestHead returns the largest number of lines in b that may belong to one head, which has
+// no blank line in it.
+func longestHead(b []byte) int {
+	most, lines := 0, 0
+	for {
+		i := bytes.IndexByte(b, '\n')
+		if i < 0 {
+			return max(most, lines)
+		}
+		lines++
+		if i == 0 || i == 1 && b[0] == '\r' {
+			most, lines = max(most, lines), 0
+		}
+		b = b[i+1:]
+	}
+}
+
+// chargeBody adds bytes of the body, and returns the difference. a.mu must be held.
+func (a *Account) chargeBody(size int) int64 {
+	body := min(a.body+int64(float64(size)*bodyByteCost), int64(float64(a.door.heldBody)*bodyByteCost))
+	n := body - a.body
+	a.body = body
+	return n
+}
+
 var newline = []byte("\n")
 
 // chargeHead sets what the head costs, and returns the difference. a.mu must be held.
@@ -626,10 +692,14 @@
 }
 
 // ConnState is a hook of an http.Server. It ends the request of a connection: net/http may
-// read the rest of its body after the handler has returned.
+// read the rest of its body after the handler has returned. It also lets the goroutines of
+// other connections run. A connection whose next request has already arrived does not block,
+// so it would run until the scheduler preempts it after 10 ms, and an ordinary request would
+// wait that long for each connection of a crowd. The response has been sent by then.
 func ConnState(c net.Conn, state http.ConnState) {
 	if state == http.StateIdle {
 		AccountOf(c).finish()
+		runtime.Gosched()
 	}
 }
 
