--- a/internal/traffic/sidecar/core_client.go
+++ b/internal/traffic/sidecar/core_client.go
@@ -48,7 +48,7 @@
 
 // maxBusySilence is how long a replica may be silent while the link of this host is congested. Its
 // responses are late then, and a new connection would be later still.
-const maxBusySilence clock.Millis = 2000
+const maxBusySilence clock.Millis = 1300
 
 // mayBeSilent reports whether to keep a connection after the given time without a byte.
 func (c *coreClient) mayBeSilent(silent clock.Millis) bool {
