keyrange: the base load of keys is in the unit of work

Cause: loads of keys had become time in units of 10 ms, five for a request of 50 ms, while the base load of keys without requests had stayed at 20 a second. A few requests a second then counted like all other keys, and small rows moved to and fro. Concluded from the units, not traced in the leader's log. Change: the base load is the work of one slot.

--- a/internal/ownership/keyrange/keyrange.go
+++ b/internal/ownership/keyrange/keyrange.go
@@ -35,9 +35,9 @@
 )
 
 // baseLoadPerBucket is added to the load of each bucket, in units of work per second. The
-// sum over all buckets is 20. It makes the keys be divided evenly while no load is known, and
-// it is far below the load of a bucket in use.
-const baseLoadPerBucket = 20.0 / Buckets
+// sum over all buckets is the work of one slot. It makes the keys be divided evenly while no
+// load is known or a few requests a second are, and it is far below the load of a bucket in use.
+const baseLoadPerBucket = float64(WorkPerSlot) / Buckets
 
 // Loads are units of work per second by bucket.
 type Loads [Buckets]float64
