gate, placement: loads are read once, and reading adds no state

Cause: Capacity read the queue's load twice, and ServiceMillis added state for a target that it only looked up, while ExpectCold takes targets without state for new ones. Change: Capacity uses the load it has; ServiceMillis uses known.

--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -214,11 +214,10 @@
 // Capacity returns the work that the target can do in a second, in the unit of TakeKeyLoads: that
 // of its slots, or less if its rate is limited.
 func (g *Gate) Capacity() float64 {
-	limited := g.Load()
-	_, _, slots, _ := g.queue.Load()
-	capacity := float64(slots) * keyrange.WorkPerSlot
-	if mean := g.queue.MeanDuration(); limited.ServiceMillis > mean {
-		capacity *= float64(mean) / float64(limited.ServiceMillis)
+	load := g.Load()
+	capacity := float64(load.Slots) * keyrange.WorkPerSlot
+	if mean := g.queue.MeanDuration(); load.ServiceMillis > mean {
+		capacity *= float64(mean) / float64(load.ServiceMillis)
 	}
 	return capacity
 }
--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -139,7 +139,7 @@
 func (b *Balancer) ServiceMillis(id message.InstanceID) clock.Millis {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if reported := b.state(id).load.ServiceMillis; reported > 0 {
+	if reported := b.known(id).load.ServiceMillis; reported > 0 {
 		return reported
 	}
 	return defaultServiceMillis
