hop, docs: no unused header name; what a client needs to pass for a call

Cause: HeaderNames.Load was set and read nowhere. Change: the field is gone until the load that targets report is read; the texts say what holds.

--- a/internal/traffic/hop/hop.go
+++ b/internal/traffic/hop/hop.go
@@ -257,6 +257,4 @@
 	RateLimit string
 	// Leaving is 1 in the responses of a target that is leaving.
 	Leaving string
-	// Load is the load that a target reports in its responses.
-	Load string
 }
--- a/internal/traffic/ingress/request.go
+++ b/internal/traffic/ingress/request.go
@@ -105,7 +105,7 @@
 
 // parentRoute returns the route of the request whose run made the request with the given id,
 // or "". The parent must be under way at the target of this host, so a client that wants its
-// request to count as a call needs to know the id of another one that runs there now.
+// request to count as a call needs the id of one that runs there now, its own included.
 func (in *Ingress) parentRoute(id string) string {
 	if in.options.ParentID == nil {
 		return ""
