explain: where a request would go now, and why, without sending it

Cause: an operator could read where requests went only from logs and metrics afterwards. Change: gentiansail explain asks a sidecar, at its metrics address, for the route, the targets in the order of their cost, the owner of a key, whether this host or the sidecar beside the target would reject the request, and which Retry-After its caller would get. Requests and explanations share the decisions: ingress.resolve, owner, earlyRejection and rejectionReason, placement.skipReason and cost, gate.rejectionReason, admission.judge. Not for nodes yet.

--- a/cmd/gentiansail/command_line.go
+++ b/cmd/gentiansail/command_line.go
@@ -73,6 +73,7 @@
 	auditAfter, auditLimit int
 	fingerprint            string
 	bench                  benchFlags
+	explain                explainFlags
 }
 
 func newCommandLine() *commandLine {
@@ -183,6 +184,7 @@
 	}))
 	s.Int(&c.auditAfter, "", "after", "only records with a later index")
 	s.Int(&c.auditLimit, "", "limit", "the newest records, at most this many")
+	c.addExplain()
 	c.addQuarantine()
 }
 
--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -175,7 +175,7 @@
 	c.service.Register(server)
 	c.handlers.register(server)
 	metrics := func(ctx context.Context) error {
-		return process.ServeMetrics(ctx, metricsListener, c.registry, c.health)
+		return process.ServeMetrics(ctx, metricsListener, c.registry, c.health, nil)
 	}
 	children := []supervisor.Child{
 		{Name: "log", Run: c.awaitLog, Policy: supervisor.Once},
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -118,7 +118,7 @@
 		{Name: "peer check pool", Run: n.peerCheckPool.Run},
 		{Name: "caller limits", Run: n.applyCallerLimits},
 		{Name: "metrics", Run: func(ctx context.Context) error {
-			return process.ServeMetrics(ctx, ports.metrics, n.metrics.registry, n.health)
+			return process.ServeMetrics(ctx, ports.metrics, n.metrics.registry, n.health, nil)
 		}},
 	}
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -57,9 +57,13 @@
 }
 
 // ServeMetrics serves /metrics, /healthz and /debug/pprof on l until ctx ends. health
-// returns nil while the process is healthy.
-func ServeMetrics(ctx context.Context, l net.Listener, g prometheus.Gatherer, health func() error) error {
+// returns nil while the process is healthy. Requests for other paths go to the handler other,
+// if there is one.
+func ServeMetrics(ctx context.Context, l net.Listener, g prometheus.Gatherer, health func() error, other http.Handler) error {
 	r := chi.NewRouter()
+	if other != nil {
+		r.NotFound(other.ServeHTTP)
+	}
 	r.Method(http.MethodGet, "/metrics", promhttp.HandlerFor(g, promhttp.HandlerOpts{}))
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) {
 		if err := health(); err != nil {
--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -33,7 +33,7 @@
 			qt.Assert(t, err, qt.IsNil)
 			ctx, stop := context.WithCancel(t.Context())
 			served := make(chan error, 1)
-			go func() { served <- ServeMetrics(ctx, l, prometheus.NewRegistry(), func() error { return nil }) }()
+			go func() { served <- ServeMetrics(ctx, l, prometheus.NewRegistry(), func() error { return nil }, nil) }()
 			r, err := http.Get("http://" + l.Addr().String() + path)
 			qt.Assert(t, err, qt.IsNil)
 			qt.Assert(t, r.Body.Close(), qt.IsNil)
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -221,6 +221,39 @@
 	now := q.clock.Now()
 	q.lastSequence++
 	t.sequence = q.lastSequence
+	decision, _ := q.judge(t, now)
+	if t.Call && decision != TooLate {
+		q.calls.recordDemand(q.expectedDuration(t), now)
+	}
+	switch decision {
+	case Admitted:
+		q.begin(t, now)
+	case Queued:
+		t.decided = make(chan struct{})
+		q.waiting = append(q.waiting, t)
+		q.scheduleAdvance(now)
+	}
+	return decision
+}
+
+// Preview returns what Admit would decide about a request, the expected wait of a request that
+// would be queued, and when the caller of a rejected one would be asked to return. It changes
+// only the ticket, which must not be used again.
+func (q *Queue) Preview(t *Ticket) (decision Decision, wait, returnDelay clock.Millis) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.clock.Now()
+	t.sequence = q.lastSequence + 1
+	decision, wait = q.judge(t, now)
+	if decision == Overloaded {
+		returnDelay = min(clock.Millis(q.nextPlace(now))-now, maxReturnDelay)
+	}
+	return decision, wait, returnDelay
+}
+
+// judge decides about a request that arrives, and returns how long it is expected to wait. It
+// sets what the ticket holds about its wait.
+func (q *Queue) judge(t *Ticket, now clock.Millis) (decision Decision, wait clock.Millis) {
 	timeLeft := t.Objective - now
 	if timeLeft < 0 {
 		timeLeft = lateRankDelay
@@ -231,10 +264,7 @@
 	}
 	t.latestStart = t.Deadline - q.minDuration(t)
 	if now > t.latestStart {
-		return TooLate
-	}
-	if t.Call {
-		q.calls.recordDemand(q.expectedDuration(t), now)
+		return TooLate, 0
 	}
 	// A call does not wait behind new requests that leave room for calls.
 	ahead := len(q.waiting)
@@ -242,22 +272,18 @@
 		ahead = q.countWaiting(true)
 	}
 	if ahead == 0 && q.hasRoom(t, now) && q.turn(now, 0) == 0 {
-		q.begin(t, now)
-		return Admitted
+		return Admitted, 0
 	}
-	wait := q.expectedWait(t, now)
+	wait = q.expectedWait(t, now)
 	if canRetry := !t.Call && t.latestStart-t.Objective >= minRetryTime; canRetry {
 		if t.rejectIfLate = q.canMeetObjective(t, now); !t.rejectIfLate {
 			t.latestStart = now + min((t.latestStart-now)/lateWaitDivisor, maxLateWait)
 		}
 	}
 	if q.countWaiting(t.Call) >= maxQueuedPerSlot*max(q.slots, 1) || now+wait > t.latestStart || t.rejectIfLate && !q.canMeetObjective(t, now+wait) {
-		return Overloaded
+		return Overloaded, wait
 	}
-	t.decided = make(chan struct{})
-	q.waiting = append(q.waiting, t)
-	q.scheduleAdvance(now)
-	return Queued
+	return Queued, wait
 }
 
 // countWaiting returns the number of waiting calls or of other waiting requests.
@@ -395,7 +421,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock.Now()
-	place := max(q.nextReturn, float64(now+q.timeToEmpty()))
+	place := q.nextPlace(now)
 	if place > float64(now+maxReturnDelay) {
 		return maxReturnDelay
 	}
@@ -403,6 +429,12 @@
 	return clock.Millis(place) - now
 }
 
+// nextPlace returns when the next rejected caller is expected to find room, in milliseconds of the
+// clock. The caller must hold q.mu.
+func (q *Queue) nextPlace(now clock.Millis) float64 {
+	return max(q.nextReturn, float64(now+q.timeToEmpty()))
+}
+
 // timeToEmpty returns the expected time until the queue is empty. The caller must hold q.mu.
 func (q *Queue) timeToEmpty() clock.Millis {
 	work := 0.0
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -176,12 +176,8 @@
 		in.writeError(w, r, req, gate.Rejection(reason, 0))
 		return
 	}
-	if end := clock.Millis(in.serveUntil.Load()); end > 0 && req.deadline > end {
-		in.writeError(w, r, req, gate.Rejection(hop.Stopping, 0))
-		return
-	}
-	if v.Quarantined(req.fingerprint) {
-		in.writeError(w, r, req, gate.Rejection(hop.Quarantined, 0))
+	if reason := in.rejectionReason(req, v); reason != "" {
+		in.writeError(w, r, req, gate.Rejection(reason, 0))
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), (req.deadline - in.options.Clock.Now()).Duration())
@@ -189,6 +185,17 @@
 	req.stream.Serve(w, func() { in.serve(ctx, w, r, req) })
 }
 
+// rejectionReason returns why a request that was read is not sent to any target, or "".
+func (in *Ingress) rejectionReason(req *request, v *view.View) hop.Reason {
+	if end := clock.Millis(in.serveUntil.Load()); end > 0 && req.deadline > end {
+		return hop.Stopping
+	}
+	if v.Quarantined(req.fingerprint) {
+		return hop.Quarantined
+	}
+	return ""
+}
+
 // serve sends the request until there is a response for the caller, and writes that.
 func (in *Ingress) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request) {
 	for {
@@ -278,13 +285,13 @@
 // is expected to reject the request. No other target may run it. It returns nil if the
 // request should be sent to the owner.
 func (in *Ingress) rejectEarly(req *request, owner message.Instance) *gate.Result {
-	if !req.keyed || req.key == hop.NoKey {
-		return nil
-	}
 	id := owner.Incarnation.ID
-	if in.balancer.Unreachable(id) {
+	if rejection := in.earlyRejection(req, owner); rejection != nil {
 		req.attempts = append(req.attempts, string(id)+":not-reached-before")
-		return gate.Rejection(hop.Unreachable, ownerRetryAfter)
+		return rejection
+	}
+	if !req.hasOwner() {
+		return nil
 	}
 	retryAfter, ok := in.throttle.Allow(id)
 	if ok {
@@ -295,6 +302,15 @@
 	return gate.Rejection(hop.Busy, retryAfter)
 }
 
+// earlyRejection returns the rejection of a request for a key whose owner could not be reached
+// recently, or nil.
+func (in *Ingress) earlyRejection(req *request, owner message.Instance) *gate.Result {
+	if req.hasOwner() && in.balancer.Unreachable(owner.Incarnation.ID) {
+		return gate.Rejection(hop.Unreachable, ownerRetryAfter)
+	}
+	return nil
+}
+
 // TakeRejectedLoads returns the requests for keys that were rejected on this host since the
 // last call because the owners of the keys had rejected most requests before them.
 func (in *Ingress) TakeRejectedLoads() []message.ServiceLoads {
@@ -331,9 +347,9 @@
 
 // chooseTarget returns the target of the next attempt, or the reason why there is none.
 func (in *Ingress) chooseTarget(v *view.View, req *request, tried map[message.InstanceID]bool) (message.Instance, hop.Reason) {
-	if req.keyed && req.key != hop.NoKey {
-		owner, ok := v.Owner(req.service, message.Key(req.key))
-		if !ok || in.departures.hasLeft(owner.Incarnation) {
+	if req.hasOwner() {
+		owner, ok := in.owner(v, req)
+		if !ok {
 			return message.Instance{}, hop.NoOwner
 		}
 		return owner, ""
@@ -349,6 +365,13 @@
 	return target, ""
 }
 
+// owner returns the target that owns the key of a request. ok is false if there is none, or if
+// it may get no more requests.
+func (in *Ingress) owner(v *view.View, req *request) (owner message.Instance, ok bool) {
+	owner, ok = v.Owner(req.service, message.Key(req.key))
+	return owner, ok && !in.departures.hasLeft(owner.Incarnation)
+}
+
 // mayRetry reports whether a request that may have reached a target may be sent again. If
 // so, it takes one retry from the budget.
 func (in *Ingress) mayRetry(ctx context.Context, req *request) bool {
@@ -377,14 +400,9 @@
 // attempt sends a request to a target, either through the gate of this host or through the
 // sidecar of the target's host.
 func (in *Ingress) attempt(ctx context.Context, r *http.Request, req *request, target message.Instance) *gate.Result {
-	now := in.options.Clock.Now()
 	targetRequest := &gate.TargetRequest{
-		Request: hop.Request{
-			Service: req.service, Route: req.route.Name, RemainingMillis: req.deadline - now, ObjectiveMillis: req.objective - now,
-			Rank: req.route.Rank, Repeatable: req.route.Repeatable, Key: req.key, Fingerprint: req.fingerprint,
-			RateLimit: in.rateLimits.limit(target.Incarnation), SecondCopy: req.secondCopy, Call: req.parentRoute != "",
-		},
-		ID: req.id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: req.header.Clone(), Length: req.length,
+		Request: in.hopRequest(req, target),
+		ID:      req.id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: req.header.Clone(), Length: req.length,
 	}
 	if req.stream != nil {
 		targetRequest.Body = io.NopCloser(io.MultiReader(bytes.NewReader(req.body), req.stream.Reader()))
@@ -416,6 +434,16 @@
 	return result
 }
 
+// hopRequest returns what the sidecar of the target's host is told about a request.
+func (in *Ingress) hopRequest(req *request, target message.Instance) hop.Request {
+	now := in.options.Clock.Now()
+	return hop.Request{
+		Service: req.service, Route: req.route.Name, RemainingMillis: req.deadline - now, ObjectiveMillis: req.objective - now,
+		Rank: req.route.Rank, Repeatable: req.route.Repeatable, Key: req.key, Fingerprint: req.fingerprint,
+		RateLimit: in.rateLimits.limit(target.Incarnation), SecondCopy: req.secondCopy, Call: req.parentRoute != "",
+	}
+}
+
 // updateThrottle records whether the owner of a key accepted a request. An owner that could
 // not be reached, or whose response came too late, counts as one that rejected it, because
 // the link to its host may be congested.
--- a/internal/traffic/ingress/request.go
+++ b/internal/traffic/ingress/request.go
@@ -55,22 +55,43 @@
 	attempts []string
 }
 
+// hasOwner reports whether only the owner of its key may run the request.
+func (req *request) hasOwner() bool { return req.keyed && req.key != hop.NoKey }
+
 // readRequest reads a request, finds its route and chooses its service.
 func (in *Ingress) readRequest(w http.ResponseWriter, r *http.Request, v *view.View, arrival clock.Millis) (*request, hop.Reason) {
+	req, reason := in.resolve(r, v, arrival)
+	if reason != "" {
+		return req, reason
+	}
+	in.setService(req, chooseService(req.route, rand.Float64()), r, v)
+	if req.deadline <= in.options.Clock.Now() {
+		return req, hop.TooLate // it waited in line behind other requests of its connection
+	}
+	req.header = endToEndHeader(r.Header)
+	req.header[textproto.CanonicalMIMEHeaderKey(in.options.Names.CallerService)] = []string{string(in.options.Service)}
+	delete(req.header, textproto.CanonicalMIMEHeaderKey(in.options.Names.Instance))
+	if reason := in.readBody(w, r, v, req); reason != "" {
+		return req, reason
+	}
+	req.fingerprint = computeFingerprint(r, req, in.options.Service)
+	if first, ok := in.returns.take(req.fingerprint, req.giveUp); ok && req.parentRoute == "" {
+		req.firstArrival = first
+		if req.route.TargetLatencyMillis > 0 {
+			req.objective = first + clock.Millis(req.route.TargetLatencyMillis)
+		}
+	}
+	return req, ""
+}
+
+// resolve finds the route of a request and its time limits.
+func (in *Ingress) resolve(r *http.Request, v *view.View, arrival clock.Millis) (*request, hop.Reason) {
 	req := &request{id: r.Header.Get(in.options.Names.RequestID), arrival: arrival, firstArrival: arrival, key: hop.NoKey, length: r.ContentLength}
 	req.parentRoute = in.parentRoute(req.id)
 	req.route = matchRoute(v, r)
 	if req.route == nil {
 		return req, hop.NoRoute
 	}
-	req.service = chooseService(req.route, rand.Float64())
-	if s, _ := v.Service(req.service); s.Keyed {
-		key, err := strconv.Atoi(r.Header.Get(in.options.Names.Key))
-		if err == nil && key >= 0 && key <= 65535 {
-			req.key = key
-		}
-		req.keyed = true
-	}
 	timeout := defaultTimeout
 	if n, err := strconv.Atoi(r.Header.Get(in.options.Names.RemainingMillis)); err == nil && n >= 0 {
 		timeout = clock.Millis(n)
@@ -84,23 +105,19 @@
 	if req.route.TargetLatencyMillis == 0 {
 		req.objective = req.deadline
 	}
-	if req.deadline <= in.options.Clock.Now() {
-		return req, hop.TooLate // it waited in line behind other requests of its connection
-	}
-	req.header = endToEndHeader(r.Header)
-	req.header[textproto.CanonicalMIMEHeaderKey(in.options.Names.CallerService)] = []string{string(in.options.Service)}
-	delete(req.header, textproto.CanonicalMIMEHeaderKey(in.options.Names.Instance))
-	if reason := in.readBody(w, r, v, req); reason != "" {
-		return req, reason
-	}
-	req.fingerprint = computeFingerprint(r, req, in.options.Service)
-	if first, ok := in.returns.take(req.fingerprint, req.giveUp); ok && req.parentRoute == "" {
-		req.firstArrival = first
-		if req.route.TargetLatencyMillis > 0 {
-			req.objective = first + clock.Millis(req.route.TargetLatencyMillis)
+	return req, ""
+}
+
+// setService sets the service of a request, and the key if the service is divided by key.
+func (in *Ingress) setService(req *request, service message.ServiceName, r *http.Request, v *view.View) {
+	req.service = service
+	if s, _ := v.Service(service); s.Keyed {
+		key, err := strconv.Atoi(r.Header.Get(in.options.Names.Key))
+		if err == nil && key >= 0 && key <= 65535 {
+			req.key = key
 		}
+		req.keyed = true
 	}
-	return req, ""
 }
 
 // parentRoute returns the route of the request whose run made the request with the given id,
--- a/internal/traffic/ingress/second_copy.go
+++ b/internal/traffic/ingress/second_copy.go
@@ -96,8 +96,7 @@
 // response takes longer than those of most requests of this route. It returns the result and
 // the target that it comes from. Only the first attempt of a request gets a second copy.
 func (in *Ingress) attemptWithCopy(ctx context.Context, r *http.Request, req *request, target message.Instance) (*gate.Result, message.Instance) {
-	hasOwner := req.keyed && req.key != hop.NoKey
-	if in.copies == nil || !req.route.Repeatable || hasOwner || req.stream != nil || len(req.attempts) > 0 {
+	if in.copies == nil || !req.route.Repeatable || req.hasOwner() || req.stream != nil || len(req.attempts) > 0 {
 		return in.attempt(ctx, r, req, target), target
 	}
 	limit := in.copies.limit(req.service, in.options.Views.Current().TargetCount())
--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -131,7 +131,7 @@
 func (b *Balancer) Unreachable(id message.InstanceID) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.state(id)
+	s := b.known(id)
 	return s.unreachableCount >= unreachableThreshold && b.clock.Now() < s.pausedUntil
 }
 
@@ -164,7 +164,7 @@
 	now := b.clock.Now()
 	meanMillis := b.meanServiceMillis(instances, now)
 	available := func(instance message.Instance, s *targetState) bool {
-		return !instance.Draining && instance.Stopping == stopping && !tried[instance.Incarnation.ID] && now >= s.pausedUntil
+		return skipReason(instance, s, tried, stopping, now) == ""
 	}
 	target, onlyWarm := b.chooseLimited(instances, available, meanMillis, now)
 	if target != nil {
--- a/internal/traffic/throttle/throttle.go
+++ b/internal/traffic/throttle/throttle.go
@@ -79,13 +79,31 @@
 	return c
 }
 
+// rejectProbability returns the part of the requests that are rejected. It is negative while
+// the owner accepts most of them.
+func (c *requestCounts) rejectProbability() float64 {
+	return (c.total - maxSentPerAccepted*c.accepted) / (c.total + smoothingRequests)
+}
+
+// RejectProbability returns the part of the requests to an owner that Allow rejects now, and
+// how long it tells their callers to wait. It counts nothing.
+func (l *Limiter) RejectProbability(owner message.InstanceID) (probability float64, retryAfter clock.Millis) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.owners[owner] == nil {
+		return 0, 0
+	}
+	c := l.decayedCounts(owner)
+	return max(c.rejectProbability(), 0), c.retryAfter
+}
+
 // Allow reports whether a request may be sent to an owner. If not, it returns how long the
 // caller should wait before it retries.
 func (l *Limiter) Allow(owner message.InstanceID) (retryAfter clock.Millis, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := l.decayedCounts(owner)
-	if l.random() >= (c.total-maxSentPerAccepted*c.accepted)/(c.total+smoothingRequests) {
+	if l.random() >= c.rejectProbability() {
 		return 0, true
 	}
 	c.total++
--- a/internal/traffic/view/view.go
+++ b/internal/traffic/view/view.go
@@ -77,6 +77,16 @@
 // Owner returns the target that owns a key. It returns false if the key is unassigned or
 // its owner is not among the published targets.
 func (v *View) Owner(name message.ServiceName, key message.Key) (message.Instance, bool) {
+	r, ok := v.RangeOf(name, key)
+	if !ok || r.Owner == "" {
+		return message.Instance{}, false
+	}
+	instance, ok := v.instancesByID[r.Owner]
+	return instance, ok
+}
+
+// RangeOf returns the published key range that contains a key.
+func (v *View) RangeOf(name message.ServiceName, key message.Key) (message.RangeOwner, bool) {
 	ranges := v.rangeOwners[name]
 	i, found := slices.BinarySearchFunc(ranges, key, func(r message.RangeOwner, k message.Key) int {
 		switch {
@@ -87,11 +97,23 @@
 		}
 		return 0
 	})
-	if !found || ranges[i].Owner == "" {
-		return message.Instance{}, false
+	if !found {
+		return message.RangeOwner{}, false
 	}
-	instance, ok := v.instancesByID[ranges[i].Owner]
-	return instance, ok
+	return ranges[i], true
+}
+
+// ShadowedPrefixes returns the shorter prefixes, with the host name of a route, that match all
+// requests of the route too. The longest is first.
+func (v *View) ShadowedPrefixes(route *message.Route) []string {
+	out := []string{}
+	for prefix := range v.routes[route.HostName] {
+		if len(prefix) < len(route.Prefix) && strings.HasPrefix(route.Prefix, prefix) {
+			out = append(out, prefix)
+		}
+	}
+	slices.SortFunc(out, func(a, b string) int { return len(b) - len(a) })
+	return out
 }
 
 // Quarantined reports whether requests with a fingerprint are rejected because they have
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -109,6 +109,9 @@
 	}
 }
 
+// Available returns the number of retries that the budget holds.
+func (b *Budget) Available() float64 { return float64(b.units.Load()) / unitsPerRetry }
+
 // Return adds n retries that were withdrawn and not sent.
 func (b *Budget) Return(n int) {
 	for {
