inbound: connections are not closed twice over for the same bytes

An ordinary connection that held 16 KB was reset while the connections of a crowd were closed for memory.

Cause: relieve chose the connections to close under g.mu, but counted what they hold as being released only afterwards, when each was closed. A charge to another connection meanwhile found the budget exceeded still and closed further connections for the same bytes, in the end those that hold least. Traced in TestHeldStaysInBudget/unfinished: 91 connections closed, the last ones with 16,384 bytes each and the ordinary request's among them, while 6,506,592 bytes were held and 5,255,014 of them being released, so that 1.2 MB of a budget of 4 MB remained.

Change: relieve marks the connections before it releases g.mu, and does nothing if others have been closed meanwhile. The crowd, the bounds and the wait of TestHeldStaysInBudget are as they were.

--- a/internal/transport/inbound/inbound.go
+++ b/internal/transport/inbound/inbound.go
@@ -259,17 +259,29 @@
 
 // close closes a connection. The memory is released once its handler has returned.
 func (g *Guard) close(a *Account, reason Reason) {
+	if a.leave() {
+		g.closeLeaving(a, reason)
+	}
+}
+
+// leave counts what is held for the connection as being released. It returns false if the
+// connection is closed, or about to be.
+func (a *Account) leave() bool {
 	a.mu.Lock()
-	bytes, ended := a.held, a.ended || a.leaving
-	if !ended {
-		a.leaving = true
-		g.leaving.Add(a.held)
+	defer a.mu.Unlock()
+	if a.ended || a.leaving {
+		return false
 	}
-	cancel := a.cancel
+	a.leaving = true
+	a.guard.leaving.Add(a.held)
+	return true
+}
+
+// closeLeaving closes a connection that has been marked by leave.
+func (g *Guard) closeLeaving(a *Account, reason Reason) {
+	a.mu.Lock()
+	bytes, cancel := a.held, a.cancel
 	a.mu.Unlock()
-	if ended {
-		return
-	}
 	stalled := a.stalled()
 	_ = a.raw.Close()
 	if cancel != nil {
@@ -291,7 +303,12 @@
 // less than the budget is held.
 func (g *Guard) relieve() {
 	g.mu.Lock()
-	excess := g.held.Load() - g.leaving.Load() - int64(float64(g.options.MaxBytes)*relievedRatio)
+	kept := g.held.Load() - g.leaving.Load()
+	if kept <= g.options.MaxBytes {
+		g.mu.Unlock()
+		return // others have been closed meanwhile
+	}
+	excess := kept - int64(float64(g.options.MaxBytes)*relievedRatio)
 	type candidate struct {
 		account *Account
 		held    int64
@@ -315,13 +332,17 @@
 		if excess <= 0 {
 			break
 		}
-		excess -= c.held
-		victims = append(victims, c.account)
 		delete(g.accounts[c.account.door.Name], c.account)
+		// Marked before g.mu is released, so that the next call does not close others for the
+		// same bytes.
+		if c.account.leave() {
+			excess -= c.held
+			victims = append(victims, c.account)
+		}
 	}
 	g.mu.Unlock()
 	for _, a := range victims {
-		g.close(a, Memory)
+		g.closeLeaving(a, Memory)
 	}
 }
 
--- a/internal/transport/inbound/inbound_test.go
+++ b/internal/transport/inbound/inbound_test.go
@@ -127,6 +127,45 @@
 	}
 }
 
+// holdingConn charges bytes to another connection while it is being closed.
+type holdingConn struct {
+	net.Conn
+	onClose func()
+}
+
+func (c holdingConn) Close() error {
+	c.onClose()
+	return nil
+}
+
+func (c holdingConn) RemoteAddr() net.Addr { return &net.TCPAddr{} }
+
+// Guards against an ordinary connection that is closed because the budget is exceeded once more
+// while other connections are being closed for it.
+func TestClosesNoMoreWhileOthersAreClosed(t *testing.T) {
+	const crowd, crowdBytes = 10, 1 << 20
+	g := NewGuard(Options{MaxBytes: crowd * crowdBytes / 2, Descriptors: 4000})
+	accounts := map[*Account]struct{}{}
+	g.accounts[Peers.Name] = accounts
+	newAccount := func(held int64, c net.Conn) *Account {
+		a := &Account{guard: g, door: Peers, raw: c, held: held}
+		a.progress()
+		accounts[a] = struct{}{}
+		g.held.Add(held)
+		return a
+	}
+	ordinary := newAccount(connectionBytes, nil)
+	ordinary.raw = holdingConn{onClose: func() {}}
+	for range crowd {
+		newAccount(crowdBytes, holdingConn{onClose: func() { ordinary.Hold(1) }})
+	}
+	ordinary.Hold(1)
+	qt.Assert(t, ordinary.Closed(), qt.IsFalse)
+	qt.Assert(t, g.Held()-g.leaving.Load() <= g.options.MaxBytes, qt.IsTrue)
+	// 10 MB are held and the budget is 5 MB, of which 85% remain.
+	qt.Assert(t, g.ClosedCount(Peers.Name, Memory), qt.Equals, 6)
+}
+
 // Guards against a listener that uses the descriptors of others, or that turns new callers away
 // because of idle connections.
 func TestConnectionsOfListener(t *testing.T) {
