inbound: malformed requests get 400 in front of net/http, at each listener

A request with Content-Length and Transfer-Encoding was run as a chunked one and its connection stayed open, so that what another server takes for its body was run as a request. Fields that end with LF only and folded ones were read as well, and transfer codings of HTTP/1.0 requests ignored.

Cause: net/http accepts them, and removes the length before a handler sees the request, so that no handler can reject it.

Change: each connection of an HTTP listener follows the bytes from request to request (framer). At the first malformed byte it hands over bytes that net/http rejects with 400, and discards the rest; requests before it get their responses. The connection is closed once the other end has closed or after 0.5 s, since a reset for unread bytes could destroy the response. It is counted and logged with the reason "malformed". Transfer codings other than chunked still get 501 from net/http with a close (TestOperatorsLimits).

--- a/internal/integration/crowd/limits_test.go
+++ b/internal/integration/crowd/limits_test.go
@@ -16,7 +16,11 @@
 // exchange sends bytes over a connection of their own and returns the status of the first
 // response, and whether the connection has ended after it; 0 if there is none.
 func (s *system) exchange(t *testing.T, request string) (status int, closed bool) {
-	conn, err := net.Dial("tcp", address(s.ip, callerPort))
+	return exchangeAt(t, address(s.ip, callerPort), request)
+}
+
+func exchangeAt(t *testing.T, address, request string) (status int, closed bool) {
+	conn, err := net.Dial("tcp", address)
 	qt.Assert(t, err, qt.IsNil)
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(answerTimeout))
@@ -93,3 +97,33 @@
 	}
 	qt.Assert(t, s.sidecar.Running(), qt.IsTrue)
 }
+
+// Guards against a listener that reads requests whose end other servers see elsewhere.
+func TestMalformedRequestsAtDoors(t *testing.T) {
+	s := startSystem(t)
+	ran := s.ran.Load()
+	for name, d := range doors {
+		if d.path == "" {
+			continue // carries no HTTP
+		}
+		ip := s.ip
+		if d.core {
+			ip = s.coreIP
+		}
+		tests := map[string]string{
+			"length and chunks":       "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+			"length with a sign":      "Content-Length: +5\r\n",
+			"bare LF before a coding": "X-Field: x\nTransfer-Encoding: chunked\r\n",
+			"NUL in a value":          "X-Field: x\x00\r\n",
+			"obsolete folding":        "X-Field: x\r\n y\r\n",
+		}
+		for field, fields := range tests {
+			t.Run(name+", "+field, func(t *testing.T) {
+				status, closed := exchangeAt(t, address(ip, d.port), d.head(0, fields)+"0\r\n\r\n"+d.head(1, ""))
+				qt.Check(t, status, qt.Equals, http.StatusBadRequest)
+				qt.Check(t, closed, qt.IsTrue)
+			})
+		}
+	}
+	qt.Assert(t, s.ran.Load(), qt.Equals, ran)
+}
--- a/internal/traffic/pipeline/pipeline.go
+++ b/internal/traffic/pipeline/pipeline.go
@@ -329,7 +329,7 @@
 func isSingleHeader(b []byte) bool {
 	end := []byte("\r\n\r\n")
 	// net/http takes lines that end without CR as well.
-	if !bytes.HasSuffix(b, end) || bytes.Count(b, []byte("\n\r\n")) > 1 || bytes.Contains(b, []byte("\n\n")) {
+	if !bytes.HasSuffix(b, end) || bytes.Index(b, []byte("\n\r\n")) < len(b)-len("\n\r\n") || bytes.Contains(b, []byte("\n\n")) {
 		return false
 	}
 	if !bytes.HasPrefix(b, []byte(http.MethodGet+" ")) && !bytes.HasPrefix(b, []byte(http.MethodHead+" ")) {
--- a/internal/transport/inbound/inbound.go
+++ b/internal/transport/inbound/inbound.go
@@ -68,6 +68,9 @@
 	// than heldBackRatio times the budget is held.
 	maxAcceptWait = 4 * time.Millisecond
 	heldBackRatio = 1.5
+	// maxDiscard bounds how long a connection with a malformed request stays open after the
+	// response, as in net/http.
+	maxDiscard = 500 * time.Millisecond
 )
 
 const (
@@ -93,6 +96,8 @@
 	heldBack bool
 	// readsAhead is true if the server charges what it reads itself.
 	readsAhead bool
+	// frames is true if the listener's protocol is not HTTP.
+	frames bool
 }
 
 // The doors of the processes. The descriptors that they leave are for files and for the
@@ -102,7 +107,7 @@
 	Peers   = Door{Name: "peers", share: 0.25, minConnections: 32, heldBody: 64 << 10, heldBack: true}
 	// Replicas is the listener of a core replica for other processes. What it reads of messages
 	// is charged by package rpc.
-	Replicas  = Door{Name: "replicas", share: 0.4, minConnections: 64, heldBack: true, readsAhead: true}
+	Replicas  = Door{Name: "replicas", share: 0.4, minConnections: 64, heldBack: true, readsAhead: true, frames: true}
 	Control   = Door{Name: "control", share: 0.05, minConnections: 16, heldBody: 1 << 20}
 	Operators = Door{Name: "operators", share: 0.05, minConnections: 16, heldBody: 3 << 20}
 	Readiness = Door{Name: "readiness", share: 0.03, minConnections: 16}
@@ -136,8 +141,14 @@
 const (
 	Memory      Reason = "memory"
 	Descriptors Reason = "descriptors"
+	// Malformed is a request that net/http gets no more of, so that it responds with 400 and
+	// closes the connection.
+	Malformed Reason = "malformed"
 )
 
+// Reasons are all reasons.
+var Reasons = []Reason{Memory, Descriptors, Malformed}
+
 // Limits returns the options for a process that is allowed the given memory and number of
 // descriptors; 0 means no limit.
 func Limits(memoryMegabytes, maxDescriptors int) Options {
@@ -287,8 +298,13 @@
 	if cancel != nil {
 		cancel()
 	}
+	g.remove(a)
+	g.report(a, reason, bytes, stalled)
+}
+
+// report counts a connection that is closed, and passes it on.
+func (g *Guard) report(a *Account, reason Reason, bytes int64, stalled time.Duration) {
 	g.mu.Lock()
-	delete(g.accounts[a.door.Name], a)
 	if g.closed[a.door.Name] == nil {
 		g.closed[a.door.Name] = map[Reason]int{}
 	}
@@ -636,6 +652,11 @@
 type conn struct {
 	net.Conn
 	account *Account
+	framer  framer
+	// rejected is true after a malformed request, and substitute is what has to be handed over in
+	// place of it.
+	rejected   atomic.Bool
+	substitute []byte
 }
 
 // Account returns the account of the connection.
@@ -643,7 +664,7 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
+	n, err := c.read(b)
 	switch {
 	case n > 0 && c.account.door.readsAhead:
 		c.account.progress()
@@ -656,6 +677,32 @@
 	return n, err
 }
 
+// read reads bytes up to the first malformed request, and discards those that follow it.
+func (c *conn) read(b []byte) (int, error) {
+	if len(c.substitute) > 0 {
+		n := copy(b, c.substitute)
+		c.substitute = c.substitute[n:]
+		return n, nil
+	}
+	n, err := c.Conn.Read(b)
+	for c.rejected.Load() && err == nil {
+		_, err = c.Conn.Read(b)
+		n = 0
+	}
+	if n == 0 || c.account.door.frames {
+		return n, err
+	}
+	valid := c.framer.follow(b[:n])
+	if valid == n {
+		return n, err
+	}
+	c.rejected.Store(true)
+	c.account.guard.report(c.account, Malformed, c.account.Held(), 0)
+	handed := copy(b[valid:], malformed)
+	c.substitute = malformed[handed:]
+	return valid + handed, nil
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
 	// The bytes are held as long as the other end does not read them, in this buffer and in the
@@ -672,6 +719,9 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	if c.rejected.Load() && !c.account.Closed() {
+		c.discard()
+	}
 	c.account.end()
 	return c.Conn.Close()
 }
@@ -685,6 +735,20 @@
 	return nil
 }
 
+// discard reads what the other end still sends. The kernel would reset the connection because of
+// unread bytes, and the other end might not get the response.
+func (c *conn) discard() {
+	if c.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(maxDiscard)) != nil {
+		return
+	}
+	var b [512]byte
+	for {
+		if _, err := c.Conn.Read(b[:]); err != nil {
+			return
+		}
+	}
+}
+
 // AccountOf returns the account of a connection, or nil.
 func AccountOf(c net.Conn) *Account {
 	if x, ok := c.(interface{ Account() *Account }); ok {
