keyrange: a planned move leaves a target its last keys

TestOneOwnerWhileDisksFailAndProcessesPause saw "i-2 is granted no keys in the response to heartbeat 7, and has 1 ranges", and a trace showed a planned move that took a target's last row of 460 keys.

Cause: the load of a target counts keys that are about to move to it, and a move takes its settled keys only. A target with one row and a move to it under way looks overloaded by the keys that it doesn't have yet, and the whole row is what a move is to take. The target is then granted no keys, although it is neither leaving nor evacuated, until the other move is done. A planned move for balance now leaves at least one bucket; a row of one bucket is not moved. Moves from leaving targets are as before.

TestPlannedMoveLeavesTargetItsLastKeys plays it without processes and failed before (460 keys, one bucket, less than a bucket).

--- a/internal/ownership/keyrange/keyrange.go
+++ b/internal/ownership/keyrange/keyrange.go
@@ -336,7 +336,7 @@
 // buckets, that has about the wanted load, so that few keys move. If there is none, it
 // considers the range with the highest load below the wanted one. If that load is less
 // than half of the wanted one, it moves the bucket with the lowest load above the wanted
-// one instead, provided that this is below the limit.
+// one instead, provided that this is below the limit. The target keeps at least one bucket.
 func scheduleMove(assignments []message.Assignment, l *Loads, from, to message.Incarnation, wanted, limit float64) ([]message.Assignment, bool) {
 	var chosen, highestBelow, lowestAbove message.Assignment
 	chosenKeys, highestLoadBelow, lowestLoadAbove := Keys+1, 0.0, limit
@@ -379,10 +379,29 @@
 	default:
 		chosen = highestBelow
 	}
+	if int(chosen.To-chosen.From)+1 == settledKeys(assignments, from) {
+		// The owner is granted no other keys: those that move to it may arrive later.
+		lastBucket := chosen.To / KeysPerBucket * KeysPerBucket
+		if lastBucket <= chosen.From {
+			return assignments, false
+		}
+		chosen.To = lastBucket - 1
+	}
 	chosen.NextOwner = to
 	return Replace(assignments, chosen), true
 }
 
+// settledKeys returns the number of keys of a target without a scheduled move.
+func settledKeys(assignments []message.Assignment, owner message.Incarnation) int {
+	n := 0
+	for _, a := range assignments {
+		if a.Owner == owner && a.NextOwner.ID == "" {
+			n += int(a.To-a.From) + 1
+		}
+	}
+	return n
+}
+
 // Replace replaces a part of the assignment that contains the given one, and splits the
 // former if necessary.
 func Replace(assignments []message.Assignment, part message.Assignment) []message.Assignment {
--- a/internal/ownership/keyrange/keyrange_test.go
+++ b/internal/ownership/keyrange/keyrange_test.go
@@ -190,6 +190,31 @@
 	}
 }
 
+// Guards against a planned move of the only keys that a target has while others still move to
+// it, so that it is granted none although it is not leaving.
+func TestPlannedMoveLeavesTargetItsLastKeys(t *testing.T) {
+	a, b := incarnation("a"), incarnation("b")
+	for name, lastOwned := range map[string]message.Key{"460 keys": 459, "one bucket": KeysPerBucket - 1, "less than a bucket": 1} {
+		t.Run(name, func(t *testing.T) {
+			targets, l := equalTargets("a", "b", "c"), &Loads{}
+			l.add(0, int(lastOwned), 200)
+			l.add(20_000, 20_459, 300) // moves to a
+			l.add(40_000, 40_459, 200)
+			assignments := []message.Assignment{
+				{From: 0, To: lastOwned, Owner: a}, {From: lastOwned + 1, To: 19_999, Owner: b}, {From: 20_000, To: 20_459, Owner: b, NextOwner: a},
+				{From: 20_460, To: Keys - 1, Owner: b},
+			}
+			from, ok := MostOverloaded(assignments, l, targets)
+			qt.Assert(t, ok, qt.IsTrue)
+			qt.Assert(t, from, qt.Equals, a)
+			for range 3 {
+				assignments, _ = RebalanceTo(assignments, l, targets, from, incarnation("c"))
+				qt.Assert(t, Grants(assignments, a, nil), qt.Not(qt.HasLen), 0)
+			}
+		})
+	}
+}
+
 // Guards against a key with more load than one target can serve that blocks all other
 // moves: its owner stays the most loaded target no matter what else it gives up.
 func TestOneHotKeyDoesNotBlockTheOthers(t *testing.T) {
