ingress: a split keeps its shares while one service is short of room

Each attempt of a caller drew its service anew, so callers whose service rejected them ended up at the other one. The draw never looked at room, but the callers who came back did that job.

The price: callers whose service has no room are not served by the other one.

--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -108,6 +108,7 @@
 	// copies decides on second copies; nil if none are sent.
 	copies  *secondCopies
 	returns *returns
+	splits  *splitDraws
 
 	// closeConnections is true when callers are asked to close their connections.
 	closeConnections atomic.Bool
@@ -122,7 +123,7 @@
 
 // New returns an Ingress.
 func New(options Options) *Ingress {
-	return &Ingress{options: options, copies: newSecondCopies(options), balancer: placement.New(options.Clock, options.Domain, rand.Float64), throttle: throttle.New(options.Clock, rand.Float64), departures: newDepartures(options.Clock, options.RejectDelay), rateLimits: newRateLimits(options.Names, options.Clock), returns: newReturns(options.Clock), retryBudgets: map[message.ServiceName]*retry.Budget{}}
+	return &Ingress{options: options, copies: newSecondCopies(options), balancer: placement.New(options.Clock, options.Domain, rand.Float64), throttle: throttle.New(options.Clock, rand.Float64), departures: newDepartures(options.Clock, options.RejectDelay), rateLimits: newRateLimits(options.Names, options.Clock), returns: newReturns(options.Clock), splits: newSplitDraws(rand.Float64), retryBudgets: map[message.ServiceName]*retry.Budget{}}
 }
 
 // CloseConnections asks callers to close their connections after the next response.
--- a/internal/traffic/ingress/request.go
+++ b/internal/traffic/ingress/request.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/textproto"
@@ -63,13 +62,8 @@
 	if req.route == nil {
 		return req, hop.NoRoute
 	}
-	req.service = chooseService(req.route, rand.Float64())
-	if s, _ := v.Service(req.service); s.Keyed {
-		key, err := strconv.Atoi(r.Header.Get(in.options.Names.Key))
-		if err == nil && key >= 0 && key <= 65535 {
-			req.key = key
-		}
-		req.keyed = true
+	if len(req.route.Splits) == 1 {
+		req.service = chooseService(req.route, 0) // known also in the log of a request that is rejected below
 	}
 	timeout := defaultTimeout
 	if n, err := strconv.Atoi(r.Header.Get(in.options.Names.RemainingMillis)); err == nil && n >= 0 {
@@ -94,11 +88,24 @@
 		return req, reason
 	}
 	req.fingerprint = computeFingerprint(r, req, in.options.Service)
-	if first, ok := in.returns.take(req.fingerprint, req.giveUp); ok && req.parentRoute == "" {
-		req.firstArrival = first
+	if failed, ok := in.returns.take(req.fingerprint, req.giveUp); ok && req.parentRoute == "" {
+		req.firstArrival = failed.firstArrival
 		if req.route.TargetLatencyMillis > 0 {
-			req.objective = first + clock.Millis(req.route.TargetLatencyMillis)
+			req.objective = failed.firstArrival + clock.Millis(req.route.TargetLatencyMillis)
+		}
+		if hasPart(req.route, failed.service) {
+			req.service = failed.service
+		}
+	}
+	if req.service == "" {
+		req.service = in.splits.draw(req.route)
+	}
+	if s, _ := v.Service(req.service); s.Keyed {
+		key, err := strconv.Atoi(r.Header.Get(in.options.Names.Key))
+		if err == nil && key >= 0 && key <= 65535 {
+			req.key = key
 		}
+		req.keyed = true
 	}
 	return req, ""
 }
@@ -123,28 +130,6 @@
 	return v.Match(host, r.URL.Path)
 }
 
-// chooseService chooses one of the services of a route by weight. The argument random is
-// a random number in [0, 1).
-func chooseService(r *message.Route, random float64) message.ServiceName {
-	sum := 0.0
-	for _, s := range r.Splits {
-		sum += s.Weight
-	}
-	random *= sum
-	for _, s := range r.Splits {
-		if random -= s.Weight; random < 0 && s.Weight > 0 {
-			return s.Service
-		}
-	}
-	// Rounding has left random at 0 or above.
-	for _, s := range r.Splits {
-		if s.Weight > 0 {
-			return s.Service
-		}
-	}
-	return ""
-}
-
 // readBody reads a short body into memory. It reads only the beginning of a long one and
 // leaves the rest to be streamed.
 func (in *Ingress) readBody(w http.ResponseWriter, r *http.Request, v *view.View, req *request) hop.Reason {
--- a/internal/traffic/ingress/response.go
+++ b/internal/traffic/ingress/response.go
@@ -79,7 +79,7 @@
 // recordFailed remembers the caller of a request that failed, in case that it comes back.
 func (in *Ingress) recordFailed(req *request) {
 	if req.fingerprint != "" && req.parentRoute == "" {
-		in.returns.record(req.fingerprint, failedAttempt{firstArrival: req.firstArrival, giveUp: req.giveUp})
+		in.returns.record(req.fingerprint, failedAttempt{firstArrival: req.firstArrival, giveUp: req.giveUp, service: req.service})
 	}
 }
 
--- a/internal/traffic/ingress/returns.go
+++ b/internal/traffic/ingress/returns.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"github.com/gentiansail/gentiansail/internal/coordination/message"
 	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
@@ -34,6 +35,9 @@
 	firstArrival clock.Millis
 	// giveUp is when the caller gives up.
 	giveUp clock.Millis
+	// service is the service that the attempt was sent to. If the traffic of the route is split,
+	// the caller gets the same one again, or rejections would shift requests to the others.
+	service message.ServiceName
 }
 
 func newReturns(clk clock.Clock) *returns {
@@ -62,9 +66,8 @@
 	}
 }
 
-// take returns when the first attempt of a request arrived, if the caller is known, and forgets
-// the caller.
-func (s *returns) take(fingerprint string, giveUp clock.Millis) (firstArrival clock.Millis, ok bool) {
+// take returns the last attempt of a caller, if the caller is known, and forgets the caller.
+func (s *returns) take(fingerprint string, giveUp clock.Millis) (last failedAttempt, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	attempts := s.byContent[fingerprint]
@@ -72,8 +75,8 @@
 		if difference := a.giveUp - giveUp; difference >= -deadlineTolerance && difference <= deadlineTolerance {
 			// The entry in order stays and removes another attempt of the same content later.
 			attempts[i].giveUp = 0
-			return a.firstArrival, true
+			return a, true
 		}
 	}
-	return 0, false
+	return failedAttempt{}, false
 }
--- a/internal/traffic/ingress/returns_test.go
+++ b/internal/traffic/ingress/returns_test.go
@@ -33,7 +33,7 @@
 			if !ok {
 				return
 			}
-			qt.Check(t, got, qt.Equals, first)
+			qt.Check(t, got.firstArrival, qt.Equals, first)
 			_, again := s.take(tt.content, tt.giveUp)
 			qt.Check(t, again, qt.IsFalse, qt.Commentf("one failed attempt stands for one caller"))
 		})
