keyrange, core: the decisions of a heartbeat cost the leader less

With each heartbeat it capped the loads of 16,384 buckets once for each target that leaves, and copied them three times for each cap.

The cap is now found without copies, and loads that are capped already are not copied again, so the leader caps them once for each heartbeat. Sums over buckets no longer divide for each bucket. The decisions are the same, but for a tolerance of 1 % of the cap.

--- a/internal/coordination/core/delayed_responses.go
+++ b/internal/coordination/core/delayed_responses.go
@@ -29,7 +29,8 @@
 func (l *leadership) shouldDelay(i message.Instance) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	list, loads, targets := l.machine.Assignments(i.Service).List, l.leases.Loads(i.Service), l.targets(i.Service)
+	list, targets := l.machine.Assignments(i.Service).List, l.targets(i.Service)
+	loads := l.leases.Loads(i.Service).Capped(targets)
 	from, ok := keyrange.MostOverloaded(list, loads, targets)
 	if !ok || from != i.Incarnation || mustReleaseKeys(list, i.Incarnation) {
 		return false
--- a/internal/ownership/keyrange/keyrange.go
+++ b/internal/ownership/keyrange/keyrange.go
@@ -19,6 +19,9 @@
 package keyrange
 
 import (
+	"math"
+	"slices"
+
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
 	"github.com/gentiansail/gentiansail/pkg/clock"
 )
@@ -45,23 +48,48 @@
 // inRange returns the load of a range. The load of a bucket is split evenly among its
 // keys.
 func (l *Loads) inRange(from, to message.Key) float64 {
-	sum := 0.0
-	for b := int(from) / KeysPerBucket; b <= int(to)/KeysPerBucket; b++ {
-		first, last := max(int(from), b*KeysPerBucket), min(int(to), (b+1)*KeysPerBucket-1)
-		sum += (l[b] + baseLoadPerBucket) * float64(last-first+1) / KeysPerBucket
+	first, last := int(from)/KeysPerBucket, int(to)/KeysPerBucket
+	if first == last {
+		return (l[first] + baseLoadPerBucket) * float64(to-from+1) / KeysPerBucket
 	}
-	return sum
+	sum := (l[first]+baseLoadPerBucket)*float64(KeysPerBucket-int(from)%KeysPerBucket) +
+		(l[last]+baseLoadPerBucket)*float64(int(to)%KeysPerBucket+1)
+	return sum/KeysPerBucket + sumBelow(l[first+1:last], math.Inf(1)) + float64(last-first-1)*baseLoadPerBucket
+}
+
+// sumBelow returns the sum of the loads, of which none counts for more than the limit. It is
+// computed in four parts that do not wait for each other's additions, since the leader computes
+// such sums over all buckets several times for each heartbeat.
+func sumBelow(loads []float64, limit float64) float64 {
+	var parts [4]float64
+	for ; len(loads) >= len(parts); loads = loads[len(parts):] {
+		parts[0] += min(loads[0], limit)
+		parts[1] += min(loads[1], limit)
+		parts[2] += min(loads[2], limit)
+		parts[3] += min(loads[3], limit)
+	}
+	for _, v := range loads {
+		parts[0] += min(v, limit)
+	}
+	return parts[0] + parts[1] + parts[2] + parts[3]
 }
 
 // maxCapIterations bounds how often the cap of a bucket is recomputed: it depends on the
 // sum of the loads, which decreases with the cap.
 const maxCapIterations = 3
 
-// capped returns loads in which no bucket exceeds the mean share of a target. The load of
+// capTolerance is the fraction by which a bucket may exceed the cap, so that loads that are capped
+// once are not copied again.
+const capTolerance = 0.01
+
+// Capped returns loads in which no bucket exceeds the mean share of a target. The load of
 // a single key above that share cannot be moved to any target. If it were counted in
 // full, the owner of the key would look overloaded no matter what else it gave up, and
 // would hide all other overloaded targets.
-func (l *Loads) capped(targets []Target) *Loads {
+//
+// The functions of this package cap the loads that they are given, which costs little if they are
+// capped already: a caller that needs several of them caps the loads first.
+func (l *Loads) Capped(targets []Target) *Loads {
 	eligible := 0
 	for _, t := range targets {
 		if t.Eligible {
@@ -71,22 +99,23 @@
 	if eligible == 0 {
 		return l
 	}
+	largest := slices.Max(l[:])
+	limit := math.Inf(1)
 	for range maxCapIterations {
-		sum, largest := 0.0, 0.0
-		for _, v := range l {
-			sum, largest = sum+v, max(largest, v)
-		}
-		limit := (sum + Buckets*baseLoadPerBucket) / float64(eligible)
-		if largest <= limit {
+		next := (sumBelow(l[:], limit) + Buckets*baseLoadPerBucket) / float64(eligible)
+		if min(largest, limit) <= next*(1+capTolerance) {
 			break
 		}
-		limited := *l
-		for i, v := range limited {
-			limited[i] = min(v, limit)
-		}
-		l = &limited
+		limit = next
+	}
+	if math.IsInf(limit, 1) {
+		return l
+	}
+	limited := *l
+	for i, v := range limited {
+		limited[i] = min(v, limit)
 	}
-	return l
+	return &limited
 }
 
 // LoadCounter sums up the work of requests by bucket of keys.
@@ -158,7 +187,7 @@
 // AssignUnassigned assigns unassigned keys to a target until it has its share. It returns
 // false if it assigned none.
 func AssignUnassigned(assignments []message.Assignment, l *Loads, targets []Target, to message.Incarnation) ([]message.Assignment, bool) {
-	l = l.capped(targets)
+	l = l.Capped(targets)
 	load, share := loadsAndShares(assignments, l, targets)
 	missing := share[to]*(1+shareTolerance) - load[to]
 	var out []message.Assignment
@@ -211,7 +240,7 @@
 // MostOverloaded returns the target with the highest ratio of load to share, if that ratio
 // is above overloadRatio. Keys with a scheduled move count for their next owner.
 func MostOverloaded(assignments []message.Assignment, l *Loads, targets []Target) (message.Incarnation, bool) {
-	l = l.capped(targets)
+	l = l.Capped(targets)
 	load, share := loadsAndShares(assignments, l, targets)
 	var from message.Incarnation
 	highest := overloadRatio
@@ -255,7 +284,7 @@
 // capacity. It schedules one range if that is enough, or a few if the keys of the
 // overloaded target are fragmented.
 func RebalanceTo(assignments []message.Assignment, l *Loads, targets []Target, from, to message.Incarnation) ([]message.Assignment, bool) {
-	l = l.capped(targets)
+	l = l.Capped(targets)
 	scheduled := false
 	for range maxRangesPerDecision {
 		load, share := loadsAndShares(assignments, l, targets)
@@ -299,7 +328,7 @@
 // VacateTo schedules moves of keys of a leaving target to another target, up to the share
 // of the latter. Keys that are about to move to the leaving target go to the other one instead.
 func VacateTo(assignments []message.Assignment, l *Loads, targets []Target, from, to message.Incarnation) ([]message.Assignment, bool) {
-	l = l.capped(targets)
+	l = l.Capped(targets)
 	load, share := loadsAndShares(assignments, l, targets)
 	missing := share[to]*(1+shareTolerance) - load[to]
 	var out []message.Assignment
