admission, throttle, ingress: a caller that waited in vain is told when to come back

A caller whose owner could not be reached was told 20 ms.

Such a request now books a place like any other rejected one, if its caller has time for a retry. The pause that an owner has named stands until it names another one.

--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -305,6 +305,21 @@
 	}
 }
 
+// Expire removes a waiting ticket whose latest start has come. The decision is Overloaded if its
+// caller has time for a retry, and TooLate otherwise. It returns false if the ticket already has
+// a decision.
+func (q *Queue) Expire(t *Ticket) (decision Decision, ok bool) {
+	if !q.Cancel(t) {
+		return Queued, false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if t.Deadline-q.minDuration(t)-q.clock.Now() >= minRetryTime {
+		return Overloaded, true
+	}
+	return TooLate, true
+}
+
 // Cancel removes a waiting ticket from the queue. It returns false if the ticket already
 // has a decision; if that is Admitted, the caller must release the slot.
 func (q *Queue) Cancel(t *Ticket) bool {
--- a/internal/traffic/admission/returns_test.go
+++ b/internal/traffic/admission/returns_test.go
@@ -158,3 +158,31 @@
 	m.Advance(maxReturnDelay + 1000)
 	qt.Check(t, q.BookReturn(ticket), qt.Equals, first, qt.Commentf("places that were not used are lost"))
 }
+
+// Guards against a caller that waits in vain and is told nothing although it has time to come back:
+// it then uses up its retries at once, while the queue is as long as before.
+func TestExpiredTicketMayComeBack(t *testing.T) {
+	tests := map[string]struct {
+		deadline, wait clock.Millis
+		want           Decision
+	}{
+		"time left for a retry": {deadline: 4000, wait: 1500, want: Overloaded},
+		"no time left":          {deadline: 4000, wait: 2800, want: TooLate},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := clock.NewManual(1000)
+			q := newMeasuredQueue(m.Clock(), 1)
+			running := &Ticket{Route: "r", Deadline: 9000, Objective: 9000}
+			qt.Assert(t, q.Admit(running), qt.Equals, Admitted)
+			late := &Ticket{Route: "r", Deadline: tt.deadline, Objective: 900}
+			qt.Assert(t, q.Admit(late), qt.Equals, Queued)
+			m.Advance(tt.wait)
+			decision, expired := q.Expire(late)
+			qt.Check(t, expired, qt.IsTrue)
+			qt.Check(t, decision, qt.Equals, tt.want)
+			_, expired = q.Expire(late)
+			qt.Check(t, expired, qt.IsFalse)
+		})
+	}
+}
--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -372,8 +372,11 @@
 		select {
 		case <-ticket.Decided():
 		case <-waitCtx.Done():
-			if g.queue.Cancel(ticket) {
-				return Rejection(hop.TooLate, 0)
+			if expiry, ok := g.queue.Expire(ticket); ok {
+				if ctx.Err() != nil || expiry == admission.TooLate {
+					return Rejection(hop.TooLate, 0)
+				}
+				return Rejection(hop.Busy, g.queue.BookReturn(ticket))
 			}
 			<-ticket.Decided()
 		}
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -254,6 +254,9 @@
 				return result
 			}
 		case req.keyed:
+			if result.Reason == hop.Unreachable {
+				result.RetryMillis = ownerRetryAfter
+			}
 			return result
 		default:
 			tried[target.Incarnation.ID] = true
@@ -426,7 +429,7 @@
 	case hop.Busy:
 		in.throttle.RecordResult(owner, false, result.RetryMillis)
 	case hop.Unreachable, hop.TooLate, hop.Expired:
-		in.throttle.RecordResult(owner, false, ownerRetryAfter)
+		in.throttle.RecordResult(owner, false, 0)
 	}
 }
 
--- a/internal/traffic/throttle/throttle.go
+++ b/internal/traffic/throttle/throttle.go
@@ -40,6 +40,8 @@
 	// countHalfLife is the half-life of the request counts, so that old requests lose
 	// their weight.
 	countHalfLife clock.Millis = 1000
+	// defaultRetryAfter is the pause that callers are asked for before the owner has named one.
+	defaultRetryAfter clock.Millis = 400
 )
 
 // Limiter counts the requests of one sidecar by owner and limits how many are sent.
@@ -71,7 +73,7 @@
 	now := l.clock.Now()
 	c := l.owners[owner]
 	if c == nil {
-		c = &requestCounts{updated: now}
+		c = &requestCounts{updated: now, retryAfter: defaultRetryAfter}
 		l.owners[owner] = c
 	}
 	decay := math.Exp2(-float64(now-c.updated) / float64(countHalfLife))
@@ -93,7 +95,7 @@
 }
 
 // RecordResult records whether an owner accepted a request that was sent to it, and if
-// not, how long it asked the caller to wait before a retry.
+// not, how long it asked the caller to wait before a retry; 0 if it did not say.
 func (l *Limiter) RecordResult(owner message.InstanceID, accepted bool, retryAfter clock.Millis) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -103,7 +105,9 @@
 		c.accepted++
 		return
 	}
-	c.retryAfter = retryAfter
+	if retryAfter > 0 {
+		c.retryAfter = retryAfter
+	}
 }
 
 // CountRejected counts a request that was rejected here as load of its key. It would have taken
--- a/internal/traffic/throttle/throttle_test.go
+++ b/internal/traffic/throttle/throttle_test.go
@@ -73,6 +73,9 @@
 	retryAfter, ok := l.Allow("hot")
 	qt.Assert(t, ok, qt.IsFalse)
 	qt.Assert(t, retryAfter, qt.Equals, clock.Millis(700))
+	l.RecordResult("hot", false, 0) // expired: the pause that the owner named still stands
+	retryAfter, _ = l.Allow("hot")
+	qt.Assert(t, retryAfter, qt.Equals, clock.Millis(700))
 	_, ok = l.Allow("other")
 	qt.Assert(t, ok, qt.IsTrue)
 	random := rand.New(rand.NewPCG(1, 2))
