--- a/internal/coordination/core/ownership.go
+++ b/internal/coordination/core/ownership.go
@@ -126,7 +126,8 @@
 	target, service := h.Instance.Incarnation, h.Instance.Service
 	current := l.machine.Assignments(service)
 	list, released := keyrange.CompleteMoves(current.List, target, answeredVersion(h), h.Grants, h.Released)
-	loads, targets := l.leases.Loads(service), l.targets(service)
+	targets := l.targets(service)
+	loads := l.leases.Loads(service).Capped(targets)
 	assigned, scheduled := false, false
 	if isEligible(targets, target) && l.readyToAssign(service, current) {
 		list, assigned = keyrange.AssignUnassigned(list, loads, targets, target)
@@ -309,13 +310,10 @@
 // grant returns the response that renews the lease of a target and grants its keys. The
 // lease is recorded before the grants are read.
 func (l *leadership) grant(h message.Heartbeat, arrival clock.Millis) (message.HeartbeatReply, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	owner := h.Instance.Incarnation
-	if l.expiring[owner] {
+	if !l.recordLease(owner, arrival) {
 		return message.HeartbeatReply{}, errExpiring()
 	}
-	l.leases.RecordLease(owner, arrival)
 	current := l.machine.Assignments(h.Instance.Service)
 	reply := message.HeartbeatReply{
 		Keyed: true, Renewed: true, LeaseDurationMillis: message.Millis(l.leases.LeaseDuration()),
@@ -323,3 +321,15 @@
 	}
 	return reply, l.Err()
 }
+
+// recordLease records a lease that counts from a heartbeat that arrived at the given time. It
+// returns false if the target is being removed.
+func (l *leadership) recordLease(owner message.Incarnation, arrival clock.Millis) bool {
+	l.leaseMu.Lock()
+	defer l.leaseMu.Unlock()
+	if l.expiring[owner] {
+		return false
+	}
+	l.leases.RecordLease(owner, arrival)
+	return true
+}
