ingress, gate: long bodies are offered before they are sent

Cause: a request that a target rejects has sent its body to the target's host all the same, and goes on to up to two other targets with it.

Change: a request whose body takes a link 5 ms or more is offered to the sidecar of the target's host first, without the body, unless the target is known to have free slots. The answer is what the queue would decide now, or a rejection if the link is full. Earlier releases answer an offer with an error, and the request is then sent. admission.Queue.Admit is split for that; what it decides is unchanged.

--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -221,6 +221,31 @@
 	now := q.clock.Now()
 	q.lastSequence++
 	t.sequence = q.lastSequence
+	decision := q.weigh(t, now)
+	if t.Call && decision != TooLate {
+		q.calls.recordDemand(q.expectedDuration(t), now)
+	}
+	switch decision {
+	case Admitted:
+		q.begin(t, now)
+	case Queued:
+		t.decided = make(chan struct{})
+		q.waiting = append(q.waiting, t)
+		q.scheduleAdvance(now)
+	}
+	return decision
+}
+
+// Weigh returns what Admit would decide now, without a change to the queue.
+func (q *Queue) Weigh(t *Ticket) Decision {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	t.sequence = q.lastSequence + 1
+	return q.weigh(t, q.clock.Now())
+}
+
+// weigh decides about a ticket that arrives now. The caller must hold q.mu.
+func (q *Queue) weigh(t *Ticket, now clock.Millis) Decision {
 	timeLeft := t.Objective - now
 	if timeLeft < 0 {
 		timeLeft = lateRankDelay
@@ -233,16 +258,12 @@
 	if now > t.latestStart {
 		return TooLate
 	}
-	if t.Call {
-		q.calls.recordDemand(q.expectedDuration(t), now)
-	}
 	// A call does not wait behind new requests that leave room for calls.
 	ahead := len(q.waiting)
 	if t.Call {
 		ahead = q.countWaiting(true)
 	}
 	if ahead == 0 && q.hasRoom(t, now) && q.turn(now, 0) == 0 {
-		q.begin(t, now)
 		return Admitted
 	}
 	wait := q.expectedWait(t, now)
@@ -254,9 +275,6 @@
 	if q.countWaiting(t.Call) >= maxQueuedPerSlot*max(q.slots, 1) || now+wait > t.latestStart || t.rejectIfLate && !q.canMeetObjective(t, now+wait) {
 		return Overloaded
 	}
-	t.decided = make(chan struct{})
-	q.waiting = append(q.waiting, t)
-	q.scheduleAdvance(now)
 	return Queued
 }
 
--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -309,10 +309,7 @@
 	}
 	g.countKey(request)
 	g.adoptRateLimit(request.RateLimit)
-	ticket := &admission.Ticket{
-		Route: request.Route, Rank: request.Rank, Key: request.Key,
-		Deadline: start + request.RemainingMillis, Objective: start + request.ObjectiveMillis, Call: request.Call,
-	}
+	ticket := newTicket(&request.Request, start)
 	if rejection := g.admit(ctx, request, ticket); rejection != nil {
 		return rejection
 	}
@@ -325,6 +322,13 @@
 	return g.send(ctx, request, ticket)
 }
 
+func newTicket(request *hop.Request, now clock.Millis) *admission.Ticket {
+	return &admission.Ticket{
+		Route: request.Route, Rank: request.Rank, Key: request.Key,
+		Deadline: now + request.RemainingMillis, Objective: now + request.ObjectiveMillis, Call: request.Call,
+	}
+}
+
 // rejectionReason returns why the target may not run a request at the moment, or "" if
 // it may.
 func (g *Gate) rejectionReason(request *TargetRequest, now clock.Millis) hop.Reason {
--- /dev/null
+++ b/internal/traffic/gate/offer_test.go
@@ -0,0 +1,43 @@
+package gate
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/gentiansail/gentiansail/internal/traffic/hop"
+)
+
+// Guards against bodies that are accepted on a full link or by a target without room, and against an
+// offer that takes a place in the queue: it may never be followed by its request.
+func TestWeighOffer(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+		<-release
+		w.Header().Set("Test-Id", r.Header.Get("Test-Id"))
+		w.Header().Set("Test-Signature", "s")
+	}))
+	defer server.Close()
+	g := newGate(server.Listener.Addr().String())
+	qt.Check(t, g.WeighOffer(newRequest(5000), 0.1).Reason, qt.Equals, hop.Reason(""))
+	qt.Check(t, g.WeighOffer(newRequest(5000), 0.9).Reason, qt.Equals, hop.Busy)
+	qt.Check(t, g.Load().Waiting, qt.Equals, 0)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		request := newRequest(5000)
+		request.Header.Set("Test-Id", request.ID)
+		g.Do(t.Context(), request).Close()
+	}()
+	<-arrived
+	// No run has been measured yet, so one is expected to take 50 ms.
+	result := g.WeighOffer(newRequest(20), 0)
+	qt.Check(t, result.Reason, qt.Equals, hop.Busy)
+	qt.Check(t, g.WeighOffer(newRequest(5000), 0).Reason, qt.Equals, hop.Reason(""))
+	qt.Check(t, g.Load().Running+g.Load().Waiting, qt.Equals, 1)
+	close(release)
+	<-done
+}
--- a/internal/traffic/hop/hop.go
+++ b/internal/traffic/hop/hop.go
@@ -25,6 +25,7 @@
 // with each request.
 const (
 	requestField = "Gs"
+	offerField   = "Gs-Offer"
 	limitField   = "Gs-Limit"
 	copyField    = "Gs-Copy"
 	callField    = "Gs-Call"
@@ -77,6 +78,7 @@
 	}
 	h[requestField] = []string{fmt.Sprintf("%s %s %d %d %d %d %d %s", q.Service, q.Route, q.RemainingMillis, q.ObjectiveMillis, q.Rank, repeatable, q.Key, q.Fingerprint)}
 	// A caller may have set these.
+	delete(h, offerField)
 	delete(h, limitField)
 	delete(h, callField)
 	delete(h, copyField)
@@ -96,6 +98,7 @@
 func ParseRequest(h http.Header) (Request, error) {
 	parts, limit, call, secondCopy := strings.Split(h.Get(requestField), " "), h.Get(limitField), h.Get(callField), h.Get(copyField)
 	delete(h, requestField)
+	delete(h, offerField)
 	delete(h, limitField)
 	delete(h, callField)
 	delete(h, copyField)
@@ -121,6 +124,26 @@
 	}, nil
 }
 
+// SetOfferHeader writes the request to the header fields of an offer, which asks whether the
+// target would accept the request and does not send it. Sidecars of earlier releases respond to an
+// offer with an error, because it lacks the field of a request.
+func (q Request) SetOfferHeader(h http.Header) {
+	q.SetHeader(h)
+	h[offerField] = h[requestField]
+	delete(h, requestField)
+}
+
+// ParseOffer reads the fields that Request.SetOfferHeader wrote. ok is false if the fields are
+// those of a request.
+func ParseOffer(h http.Header) (q Request, ok bool, err error) {
+	if len(h[requestField]) > 0 || len(h[offerField]) == 0 {
+		return Request{}, false, nil
+	}
+	h[requestField] = h[offerField]
+	q, err = ParseRequest(h)
+	return q, true, err
+}
+
 // ParseRateLimit parses a number of requests a second. ok is false if the text is none.
 func ParseRateLimit(text string) (perSecond float64, ok bool) {
 	perSecond, err := strconv.ParseFloat(text, 64)
--- a/internal/traffic/hop/hop_test.go
+++ b/internal/traffic/hop/hop_test.go
@@ -68,3 +68,25 @@
 	qt.Assert(t, got, qt.Equals, want)
 	qt.Assert(t, h, qt.DeepEquals, http.Header{"Accept": {"text/plain"}})
 }
+
+// Guards against an offer that a sidecar of an earlier release runs as a request, and against a
+// request that is taken for an offer because its caller has set the field.
+func TestOfferIsNoRequest(t *testing.T) {
+	want := Request{Service: "pledges", Route: "r", RemainingMillis: 900, Key: NoKey, Fingerprint: "f", Call: true}
+	h := http.Header{}
+	want.SetOfferHeader(h)
+	_, err := ParseRequest(h.Clone())
+	qt.Check(t, err, qt.ErrorIs, ErrInvalidField)
+	got, ok, err := ParseOffer(h)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, ok, qt.IsTrue)
+	qt.Check(t, got, qt.Equals, want)
+
+	h = http.Header{offerField: {"x"}}
+	want.SetHeader(h)
+	_, ok, _ = ParseOffer(h)
+	qt.Check(t, ok, qt.IsFalse)
+	_, err = ParseRequest(h)
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, h, qt.HasLen, 0)
+}
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -88,8 +88,11 @@
 	RetryRatio   float64
 	ExtraRetries int
 	SecondCopies SecondCopies
-	Log          zerolog.Logger
-	LogBudget    *process.LineLimiter
+	// OfferedBody is the length of a body from which on a request is offered to a target before
+	// it is sent; 0 if none is.
+	OfferedBody int64
+	Log         zerolog.Logger
+	LogBudget   *process.LineLimiter
 	// ParentID returns the id of the request whose run made the request with the given id, as far
 	// as the id tells. If it is nil, no request counts as a call of a run.
 	ParentID func(id string) (parent string, ok bool)
@@ -396,7 +399,12 @@
 	if target.Peer == in.options.PeerAddress {
 		result = in.options.Gate.Do(ctx, targetRequest)
 	} else {
-		result = in.forward(ctx, targetRequest, target.Peer)
+		if in.shouldOffer(req, target) {
+			result = in.offer(ctx, targetRequest, target.Peer)
+		}
+		if result == nil {
+			result = in.forward(ctx, targetRequest, target.Peer)
+		}
 	}
 	if result.MayHaveReachedTarget {
 		req.reachedTargets++
--- a/internal/traffic/placement/room.go
+++ b/internal/traffic/placement/room.go
@@ -89,6 +89,19 @@
 	return float64(requests) / float64(max(instance.Slots, 1)), true
 }
 
+// maxFreeUtilization is the share of slots in use up to which a target counts as one that accepts
+// a request.
+const maxFreeUtilization = 0.7
+
+// HasFreeSlots reports whether a target is known to have free slots.
+func (b *Balancer) HasFreeSlots(instance message.Instance) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, now := b.known(instance.Incarnation.ID), b.clock.Now()
+	utilization, known := s.utilization(instance, now)
+	return known && now-s.loadTime <= maxLoadAge && utilization < maxFreeUtilization
+}
+
 // InFlight returns the number of this sidecar's requests to a target without a response.
 func (b *Balancer) InFlight(id message.InstanceID) int {
 	b.mu.Lock()
--- a/internal/traffic/sidecar/peer.go
+++ b/internal/traffic/sidecar/peer.go
@@ -16,6 +16,10 @@
 // servePeer serves a request for the target that another sidecar forwarded. It closes the
 // connection if the body cannot be read or the response breaks off after its start.
 func (s *Sidecar) servePeer(w http.ResponseWriter, r *http.Request) {
+	if offered, ok, err := hop.ParseOffer(r.Header); ok && err == nil {
+		s.serveOffer(w, r, offered)
+		return
+	}
 	hopRequest, err := hop.ParseRequest(r.Header)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -35,6 +39,16 @@
 	})
 }
 
+// serveOffer states whether the target would accept a request.
+func (s *Sidecar) serveOffer(w http.ResponseWriter, r *http.Request, offered hop.Request) {
+	utilization := s.options.Link.Utilization()
+	result := s.gate.WeighOffer(&gate.TargetRequest{Request: offered}, utilization)
+	result.Load = addLinkLoad(result.Load, utilization)
+	result.SetHeader(w.Header())
+	w.Header().Set(s.options.Names.RequestID, r.Header.Get(s.options.Names.RequestID))
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // fullLink is the utilization of a link from which on packets queue for long: traffic comes in
 // bursts.
 const fullLink = 0.8
--- a/internal/traffic/sidecar/sidecar.go
+++ b/internal/traffic/sidecar/sidecar.go
@@ -152,7 +152,7 @@
 		Names: options.Names, Service: message.ServiceName(options.Settings.Target.Service), Host: message.HostName(options.Settings.Name),
 		Domain: message.FailureDomain(options.Settings.FailureDomain), Clock: options.Clock, Views: s.views, Gate: s.gate, PeerAddress: s.peerAddress(),
 		Pool: s.peerPool, RejectDelay: s.rejectDelay(), RetryRatio: options.Settings.Bounds.RetryRatio, ExtraRetries: options.Settings.Bounds.ExtraRetries,
-		Log: options.Log, LogBudget: s.logBudget, ParentID: options.ParentID, RecordResult: m.record,
+		OfferedBody: offeredBody(options.Settings.LinkMegabits), Log: options.Log, LogBudget: s.logBudget, ParentID: options.ParentID, RecordResult: m.record,
 		SecondCopies: ingress.SecondCopies{
 			Ratio: options.Settings.SecondCopies.Ratio, Burst: options.Settings.SecondCopies.Burst,
 			CallsPerRun: options.Settings.SecondCopies.CallsPerRun, RecordOutcome: m.recordSecondCopy,
@@ -162,6 +162,16 @@
 	return s
 }
 
+// offeredBodyTime is how long the shortest body takes on a link that is offered before it is sent.
+// An offer takes about 1 ms between hosts of one region.
+const offeredBodyTime clock.Millis = 5
+
+// offeredBody returns the length in bytes of the shortest body that is offered before it is sent, 0 if
+// the bandwidth of the links is not known.
+func offeredBody(megabits float64) int64 {
+	return int64(megabits * 1e6 / 8 / 1000 * float64(offeredBodyTime))
+}
+
 // peerIdleLimit is how long an unused connection to another host is kept. It is shorter
 // than callerIdleTimeout, after which that host closes the connection.
 const peerIdleLimit clock.Millis = 60_000
