--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -238,7 +238,7 @@
 
 // Preview returns what Admit would decide about a request, the expected wait of a request that
 // would be queued, and when the caller of a rejected one would be asked to return. It changes
-// only the ticket, which must not be used again.
+// only the ticket, which must not be admitted afterwards.
 func (q *Queue) Preview(t *Ticket) (decision Decision, wait, returnDelay clock.Millis) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
