gate, admission: durations are expected by the slowdown that the target reports

Targets of some services report with each response how long work takes on their machine now (X-Server-Load, fourth figure). A neighbour that slows a target threefold for 400 ms is over before the moving average of durations has followed, so the queue admitted requests that were then late, and rejected others by durations that no longer held.

The gate passes the slowdown to its queue, which multiplies the measured mean by the ratio of the last report to the mean of the reports, for 400 ms after the report and at most 400 ms of work; ratios between 1/1.5 and 1.5 change nothing. The other three figures are known to the gate. Other hosts and the core do not get it. Targets that report nothing are served as before.

--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -178,6 +178,7 @@
 	// milliseconds, by route and over all requests.
 	routeMeans map[string]float64
 	mean       float64
+	slowdown   slowdown
 }
 
 // New returns a queue for a target without slots.
@@ -412,7 +413,15 @@
 	return max(clock.Millis(work/float64(max(q.slots, 1))+q.mean/2), q.turn(q.clock.Now(), len(q.waiting)))
 }
 
-func (q *Queue) expectedDuration(t *Ticket) float64 { return q.routeMean(t.Route) }
+// expectedDuration returns how long a request is expected to take if it begins now. The caller
+// must hold q.mu.
+func (q *Queue) expectedDuration(t *Ticket) float64 {
+	mean := q.routeMean(t.Route)
+	if q.slowdown.mean == 0 {
+		return mean // without a reading of the clock: this is called for each pair of tickets
+	}
+	return q.slowdown.apply(mean, q.clock.Now())
+}
 
 // ExpectedDuration returns the mean duration of a request of a route.
 func (q *Queue) ExpectedDuration(route string) clock.Millis {
--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -127,6 +127,7 @@
 	if begins {
 		g.grants, g.rejectFrom, g.rateLimit = nil, 0, rateLimit{}
 		g.queue.SetRate(0)
+		g.queue.ForgetSlowdown()
 	}
 	g.target, g.hasTarget = t, true
 	g.queue.Cold().SetBounds(t.Cold, now)
@@ -489,6 +490,7 @@
 func (g *Gate) readResponse(request *TargetRequest, ticket *admission.Ticket, incarnation message.Incarnation, result *Result, response *http.Response, start clock.Millis) *Result {
 	result.MayHaveReachedTarget = true
 	g.observeRateLimit(incarnation, response.Header, start)
+	g.observeSlowdown(incarnation, response.Header)
 	if g.options.OnLeaving != nil && IsLeaving(response.Header, g.options.Names) {
 		g.options.OnLeaving(incarnation)
 	}
--- a/internal/traffic/hop/hop.go
+++ b/internal/traffic/hop/hop.go
@@ -257,4 +257,42 @@
 	RateLimit string
 	// Leaving is 1 in the responses of a target that is leaving.
 	Leaving string
+	// TargetLoad is the load of a target at the time of its response, see ParseTargetLoad.
+	TargetLoad string
+}
+
+// Bounds of the slowdown that a target reports.
+const (
+	minSlowdownPercent = 25
+	maxSlowdownPercent = 2000
+)
+
+// TargetLoad is the load that a target reports.
+type TargetLoad struct {
+	Running, Waiting, Slots int
+	// SlowdownPercent is how long work takes on the target's machine now, 100 for the usual
+	// time; 0 if it is not stated.
+	SlowdownPercent int
+}
+
+// ParseTargetLoad parses the load that a target reports: the numbers of running and of waiting
+// requests and of slots, and the slowdown if it is stated, separated by commas.
+func ParseTargetLoad(text string) (TargetLoad, bool) {
+	parts := strings.Split(text, ",")
+	if len(parts) != 3 && len(parts) != 4 {
+		return TargetLoad{}, false
+	}
+	var figures [4]int
+	for i, part := range parts {
+		n, err := strconv.Atoi(strings.TrimSpace(part))
+		if err != nil || n < 0 {
+			return TargetLoad{}, false
+		}
+		figures[i] = n
+	}
+	load := TargetLoad{Running: figures[0], Waiting: figures[1], Slots: figures[2]}
+	if figures[3] > 0 {
+		load.SlowdownPercent = min(max(figures[3], minSlowdownPercent), maxSlowdownPercent)
+	}
+	return load, true
 }
--- a/internal/traffic/hop/hop_test.go
+++ b/internal/traffic/hop/hop_test.go
@@ -68,3 +68,23 @@
 	qt.Assert(t, got, qt.Equals, want)
 	qt.Assert(t, h, qt.DeepEquals, http.Header{"Accept": {"text/plain"}})
 }
+
+// Guards against a malformed load of a target that counts as a slowdown.
+func TestParseTargetLoad(t *testing.T) {
+	for text, want := range map[string]TargetLoad{
+		"3,1,8,250":     {Running: 3, Waiting: 1, Slots: 8, SlowdownPercent: 250},
+		"3, 1, 8, 100":  {Running: 3, Waiting: 1, Slots: 8, SlowdownPercent: 100},
+		"3,1,8":         {Running: 3, Waiting: 1, Slots: 8},
+		"3,1,8,0":       {Running: 3, Waiting: 1, Slots: 8},
+		"3,1,8,1":       {Running: 3, Waiting: 1, Slots: 8, SlowdownPercent: minSlowdownPercent},
+		"3,1,8,9999999": {Running: 3, Waiting: 1, Slots: 8, SlowdownPercent: maxSlowdownPercent},
+	} {
+		got, ok := ParseTargetLoad(text)
+		qt.Check(t, ok, qt.IsTrue, qt.Commentf("%q", text))
+		qt.Check(t, got, qt.Equals, want)
+	}
+	for _, text := range []string{"", "3", "3,1", "3,1,8,x", "3,1,8,-5", "3,1,8,100,4", "3,,8,100", "3,1,8,1e3"} {
+		_, ok := ParseTargetLoad(text)
+		qt.Check(t, ok, qt.IsFalse, qt.Commentf("%q", text))
+	}
+}
