inbound: the operator's headerTimeout and idleTimeout hold at a sidecar's listeners

A caller could take 10 s for a head and was then closed without a response, and an idle connection stayed open for 75 s, whatever the configuration said.

Cause: the configuration's two timeouts were not decoded, and net/http takes its own once, when the server starts.

Change: CallerLimits has both. The guard checks the connections of all listeners of a sidecar each 0.2 s against the configuration in force. A head that is not complete in time gets 408 and a close; it is never handed over in full, so it has not run. The time does not run while an earlier request of the connection is served. Idle connections are closed, except those of other hosts, which keep them for 60 s by design. The timeouts of net/http remain as a backstop of 10 min. The crowd tests' exchange took a response that never comes for a closed connection; it now tells them apart.

Not applied yet: the core's listener for operators.

--- a/internal/coordination/message/message.go
+++ b/internal/coordination/message/message.go
@@ -61,9 +61,15 @@
 	Members []ReplicaMember `json:"Members"`
 }
 
-// CallerLimits bound what a caller may send in a request, in bytes; 0 means no
-// limit.
+// CallerLimits bound what a caller may send in a request, in bytes, and how long
+// it may take; 0 means no limit of the operator.
 type CallerLimits struct {
+	// Longest time between the first byte and the end of a head.
+	HeaderTimeoutMillis int `json:"HeaderTimeoutMillis"`
+
+	// Longest time that a connection stays open without a request.
+	IdleTimeoutMillis int `json:"IdleTimeoutMillis"`
+
 	// Longest body of a request.
 	MaxBodyBytes int `json:"MaxBodyBytes"`
 
--- a/internal/integration/crowd/limits_test.go
+++ b/internal/integration/crowd/limits_test.go
@@ -29,7 +29,8 @@
 	reader := bufio.NewReader(conn)
 	response, err := http.ReadResponse(reader, nil)
 	if err != nil {
-		return 0, true
+		timeout, ok := err.(net.Error)
+		return 0, !(ok && timeout.Timeout())
 	}
 	_, err = io.Copy(io.Discard, response.Body)
 	qt.Assert(t, err, qt.IsNil)
@@ -127,3 +128,29 @@
 	}
 	qt.Assert(t, s.ran.Load(), qt.Equals, ran)
 }
+
+// Guards against heads without an end that hold a connection for longer than the operator allows,
+// or get no answer, and against idle connections that stay open.
+func TestOperatorsTimeoutsAtDoors(t *testing.T) {
+	s := startSystem(t)
+	change := func(version int, limits string) {
+		_, err := s.call(s.coreIP, "config.update", http.Header{"If-Match": {fmt.Sprint(version - 1)}}, fmt.Sprintf(`{"version":%d,"upsert":{"routes":[],"services":[],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,%s}},"remove":{"routes":[],"services":[]}}`, version, limits))
+		qt.Assert(t, err, qt.IsNil)
+	}
+	change(2, `"headerTimeout":100,"idleTimeout":3600000`)
+	ran := s.ran.Load()
+	for _, name := range []string{"route", "readiness", "target", "peers", "metrics"} {
+		d := doors[name]
+		head := d.head(0, "")
+		status, closed := exchangeAt(t, address(s.ip, d.port), head[:len(head)-2])
+		qt.Check(t, status, qt.Equals, http.StatusRequestTimeout, qt.Commentf("%s", name))
+		qt.Check(t, closed, qt.IsTrue, qt.Commentf("%s", name))
+	}
+	qt.Check(t, s.ran.Load(), qt.Equals, ran)
+	change(3, `"headerTimeout":3600000,"idleTimeout":100`)
+	for _, name := range []string{"route", "readiness", "target", "metrics"} {
+		status, closed := exchangeAt(t, address(s.ip, doors[name].port), "")
+		qt.Check(t, status, qt.Equals, 0, qt.Commentf("%s", name))
+		qt.Check(t, closed, qt.IsTrue, qt.Commentf("%s", name))
+	}
+}
--- a/internal/traffic/sidecar/sidecar.go
+++ b/internal/traffic/sidecar/sidecar.go
@@ -65,8 +65,8 @@
 	// maxTargetConnections and maxPeerConnections bound the connections to one address.
 	maxTargetConnections = 100
 	maxPeerConnections   = 400
-	// callerIdleTimeout is longer than the idle limits that deployments set for callers.
-	callerIdleTimeout = 75 * time.Second
+	// maxTimeout is longer than the timeouts that operators set, which package inbound enforces.
+	maxTimeout = 10 * time.Minute
 	// logLinesPerSecond bounds the log lines of each kind.
 	logLinesPerSecond = 10
 )
@@ -163,7 +163,7 @@
 }
 
 // peerIdleLimit is how long an unused connection to another host is kept. It is shorter
-// than callerIdleTimeout, after which that host closes the connection.
+// than the idle timeout of package inbound, after which that host closes the connection.
 const peerIdleLimit clock.Millis = 60_000
 
 // peerAddress returns the address at which other hosts reach this sidecar.
@@ -176,6 +176,15 @@
 	return s.pipeline.ConnContext(inbound.ConnContext(ctx, c), c)
 }
 
+// CallerTimeouts returns the operator's timeouts for callers.
+func (s *Sidecar) CallerTimeouts() inbound.Timeouts {
+	v := s.views.Current()
+	if v == nil {
+		return inbound.Timeouts{}
+	}
+	return inbound.Timeouts{Header: clock.Millis(v.Limits.HeaderTimeoutMillis), Idle: clock.Millis(v.Limits.IdleTimeoutMillis)}
+}
+
 // Ready reports whether the sidecar accepts new callers: it has a view and is not stopping.
 func (s *Sidecar) Ready() bool { return s.views.Current() != nil && !s.stopping.Load() }
 
@@ -194,7 +203,7 @@
 			serveCtx, cancel := context.WithCancel(treeCtx)
 			defer context.AfterFunc(listenerCtx, cancel)()
 			defer cancel()
-			err := process.ServeHTTPWithTimeoutFunc(serveCtx, l, &http.Server{Handler: inbound.Handler(h), ConnContext: s.connContext, MaxHeaderBytes: inbound.MaxHeaderBytes, IdleTimeout: callerIdleTimeout, ReadHeaderTimeout: 10 * time.Second, ErrorLog: discardLog}, s.remainingStopTime)
+			err := process.ServeHTTPWithTimeoutFunc(serveCtx, l, &http.Server{Handler: inbound.Handler(h), ConnContext: s.connContext, MaxHeaderBytes: inbound.MaxHeaderBytes, IdleTimeout: maxTimeout, ReadHeaderTimeout: maxTimeout, ErrorLog: discardLog}, s.remainingStopTime)
 			if listenerCtx.Err() != nil {
 				return nil
 			}
--- a/internal/transport/inbound/framing.go
+++ b/internal/transport/inbound/framing.go
@@ -85,6 +85,9 @@
 	return len(b)
 }
 
+// insideHead reports whether a head has begun and is not complete.
+func (f *framer) insideHead() bool { return f.state == inHead && (f.request || f.cr || f.size > 0) }
+
 // step takes one byte outside of bodies. It returns false if the byte is malformed.
 func (f *framer) step(c byte) bool {
 	if f.state == afterUnsupported {
--- a/internal/transport/inbound/inbound.go
+++ b/internal/transport/inbound/inbound.go
@@ -98,13 +98,15 @@
 	readsAhead bool
 	// frames is true if the listener's protocol is not HTTP.
 	frames bool
+	// ownIdle is true if the operator's idle timeout does not apply: peers keep connections for longer.
+	ownIdle bool
 }
 
 // The doors of the processes. The descriptors that they leave are for files and for the
 // connections that the process opens itself.
 var (
 	Callers = Door{Name: "callers", share: 0.4, minConnections: 64, heldBody: 64 << 10, heldBack: true, readsAhead: true}
-	Peers   = Door{Name: "peers", share: 0.25, minConnections: 32, heldBody: 64 << 10, heldBack: true}
+	Peers   = Door{Name: "peers", share: 0.25, minConnections: 32, heldBody: 64 << 10, heldBack: true, ownIdle: true}
 	// Replicas is the listener of a core replica for other processes. What it reads of messages
 	// is charged by package rpc.
 	Replicas  = Door{Name: "replicas", share: 0.4, minConnections: 64, heldBack: true, readsAhead: true, frames: true}
@@ -144,10 +146,14 @@
 	// Malformed is a request that net/http gets no more of, so that it responds with 400 and
 	// closes the connection.
 	Malformed Reason = "malformed"
+	// SlowHead is a head that was not complete in time; the response is 408.
+	SlowHead Reason = "slow-head"
+	// Idle is a connection without a request for too long.
+	Idle Reason = "idle"
 )
 
 // Reasons are all reasons.
-var Reasons = []Reason{Memory, Descriptors, Malformed}
+var Reasons = []Reason{Memory, Descriptors, Malformed, SlowHead, Idle}
 
 // Limits returns the options for a process that is allowed the given memory and number of
 // descriptors; 0 means no limit.
@@ -280,6 +286,11 @@
 func (a *Account) leave() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	return a.leaveLocked()
+}
+
+// leaveLocked is like leave. a.mu must be held.
+func (a *Account) leaveLocked() bool {
 	if a.ended || a.leaving {
 		return false
 	}
@@ -369,6 +380,9 @@
 	raw   net.Conn
 	// lastProgress is when bytes were last read or written.
 	lastProgress atomic.Int64
+	// headSince is when the first byte of the head that is being read arrived, or when the request
+	// before it was served; 0 if there is none. lateHead is the headSince of one that took too long.
+	headSince, lateHead atomic.Int64
 
 	mu   sync.Mutex
 	held int64
@@ -645,6 +659,9 @@
 	a.headBytes, a.headLines = a.lastBytes, a.lastLines
 	n := a.chargeHead() - released - requestBytes
 	a.mu.Unlock()
+	if since := a.headSince.Load(); since != 0 {
+		a.headSince.CompareAndSwap(since, time.Now().UnixNano())
+	}
 	a.Hold(n)
 }
 
@@ -657,6 +674,11 @@
 	// place of it.
 	rejected   atomic.Bool
 	substitute []byte
+	// late is true if the request is rejected for the time that its head took.
+	late atomic.Bool
+	// deadline is the one that the server has set.
+	deadlineMu sync.Mutex
+	deadline   time.Time
 }
 
 // Account returns the account of the connection.
@@ -684,23 +706,35 @@
 		c.substitute = c.substitute[n:]
 		return n, nil
 	}
-	n, err := c.Conn.Read(b)
+	n, err := c.readInTime(b)
 	for c.rejected.Load() && err == nil {
 		_, err = c.Conn.Read(b)
 		n = 0
 	}
+	if errors.Is(err, errLateHead) {
+		c.late.Store(true)
+		return c.reject(b, 0, SlowHead), nil
+	}
 	if n == 0 || c.account.door.frames {
 		return n, err
 	}
 	valid := c.framer.follow(b[:n])
-	if valid == n {
-		return n, err
+	if valid < n {
+		return c.reject(b, valid, Malformed), nil
 	}
+	c.account.followHead(c.framer.insideHead())
+	return n, err
+}
+
+// reject hands over bytes that net/http rejects after the valid ones in b, and returns how many
+// b has then.
+func (c *conn) reject(b []byte, valid int, reason Reason) int {
 	c.rejected.Store(true)
-	c.account.guard.report(c.account, Malformed, c.account.Held(), 0)
+	c.account.followHead(false)
+	c.account.guard.report(c.account, reason, c.account.Held(), c.account.stalled())
 	handed := copy(b[valid:], malformed)
 	c.substitute = malformed[handed:]
-	return valid + handed, nil
+	return valid + handed
 }
 
 // Write implements net.Conn.
@@ -710,10 +744,13 @@
 	held := int64(2 * len(b))
 	c.account.Hold(held)
 	defer c.account.Hold(-held)
-	n, err := c.Conn.Write(b)
+	n, err := c.Conn.Write(c.replaceLate(b))
 	if n > 0 {
 		c.account.progress()
 	}
+	if err == nil {
+		n = len(b)
+	}
 	return n, err
 }
 
--- /dev/null
+++ b/internal/transport/inbound/timeouts.go
@@ -0,0 +1,165 @@
+package inbound
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"os"
+	"time"
+
+	"github.com/gentiansail/gentiansail/pkg/clock"
+)
+
+// Timeouts bound how long clients may take. Zero values stand for the defaults.
+type Timeouts struct {
+	// Header bounds the time from the first byte of a head to its end. It does not run while an
+	// earlier request of the connection is served.
+	Header clock.Millis
+	// Idle bounds the time that a connection stays open without a request.
+	Idle clock.Millis
+}
+
+const (
+	// defaultHeaderTimeout and defaultIdleTimeout apply while the operator has set none.
+	defaultHeaderTimeout clock.Millis = 10_000
+	defaultIdleTimeout   clock.Millis = 75_000
+	// timeoutInterval is the time between two checks of the timeouts.
+	timeoutInterval = 200 * time.Millisecond
+)
+
+// EnforceTimeouts closes connections whose clients take too long, until ctx ends. current is
+// called for each check, so that a change is in force at once.
+func (g *Guard) EnforceTimeouts(ctx context.Context, current func() Timeouts) {
+	ticker := time.NewTicker(timeoutInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.checkTimeouts(current())
+		}
+	}
+}
+
+func (g *Guard) checkTimeouts(t Timeouts) {
+	header, idle := t.Header, t.Idle
+	if header <= 0 {
+		header = defaultHeaderTimeout
+	}
+	if idle <= 0 {
+		idle = defaultIdleTimeout
+	}
+	now := time.Now()
+	var late, unused []*Account
+	g.mu.Lock()
+	for _, accounts := range g.accounts {
+		for a := range accounts {
+			limit := idle
+			if a.door.ownIdle {
+				limit = defaultIdleTimeout
+			}
+			since := a.headSince.Load()
+			switch {
+			case a.door.frames || a.isServing():
+			case since == 0:
+				if a.leaveIdle(limit.Duration()) {
+					unused = append(unused, a)
+				}
+			case now.Sub(time.Unix(0, since)) > header.Duration():
+				a.lateHead.Store(since)
+				late = append(late, a)
+			}
+		}
+	}
+	g.mu.Unlock()
+	for _, a := range late {
+		// Wakes the read that waits for the rest of the head.
+		_ = a.raw.SetReadDeadline(now)
+	}
+	for _, a := range unused {
+		g.closeLeaving(a, Idle)
+	}
+}
+
+func (a *Account) isServing() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.serving
+}
+
+// leaveIdle is like leave if the connection has been idle for longer than limit. No request that
+// arrives later is handed over.
+func (a *Account) leaveIdle(limit time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.serving && a.stalled() > limit && a.leaveLocked()
+}
+
+// followHead keeps since when a head is being read.
+func (a *Account) followHead(inside bool) {
+	if !inside {
+		a.headSince.Store(0)
+	} else if a.headSince.Load() == 0 {
+		a.headSince.Store(time.Now().UnixNano())
+	}
+}
+
+// isLate reports whether the head that is being read has taken too long.
+func (a *Account) isLate() bool {
+	late := a.lateHead.Load()
+	return late != 0 && late == a.headSince.Load()
+}
+
+// readInTime reads from the connection, and goes on if the read was woken for a head that is not
+// late any more.
+func (c *conn) readInTime(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.account.lateHead.Load() == 0 {
+			return n, err
+		}
+		late := c.account.isLate()
+		c.account.lateHead.Store(0)
+		c.deadlineMu.Lock()
+		deadline := c.deadline
+		err = c.Conn.SetReadDeadline(deadline)
+		c.deadlineMu.Unlock()
+		if late {
+			return 0, errLateHead
+		}
+		if err != nil || !deadline.IsZero() && !time.Now().Before(deadline) {
+			return 0, os.ErrDeadlineExceeded
+		}
+	}
+}
+
+var errLateHead = errors.New("the head was not complete in time")
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
+	c.deadline = t
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// responseEnd is what the response of net/http to a malformed head ends with. Responses of
+// handlers have a date or a length.
+var responseEnd = []byte("\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n400 Bad Request")
+
+var lateResponse = []byte("HTTP/1.1 408 Request Timeout\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n408 Request Timeout")
+
+// replaceLate returns what is written in place of b. net/http has no response to a head that
+// takes too long, so it gets a malformed one, and its response is replaced.
+func (c *conn) replaceLate(b []byte) []byte {
+	if c.late.Load() && bytes.HasPrefix(b, []byte("HTTP/1.1 400 ")) && bytes.HasSuffix(b, responseEnd) {
+		return lateResponse
+	}
+	return b
+}
