inbound: bodies that arrive too slowly end their connection

A client that stopped in a body, or sent a byte now and then, kept its connection until memory or descriptors ran short.

Cause: only heads and idle connections had a time limit, and a single limit for a whole body would meet large ones.

Change: at a sidecar's listeners, a body has to arrive with 100 bytes a second over the time that reads have waited for it, checked per 10 s of waiting. Time in which the server does not read, or the client waits for a 100 response, does not count. Nothing is promised about the request.

Slow readers of responses are not judged yet.

--- a/internal/transport/inbound/framing.go
+++ b/internal/transport/inbound/framing.go
@@ -25,6 +25,8 @@
 	// length is that of the body if hasLength. chunked and unsupported tell of the transfer coding.
 	length                          int64
 	hasLength, chunked, unsupported bool
+	// expects is true while the client may wait for a 100 response before it sends the body.
+	expects bool
 	// rest is how many bytes of the body or of the chunk follow, or the size of the chunk as far as
 	// it has been read. digits counts the digits of that.
 	rest   int64
@@ -64,6 +66,9 @@
 // one makes the request malformed, and the framer must not be used any more.
 func (f *framer) follow(b []byte) int {
 	for i := 0; i < len(b); {
+		if f.state != inHead {
+			f.expects = false
+		}
 		if f.state != inBody && f.state != inChunk {
 			if !f.step(b[i]) {
 				return i
@@ -88,6 +93,11 @@
 // insideHead reports whether a head has begun and is not complete.
 func (f *framer) insideHead() bool { return f.state == inHead && (f.request || f.cr || f.size > 0) }
 
+// insideBody reports whether the client has to send more of a body.
+func (f *framer) insideBody() bool {
+	return f.state != inHead && f.state != afterUnsupported && !f.expects
+}
+
 // step takes one byte outside of bodies. It returns false if the byte is malformed.
 func (f *framer) step(c byte) bool {
 	if f.state == afterUnsupported {
@@ -211,6 +221,7 @@
 func (f *framer) readField(size, nameSize int) bool {
 	name := f.line[:min(nameSize, len(f.line))]
 	isLength := bytes.EqualFold(name, []byte("Content-Length"))
+	f.expects = f.expects || bytes.EqualFold(name, []byte("Expect"))
 	if !isLength && !bytes.EqualFold(name, []byte("Transfer-Encoding")) {
 		return true
 	}
--- a/internal/transport/inbound/inbound.go
+++ b/internal/transport/inbound/inbound.go
@@ -148,12 +148,14 @@
 	Malformed Reason = "malformed"
 	// SlowHead is a head that was not complete in time; the response is 408.
 	SlowHead Reason = "slow-head"
+	// SlowBody is a body that arrives too slowly.
+	SlowBody Reason = "slow-body"
 	// Idle is a connection without a request for too long.
 	Idle Reason = "idle"
 )
 
 // Reasons are all reasons.
-var Reasons = []Reason{Memory, Descriptors, Malformed, SlowHead, Idle}
+var Reasons = []Reason{Memory, Descriptors, Malformed, SlowHead, SlowBody, Idle}
 
 // Limits returns the options for a process that is allowed the given memory and number of
 // descriptors; 0 means no limit.
@@ -391,6 +393,7 @@
 	head, body int64
 	// headBytes and headLines count those of the current head.
 	headBytes, headLines int
+	bodyProgress         bodyProgress
 	// lastBytes and lastLines are those of the last read, which may be part of the next head.
 	lastBytes, lastLines int
 	serving              bool
@@ -706,6 +709,10 @@
 		c.substitute = c.substitute[n:]
 		return n, nil
 	}
+	waits := !c.account.door.frames && !c.rejected.Load() && c.framer.insideBody()
+	if waits {
+		c.account.awaitBody()
+	}
 	n, err := c.readInTime(b)
 	for c.rejected.Load() && err == nil {
 		_, err = c.Conn.Read(b)
@@ -716,9 +723,15 @@
 		return c.reject(b, 0, SlowHead), nil
 	}
 	if n == 0 || c.account.door.frames {
+		if waits {
+			c.account.receiveBody(0, err != nil)
+		}
 		return n, err
 	}
 	valid := c.framer.follow(b[:n])
+	if waits {
+		c.account.receiveBody(n, !c.framer.insideBody())
+	}
 	if valid < n {
 		return c.reject(b, valid, Malformed), nil
 	}
--- a/internal/transport/inbound/timeouts.go
+++ b/internal/transport/inbound/timeouts.go
@@ -25,6 +25,11 @@
 	defaultIdleTimeout   clock.Millis = 75_000
 	// timeoutInterval is the time between two checks of the timeouts.
 	timeoutInterval = 200 * time.Millisecond
+	// A client has to send minBodyRate bytes a second of a body on average, over the time that the
+	// server has waited for them; that is checked once it has waited for bodyWindow. The time
+	// budgets of clients are shorter than the window.
+	minBodyRate = 100
+	bodyWindow  = 10 * time.Second
 )
 
 // EnforceTimeouts closes connections whose clients take too long, until ctx ends. current is
@@ -51,7 +56,7 @@
 		idle = defaultIdleTimeout
 	}
 	now := time.Now()
-	var late, unused []*Account
+	var late, unused, slow []*Account
 	g.mu.Lock()
 	for _, accounts := range g.accounts {
 		for a := range accounts {
@@ -60,6 +65,9 @@
 				limit = defaultIdleTimeout
 			}
 			since := a.headSince.Load()
+			if a.slowBody(now) {
+				slow = append(slow, a)
+			}
 			switch {
 			case a.door.frames || a.isServing():
 			case since == 0:
@@ -80,6 +88,9 @@
 	for _, a := range unused {
 		g.closeLeaving(a, Idle)
 	}
+	for _, a := range slow {
+		g.close(a, SlowBody)
+	}
 }
 
 func (a *Account) isServing() bool {
@@ -88,6 +99,50 @@
 	return a.serving
 }
 
+// bodyProgress is the progress of the body that a client sends.
+type bodyProgress struct {
+	// waitingSince is when the read that waits for more of the body began; zero if there is none.
+	waitingSince time.Time
+	// waited is the time that earlier reads have waited, and received what they have read.
+	waited   time.Duration
+	received int
+}
+
+// awaitBody is called before a read for more of a body.
+func (a *Account) awaitBody() {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.bodyProgress.waitingSince = now
+}
+
+// receiveBody is called after a read for more of a body. complete is true if it was the last one.
+func (a *Account) receiveBody(n int, complete bool) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := &a.bodyProgress
+	p.waited += now.Sub(p.waitingSince)
+	p.received += n
+	p.waitingSince = time.Time{}
+	if complete {
+		*p = bodyProgress{}
+	}
+}
+
+// slowBody reports whether the server waits for a body that arrives too slowly.
+func (a *Account) slowBody(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := &a.bodyProgress
+	if p.waitingSince.IsZero() || p.waited+now.Sub(p.waitingSince) < bodyWindow {
+		return false
+	}
+	slow := p.received < minBodyRate*int(bodyWindow/time.Second)
+	*p = bodyProgress{waitingSince: now}
+	return slow
+}
+
 // leaveIdle is like leave if the connection has been idle for longer than limit. No request that
 // arrives later is handed over.
 func (a *Account) leaveIdle(limit time.Duration) bool {
--- a/internal/transport/inbound/timeouts_test.go
+++ b/internal/transport/inbound/timeouts_test.go
@@ -84,3 +84,87 @@
 	time.Sleep(3 * timeoutInterval)
 	qt.Assert(t, s.guard.ClosedCount(Peers.Name, Idle), qt.Equals, 0)
 }
+
+// Guards against slow bodies that hold a connection for good, and against a client that is
+// closed for the time that the server takes, or because it is slow within the limit.
+func TestSlowBody(t *testing.T) {
+	start := time.Now()
+	tests := map[string]struct {
+		// received are the bytes of a read each, for which the server waited for each.
+		received []int
+		each     time.Duration
+		want     bool
+	}{
+		"nothing for a window":           {nil, 0, true},
+		"single bytes":                   {[]int{1, 1, 1, 1}, bodyWindow / 5, true},
+		"at the lowest rate":             {[]int{250, 250, 250, 250}, bodyWindow / 4, false},
+		"much at first":                  {[]int{64 << 10}, bodyWindow / 2, false},
+		"waits of the server's handlers": {make([]int, 100), 0, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			a := &Account{}
+			for _, n := range tt.received {
+				a.awaitBody()
+				a.receiveBody(n, false)
+				a.bodyProgress.waited += tt.each
+			}
+			qt.Assert(t, a.slowBody(start.Add(100*bodyWindow)), qt.IsFalse) // no read waits
+			a.awaitBody()
+			passed := bodyWindow
+			if len(tt.received) > 0 {
+				passed = bodyWindow / 2
+			}
+			qt.Assert(t, a.slowBody(a.bodyProgress.waitingSince.Add(passed)), qt.Equals, tt.want)
+		})
+	}
+}
+
+// Guards against body times that run for heads, idle connections, complete bodies, or clients
+// that wait for a 100 response.
+func TestWaitsForBody(t *testing.T) {
+	const head = "POST /slow HTTP/1.1\r\nHost: h\r\n"
+	tests := map[string]struct {
+		sent string
+		want bool
+	}{
+		"nothing": {"", false}, "head": {head, false}, "complete": {head + "Content-Length: 1\r\n\r\nx", false},
+		"no body yet": {head + "Content-Length: 2\r\n\r\n", true}, "part": {head + "Content-Length: 2\r\n\r\nx", true},
+		"chunk": {head + "Transfer-Encoding: chunked\r\n\r\n5\r\nx", true}, "after a chunk": {head + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n", true},
+		"complete chunks": {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false},
+		"waits for 100":   {head + "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n", false},
+		"goes on":         {head + "Expect: 100-continue\r\nContent-Length: 2\r\n\r\nx", true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var f framer
+			qt.Assert(t, f.follow([]byte(tt.sent)), qt.Equals, len(tt.sent))
+			qt.Assert(t, f.insideBody(), qt.Equals, tt.want)
+		})
+	}
+	s := startServer(t, Peers, Limits(64, 256))
+	c := s.dial(t, tests["part"].sent)
+	find := func() (account *Account) {
+		s.guard.mu.Lock()
+		defer s.guard.mu.Unlock()
+		for a := range s.guard.accounts[Peers.Name] {
+			account = a
+		}
+		return account
+	}
+	eventually(t, "the server waits for the body", func() bool {
+		a := find()
+		if a == nil {
+			return false
+		}
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		// As if it had waited for the window.
+		a.bodyProgress.waited = bodyWindow
+		return !a.bodyProgress.waitingSince.IsZero()
+	})
+	s.guard.checkTimeouts(Timeouts{})
+	_, err := c.Read(make([]byte, 1))
+	qt.Assert(t, err, qt.IsNotNil)
+	qt.Assert(t, s.guard.ClosedCount(Peers.Name, SlowBody), qt.Equals, 1)
+}
