sidecar: the load of a link grows like its queue

Cause: a target behind a full link counted as one with all slots in use. A target twice as fast as the others, idle otherwise, then cost no more than they did, and all hosts kept sending to it.

Change: a link in use counts as requests in proportion to u / (1 - u) rather than to u / 0.8. At half of the bandwidth that is as many as the target has slots, at 80 % four times as many.

--- a/internal/traffic/sidecar/peer.go
+++ b/internal/traffic/sidecar/peer.go
@@ -49,9 +49,9 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// fullLink is the utilization of a link from which on packets queue for long: traffic comes in
-// bursts.
-const fullLink = 0.8
+// maxCountedUtilization bounds the utilization by which a link counts: a meter can measure bursts
+// above the bandwidth.
+const maxCountedUtilization = 0.9
 
 // busyLink is the utilization of a link from which on packets may queue: bursts of a few tens of
 // milliseconds are shorter than what is measured.
@@ -61,9 +61,12 @@
 func (s *Sidecar) linkBusy() bool { return s.options.Link.Utilization() >= busyLink }
 
 // addLinkLoad returns the load that other hosts are told. A target behind a link that is in use
-// counts as one of which as many slots are in use.
+// counts as one that holds more requests, by a number that grows like the queue of the link. In
+// proportion to the utilization, a target that is twice as fast as others would remain the best
+// choice of all hosts after its link has filled.
 func addLinkLoad(load hop.Load, utilization float64) hop.Load {
-	requests := int(math.Ceil(float64(load.Slots) * utilization / fullLink))
+	utilization = min(utilization, maxCountedUtilization)
+	requests := int(math.Round(float64(load.Slots) * utilization / (1 - utilization)))
 	load.Waiting = max(load.Waiting, requests-load.Running)
 	return load
 }
