retry: the capacity of a budget can change

Cause: the part of a limit that a host holds is fixed when its budget is made, so a host that later learns that it has to divide the limit with more hosts cannot give any up.

Change: Budget.SetCapacity changes the capacity, and retries above it cannot be withdrawn any more; Available states the whole retries left. Nothing calls them yet.

--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -57,7 +57,7 @@
 type Budget struct {
 	units           atomic.Int64
 	unitsPerRequest int64
-	capacityUnits   int64
+	capacityUnits   atomic.Int64
 }
 
 // NewBudget returns a budget with the initial number of retries.
@@ -68,13 +68,12 @@
 	if o.Capacity <= 0 {
 		o.Capacity = defaultCapacity
 	}
-	b := &Budget{
-		unitsPerRequest: int64(o.Ratio * unitsPerRetry),
-		capacityUnits:   int64(o.Capacity) * unitsPerRetry,
-	}
-	b.units.Store(b.capacityUnits)
+	b := &Budget{unitsPerRequest: int64(o.Ratio * unitsPerRetry)}
+	capacity := int64(o.Capacity) * unitsPerRetry
+	b.capacityUnits.Store(capacity)
+	b.units.Store(capacity)
 	if o.Initial > 0 {
-		b.units.Store(min(int64(o.Initial*unitsPerRetry), b.capacityUnits))
+		b.units.Store(min(int64(o.Initial*unitsPerRetry), capacity))
 	}
 	return b
 }
@@ -84,7 +83,7 @@
 func (b *Budget) Deposit() {
 	for {
 		old := b.units.Load()
-		next := afterDeposit(old, b.unitsPerRequest, b.capacityUnits)
+		next := afterDeposit(old, b.unitsPerRequest, b.capacityUnits.Load())
 		if next == old || b.units.CompareAndSwap(old, next) {
 			return
 		}
@@ -99,7 +98,7 @@
 func (b *Budget) WithdrawN(n int) bool {
 	for {
 		old := b.units.Load()
-		next, ok := afterWithdrawal(old, int64(n)*unitsPerRetry)
+		next, ok := afterWithdrawal(min(old, b.capacityUnits.Load()), int64(n)*unitsPerRetry)
 		if !ok {
 			return false
 		}
@@ -109,11 +108,19 @@
 	}
 }
 
+// SetCapacity changes the largest number of retries in the budget. Retries above it are lost.
+func (b *Budget) SetCapacity(n int) { b.capacityUnits.Store(int64(n) * unitsPerRetry) }
+
+// Available returns the number of whole retries in the budget.
+func (b *Budget) Available() int {
+	return int(min(b.units.Load(), b.capacityUnits.Load()) / unitsPerRetry)
+}
+
 // Return adds n retries that were withdrawn and not sent.
 func (b *Budget) Return(n int) {
 	for {
 		old := b.units.Load()
-		if b.units.CompareAndSwap(old, afterDeposit(old, int64(n)*unitsPerRetry, b.capacityUnits)) {
+		if b.units.CompareAndSwap(old, afterDeposit(old, int64(n)*unitsPerRetry, b.capacityUnits.Load())) {
 			return
 		}
 	}
