--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -60,7 +60,7 @@
 }
 
 func (t *table) explainedService(s ingress.ExplainedService) {
-	t.line("service %s, %.0f %% of the requests, %.1f retries left on this host", s.Service, s.Share*100, s.RetriesLeft)
+	t.line("service %s, %.0f %% of the requests, %d retries left on this host", s.Service, s.Share*100, s.RetriesLeft)
 	if s.Range != nil {
 		t.line("key %d, range %d to %d, owner %s", *s.Key, s.Range.From, s.Range.To, s.Range.Owner)
 	}
--- a/internal/traffic/ingress/explain.go
+++ b/internal/traffic/ingress/explain.go
@@ -61,8 +61,8 @@
 	Range *message.RangeOwner
 	// Targets holds the targets in the order in which they would be chosen, but for chance.
 	Targets []ExplainedTarget
-	// RetriesLeft is the number of retries in this host's part of the budget.
-	RetriesLeft float64
+	// RetriesLeft is the number of whole retries in this host's part of the budget.
+	RetriesLeft int
 	// Admission is what the sidecar beside the first target says; nil if it was not asked.
 	Admission *gate.Preview
 	// AdmissionError is why that sidecar said nothing.
@@ -242,7 +242,7 @@
 }
 
 // retriesLeft returns the number of retries in the budget of a service. It adds no budget.
-func (in *Ingress) retriesLeft(service message.ServiceName) float64 {
+func (in *Ingress) retriesLeft(service message.ServiceName) int {
 	in.mu.Lock()
 	b := in.retryBudgets[service]
 	in.mu.Unlock()
