inbound: clients that read responses too slowly are closed

A client that read nothing kept its connection and what was held for its response until memory or descriptors ran short.

Change: at a sidecar's listeners, a client has to acknowledge 100 bytes a second, over the time that writes have waited for it, checked per 30 s of waiting. The kernel's count of acknowledged bytes is used, since a write shows no progress while a buffer of up to 4 MB drains.

--- a/internal/transport/inbound/inbound.go
+++ b/internal/transport/inbound/inbound.go
@@ -150,12 +150,14 @@
 	SlowHead Reason = "slow-head"
 	// SlowBody is a body that arrives too slowly.
 	SlowBody Reason = "slow-body"
+	// SlowReader is a client that reads responses too slowly.
+	SlowReader Reason = "slow-reader"
 	// Idle is a connection without a request for too long.
 	Idle Reason = "idle"
 )
 
 // Reasons are all reasons.
-var Reasons = []Reason{Memory, Descriptors, Malformed, SlowHead, SlowBody, Idle}
+var Reasons = []Reason{Memory, Descriptors, Malformed, SlowHead, SlowBody, SlowReader, Idle}
 
 // Limits returns the options for a process that is allowed the given memory and number of
 // descriptors; 0 means no limit.
@@ -394,6 +396,7 @@
 	// headBytes and headLines count those of the current head.
 	headBytes, headLines int
 	bodyProgress         bodyProgress
+	readProgress         readProgress
 	// lastBytes and lastLines are those of the last read, which may be part of the next head.
 	lastBytes, lastLines int
 	serving              bool
@@ -757,7 +760,9 @@
 	held := int64(2 * len(b))
 	c.account.Hold(held)
 	defer c.account.Hold(-held)
+	c.account.awaitReader()
 	n, err := c.Conn.Write(c.replaceLate(b))
+	c.account.endWrite()
 	if n > 0 {
 		c.account.progress()
 	}
--- a/internal/transport/inbound/timeouts.go
+++ b/internal/transport/inbound/timeouts.go
@@ -4,9 +4,13 @@
 	"bytes"
 	"context"
 	"errors"
+	"net"
 	"os"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
@@ -30,6 +34,10 @@
 	// budgets of clients are shorter than the window.
 	minBodyRate = 100
 	bodyWindow  = 10 * time.Second
+	// The same holds for the bytes of responses that a client takes. The window is longer, since
+	// packets that are lost several times are sent again after some seconds.
+	minReadRate = 100
+	readWindow  = 30 * time.Second
 )
 
 // EnforceTimeouts closes connections whose clients take too long, until ctx ends. current is
@@ -56,7 +64,7 @@
 		idle = defaultIdleTimeout
 	}
 	now := time.Now()
-	var late, unused, slow []*Account
+	var late, unused, slow, reading []*Account
 	g.mu.Lock()
 	for _, accounts := range g.accounts {
 		for a := range accounts {
@@ -68,6 +76,9 @@
 			if a.slowBody(now) {
 				slow = append(slow, a)
 			}
+			if a.awaitsReader(now) {
+				reading = append(reading, a)
+			}
 			switch {
 			case a.door.frames || a.isServing():
 			case since == 0:
@@ -91,6 +102,12 @@
 	for _, a := range slow {
 		g.close(a, SlowBody)
 	}
+	for _, a := range reading {
+		// Connections without such a count are those of peers.
+		if taken, err := acknowledged(a.raw); err == nil && a.slowReader(now, taken) {
+			g.close(a, SlowReader)
+		}
+	}
 }
 
 func (a *Account) isServing() bool {
@@ -143,6 +160,72 @@
 	return slow
 }
 
+// readProgress is the progress of a client that reads responses.
+type readProgress struct {
+	// waitingSince is when the write in progress began; zero if there is none. waited is the time
+	// that earlier writes have taken.
+	waitingSince time.Time
+	waited       time.Duration
+	// taken is what the client had acknowledged when the window began.
+	taken int64
+}
+
+// awaitReader is called before a write.
+func (a *Account) awaitReader() {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.readProgress.waitingSince = now
+}
+
+// endWrite is called after a write.
+func (a *Account) endWrite() {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := &a.readProgress
+	p.waited += now.Sub(p.waitingSince)
+	p.waitingSince = time.Time{}
+}
+
+// awaitsReader reports whether a write is in progress, and writes have taken a window.
+func (a *Account) awaitsReader(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := &a.readProgress
+	return !p.waitingSince.IsZero() && p.waited+now.Sub(p.waitingSince) >= readWindow
+}
+
+// slowReader begins the next window, and reports whether the client has taken too little in the
+// last one.
+func (a *Account) slowReader(now time.Time, taken int64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := &a.readProgress
+	slow := taken-p.taken < minReadRate*int64(readWindow/time.Second)
+	*p = readProgress{waitingSince: now, taken: taken}
+	return slow
+}
+
+// acknowledged returns how many bytes the other end of a connection has acknowledged.
+func acknowledged(c net.Conn) (int64, error) {
+	raw, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, errors.ErrUnsupported
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	err = control.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if err = errors.Join(err, infoErr); err != nil {
+		return 0, err
+	}
+	return int64(info.Bytes_acked), nil
+}
+
 // leaveIdle is like leave if the connection has been idle for longer than limit. No request that
 // arrives later is handed over.
 func (a *Account) leaveIdle(limit time.Duration) bool {
--- a/internal/transport/inbound/timeouts_test.go
+++ b/internal/transport/inbound/timeouts_test.go
@@ -168,3 +168,65 @@
 	qt.Assert(t, err, qt.IsNotNil)
 	qt.Assert(t, s.guard.ClosedCount(Peers.Name, SlowBody), qt.Equals, 1)
 }
+
+// Guards against clients that read no response and keep it in memory, and against a client that is
+// closed although it reads.
+func TestSlowReader(t *testing.T) {
+	const large = 64 << 20
+	for name, want := range map[string]int{"reads nothing": 1, "reads": 0} {
+		t.Run(name, func(t *testing.T) {
+			g := NewGuard(Limits(1024, 256))
+			raw, err := net.Listen("tcp", "127.0.0.1:0")
+			qt.Assert(t, err, qt.IsNil)
+			l := g.Listener(raw, Callers)
+			defer func() { _ = l.Close() }()
+			client, err := net.Dial("tcp", raw.Addr().String())
+			qt.Assert(t, err, qt.IsNil)
+			defer func() { _ = client.Close() }()
+			served, err := l.Accept()
+			qt.Assert(t, err, qt.IsNil)
+			defer func() { _ = served.Close() }()
+			written := make(chan error, 1)
+			go func() {
+				_, err := served.Write(make([]byte, large))
+				written <- err
+			}()
+			a := AccountOf(served)
+			// check plays the end of a window.
+			check := func() {
+				eventually(t, "a write waits", func() bool {
+					a.mu.Lock()
+					defer a.mu.Unlock()
+					a.readProgress.waited = readWindow
+					return !a.readProgress.waitingSince.IsZero()
+				})
+				g.checkTimeouts(Timeouts{})
+			}
+			// The first window has the bytes that the kernel of the client takes.
+			last := int64(-1)
+			eventually(t, "the kernels take no more", func() bool {
+				time.Sleep(50 * time.Millisecond)
+				taken, err := acknowledged(a.raw)
+				qt.Assert(t, err, qt.IsNil)
+				same := taken == last && taken > 0
+				last = taken
+				return same
+			})
+			check()
+			qt.Assert(t, g.ClosedCount(Callers.Name, SlowReader), qt.Equals, 0)
+			if want == 0 {
+				_, err = io.CopyN(io.Discard, client, large/2)
+				qt.Assert(t, err, qt.IsNil)
+			}
+			check()
+			qt.Assert(t, g.ClosedCount(Callers.Name, SlowReader), qt.Equals, want)
+			if want == 0 {
+				_, err = io.CopyN(io.Discard, client, large-large/2)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, <-written, qt.IsNil)
+			} else {
+				qt.Assert(t, <-written, qt.IsNotNil)
+			}
+		})
+	}
+}
