--- a/internal/traffic/ingress/explain.go
+++ b/internal/traffic/ingress/explain.go
@@ -247,7 +247,7 @@
 	b := in.retryBudgets[service]
 	in.mu.Unlock()
 	if b == nil {
-		return 0
+		b = in.newRetryBudget()
 	}
 	return b.Available()
 }
--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -394,16 +394,21 @@
 	defer in.mu.Unlock()
 	b := in.retryBudgets[service]
 	if b == nil {
-		sidecars := max(1, in.options.Views.Current().TargetCount()) // each target has a sidecar
-		b = retry.NewBudget(retry.Options{
-			Ratio:    max(in.options.RetryRatio*retryRatioShare, 0.001),
-			Capacity: max(1, int(float64(in.options.ExtraRetries)*extraRetriesShare)/sidecars),
-		})
+		b = in.newRetryBudget()
 		in.retryBudgets[service] = b
 	}
 	return b
 }
 
+// newRetryBudget returns this host's part of the retries of a service, unused.
+func (in *Ingress) newRetryBudget() *retry.Budget {
+	sidecars := max(1, in.options.Views.Current().TargetCount()) // each target has a sidecar
+	return retry.NewBudget(retry.Options{
+		Ratio:    max(in.options.RetryRatio*retryRatioShare, 0.001),
+		Capacity: max(1, int(float64(in.options.ExtraRetries)*extraRetriesShare)/sidecars),
+	})
+}
+
 // attempt sends a request to a target, either through the gate of this host or through the
 // sidecar of the target's host.
 func (in *Ingress) attempt(ctx context.Context, r *http.Request, req *request, target message.Instance) *gate.Result {
