ingress: an offer keeps its connection

Callers with long bodies waited for a new connection to the peer after each offer: closing a response body before its end closes the connection, and the response to an offer was closed unread.

The response to an offer is now read to its end. TestOfferKeepsItsConnection sends three requests: 4 connections before, 1 now.

--- a/internal/traffic/ingress/offer.go
+++ b/internal/traffic/ingress/offer.go
@@ -43,7 +43,7 @@
 	default:
 		return nil
 	}
-	defer response.Body.Close()
+	_ = exchange.DiscardBody(response) // the connection is used again only after the end of the body
 	reply, ok := hop.ParseReply(response.Header)
 	if !ok || !reply.Reason.NotRun() {
 		return nil // accepted, or by a sidecar of an earlier release
