ingress: the time of an offer does not count as time left

Targets could run requests whose callers had left: the time left was computed before the offer and sent with the request after it, so a sidecar queued the request past its deadline by as long as the offer took.

The time left, the objective and the target's rate limit are now computed again after the offer. TestTimeOfOfferIsNotTimeLeft: 2000 ms stated before, 1700 ms now, after an offer of 300 ms.

--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -423,6 +423,7 @@
 	} else {
 		if in.shouldOffer(req, target) {
 			result = in.offer(ctx, targetRequest, target.Peer)
+			targetRequest.Request = in.hopRequest(req, target) // the offer has taken some of the time
 		}
 		if result == nil {
 			result = in.forward(ctx, targetRequest, target.Peer)
--- a/internal/traffic/ingress/offer_wait_test.go
+++ b/internal/traffic/ingress/offer_wait_test.go
@@ -65,3 +65,18 @@
 	qt.Check(t, offers, qt.Equals, 3)
 	qt.Check(t, connections.Load(), qt.Equals, int64(1))
 }
+
+// Guards against a request that runs after its caller has left: the time of the offer counted as
+// time left.
+func TestTimeOfOfferIsNotTimeLeft(t *testing.T) {
+	manual := clock.NewManual(1000)
+	var got hop.Request
+	address, _ := startOfferPeer(t, func(*http.Request) { manual.Advance(300) }, func(q hop.Request) { got = q })
+	in := newKeyedIngress(t, manual.Clock(), exchange.NewPool(exchange.Options{}), address)
+	in.options.OfferedBody = 1800
+	r := newLongBrowse(1)
+	r.Header.Set(names.RemainingMillis, "2000")
+	in.ServeHTTP(httptest.NewRecorder(), r)
+	qt.Check(t, got.RemainingMillis, qt.Equals, clock.Millis(1700))
+	qt.Check(t, got.ObjectiveMillis, qt.Equals, clock.Millis(1700))
+}
