ingress: no attempt is made after the time of a request is up

If a target did not answer an offer in time, the request went on to the next targets with an expired context. Each counted as unreachable and was paused, and the caller was told 'unreachable' in place of 'late'.

makeAttempts returns the result once the context has ended. TestUnansweredOfferPausesNoOtherTarget failed before: i-2 was paused, the body named 'unreachable'; it passes now.

--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -269,6 +269,8 @@
 				result.RetryMillis = ownerRetryAfter
 			}
 			return result
+		case ctx.Err() != nil:
+			return result // an attempt that is not made would count as one that could not reach its target
 		default:
 			tried[target.Incarnation.ID] = true
 			if targetsTried++; targetsTried >= maxTargetsTried {
--- a/internal/traffic/ingress/offer_wait_test.go
+++ b/internal/traffic/ingress/offer_wait_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/gentiansail/gentiansail/internal/coordination/message"
 	"github.com/gentiansail/gentiansail/internal/exchange"
 	"github.com/gentiansail/gentiansail/internal/traffic/hop"
 	"github.com/gentiansail/gentiansail/pkg/clock"
@@ -80,3 +82,38 @@
 	qt.Check(t, got.RemainingMillis, qt.Equals, clock.Millis(1700))
 	qt.Check(t, got.ObjectiveMillis, qt.Equals, clock.Millis(1700))
 }
+
+// serveUnansweredOffer serves a request until its time is up. Neither of the two targets answers
+// offers.
+func serveUnansweredOffer(t *testing.T) (in *Ingress, w *httptest.ResponseRecorder) {
+	block := func(r *http.Request) { <-r.Context().Done() }
+	first, _ := startOfferPeer(t, block, func(hop.Request) {})
+	second, _ := startOfferPeer(t, block, func(hop.Request) {})
+	in = newKeyedIngress(t, clock.System(), exchange.NewPool(exchange.Options{}), first)
+	in.options.OfferedBody = 1800
+	items := []message.Item{}
+	for name, element := range map[string]any{
+		message.ItemService + "catalogue": message.ServiceSpec{Name: "catalogue"},
+		message.ItemInstance + "i-2":      message.Instance{Incarnation: message.Incarnation{ID: "i-2", StartTime: 1}, Service: "catalogue", Peer: message.Address(second), Slots: 8},
+	} {
+		text, err := json.Marshal(element)
+		qt.Assert(t, err, qt.IsNil)
+		items = append(items, message.Item{Name: name, Text: string(text)})
+	}
+	qt.Assert(t, in.options.Views.Apply(message.WatchReply{Version: 2, Items: items}), qt.IsNil)
+	r := newLongBrowse(1)
+	r.Header.Set(names.RemainingMillis, "300")
+	w = httptest.NewRecorder()
+	in.ServeHTTP(w, r)
+	return in, w
+}
+
+// Guards against a target that is paused as unreachable because the time of a request was up
+// before it was sent there.
+func TestUnansweredOfferPausesNoOtherTarget(t *testing.T) {
+	in, w := serveUnansweredOffer(t)
+	qt.Check(t, w.Body.String(), qt.Contains, string(hop.TooLate))
+	for _, c := range in.balancer.Candidates(in.options.Views.Current().Available("catalogue")) {
+		qt.Check(t, c.Skipped, qt.Equals, "", qt.Commentf("%s", c.Instance.Incarnation.ID))
+	}
+}
