ingress: an unanswered offer counts as a failure of its target

A host that stopped answering was taken for idle after an unanswered offer: the result 'late' without a load was recorded as a successful response with an empty queue, so the target became the first choice and the next long bodies went to it without an offer. It also ended a pause.

Such a result is recorded as a failure, like a request without a response in time. TestUnansweredOfferCountsAsFailure failed before (HasFreeSlots true, no failure) and passes now.

--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -487,6 +487,12 @@
 		in.balancer.RecordResponse(target, result.Load, true)
 	case hop.Expired:
 		in.balancer.RecordFailure(target, false)
+	case hop.TooLate:
+		if result.Load == (hop.Load{}) {
+			in.balancer.RecordFailure(target, false) // an offer was not answered in time
+			return
+		}
+		in.balancer.RecordResponse(target, result.Load, false)
 	case hop.CallerDisconnected:
 		in.balancer.RecordCancel(target)
 	case hop.RejectedByTarget:
--- a/internal/traffic/ingress/offer_wait_test.go
+++ b/internal/traffic/ingress/offer_wait_test.go
@@ -117,3 +117,17 @@
 		qt.Check(t, c.Skipped, qt.Equals, "", qt.Commentf("%s", c.Instance.Incarnation.ID))
 	}
 }
+
+// Guards against a host that answers no offers and counts as idle, so that bodies are sent to it
+// without an offer.
+func TestUnansweredOfferCountsAsFailure(t *testing.T) {
+	in, _ := serveUnansweredOffer(t)
+	failing := 0
+	for _, c := range in.balancer.Candidates(in.options.Views.Current().Available("catalogue")) {
+		qt.Check(t, in.balancer.HasFreeSlots(c.Instance), qt.IsFalse, qt.Commentf("%s", c.Instance.Incarnation.ID))
+		if c.FailureRate > 0 {
+			failing++
+		}
+	}
+	qt.Check(t, failing, qt.Equals, 1)
+}
