placement: a question about candidates adds no targets

Asking where a request would go changed where it went: Candidates reads the mean service time, which added a state for each target. ExpectCold takes only targets without a state for new ones, so a target that had just joined a service that starts cold got a full share of the requests.

The mean is computed from the known states. Choose adds the states itself, as before. TestCandidatesLeavesNewTargetsNew failed before (the new target was not limited) and passes now.

--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -190,7 +190,7 @@
 func (b *Balancer) meanServiceMillis(instances []message.Instance, now clock.Millis) float64 {
 	sum, n := 0.0, 0.0
 	for _, instance := range instances {
-		if s := b.state(instance.Incarnation.ID); s.serviceMillis(now) > 0 && !s.isCold(now) {
+		if s := b.known(instance.Incarnation.ID); s.serviceMillis(now) > 0 && !s.isCold(now) {
 			sum, n = sum+s.serviceMillis(now), n+1
 		}
 	}
