gate: the offer of a second copy is judged like the copy

A busy target accepted the offer of a second copy and then rejected the copy with its body, because the offer was judged like one of a first copy, which may wait. A rejected offer booked a place for the return of a caller, though no caller returns for a copy, so others were told to wait longer.

The offer is judged by the rule of admitSecondCopy and books nothing. TestWeighOfferOfSecondCopy failed before (accepted with all slots in use; 100 and 200 ms booked) and passes now.

--- a/internal/traffic/gate/offer.go
+++ b/internal/traffic/gate/offer.go
@@ -17,16 +17,20 @@
 	result := &Result{}
 	if reason := g.rejectionReason(request, now); reason != "" {
 		result = Rejection(reason, 0)
+	} else if request.SecondCopy && !g.hasRoomForSecondCopy() {
+		result = Rejection(hop.Busy, 0)
 	} else if linkUtilization >= maxOfferLinkUtilization {
 		result = Rejection(hop.Busy, g.queue.RetryAfter())
 	} else {
 		ticket := newTicket(request, now)
 		decision, _, _ := g.queue.Preview(ticket)
-		switch decision {
-		case admission.Overloaded:
-			result = Rejection(hop.Busy, g.queue.BookReturn(ticket))
-		case admission.TooLate:
+		switch {
+		case decision == admission.TooLate:
 			result = Rejection(hop.TooLate, 0)
+		case request.SecondCopy && decision != admission.Admitted:
+			result = Rejection(hop.Busy, 0) // it may not wait, and no caller returns for it
+		case decision == admission.Overloaded:
+			result = Rejection(hop.Busy, g.queue.BookReturn(ticket))
 		}
 	}
 	result.Load = g.Load()
--- a/internal/traffic/gate/offer_test.go
+++ b/internal/traffic/gate/offer_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/gentiansail/gentiansail/internal/traffic/hop"
+	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
 // Guards against bodies that are accepted on a full link or by a target without room, and against an
@@ -41,3 +42,39 @@
 	close(release)
 	<-done
 }
+
+// Guards against bodies of second copies that are accepted by a target that rejects the copies, and
+// against a place for a return that no caller uses.
+func TestWeighOfferOfSecondCopy(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+		<-release
+		w.Header().Set("Test-Id", r.Header.Get("Test-Id"))
+		w.Header().Set("Test-Signature", "s")
+	}))
+	defer server.Close()
+	g := newGate(server.Listener.Addr().String())
+	newCopy := func(remaining clock.Millis) *TargetRequest {
+		request := newRequest(remaining)
+		request.SecondCopy = true
+		return request
+	}
+	qt.Check(t, g.WeighOffer(newCopy(5000), 0).Reason, qt.Equals, hop.Reason(""))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		request := newRequest(5000)
+		request.Header.Set("Test-Id", request.ID)
+		g.Do(t.Context(), request).Close()
+	}()
+	<-arrived
+	qt.Check(t, g.WeighOffer(newCopy(5000), 0).Reason, qt.Equals, hop.Busy)
+	for range 3 {
+		result := g.WeighOffer(newCopy(20), 0)
+		qt.Check(t, result.Reason, qt.Equals, hop.Busy)
+		qt.Check(t, result.RetryMillis, qt.Equals, clock.Millis(0))
+	}
+	close(release)
+	<-done
+}
--- a/internal/traffic/gate/second_copy.go
+++ b/internal/traffic/gate/second_copy.go
@@ -20,8 +20,7 @@
 // admitSecondCopy gives a second copy a slot if the target is warm and has enough free ones. It never
 // makes the copy wait: in a queue it would take the place of a first copy, which has no other.
 func (g *Gate) admitSecondCopy(ticket *admission.Ticket) *Result {
-	load := g.Load()
-	if g.Cold() || float64(load.Running+load.Waiting) >= copies.MaxUtilization*float64(load.Slots) {
+	if !g.hasRoomForSecondCopy() {
 		return Rejection(hop.Busy, 0)
 	}
 	switch g.queue.Admit(ticket) {
@@ -40,3 +39,9 @@
 	}
 	return Rejection(hop.Busy, 0)
 }
+
+// hasRoomForSecondCopy reports whether the target is warm and has enough free slots for a second copy.
+func (g *Gate) hasRoomForSecondCopy() bool {
+	load := g.Load()
+	return !g.Cold() && float64(load.Running+load.Waiting) < copies.MaxUtilization*float64(load.Slots)
+}
