--- a/internal/traffic/gate/offer.go
+++ b/internal/traffic/gate/offer.go
@@ -10,14 +10,17 @@
 const maxOfferLinkUtilization = 0.8
 
 // WeighOffer answers the offer of a request whose body is long for the link of this host. It
-// returns the rejection that the request would get now, or a result without a reason. Nothing is
-// kept for the request.
+// returns the rejection that the request would get now, or a result without a reason. A
+// rejected one counts as load of its key. Nothing else is kept for the request.
 func (g *Gate) WeighOffer(request *TargetRequest, linkUtilization float64) *Result {
 	now := g.options.Clock.Now()
 	result := &Result{}
 	if reason := g.rejectionReason(request, now); reason != "" {
 		result = Rejection(reason, 0)
-	} else if request.SecondCopy && !g.hasRoomForSecondCopy() {
+		result.Load = g.Load()
+		return result
+	}
+	if request.SecondCopy && !g.hasRoomForSecondCopy() {
 		result = Rejection(hop.Busy, 0)
 	} else if linkUtilization >= maxOfferLinkUtilization {
 		result = Rejection(hop.Busy, g.queue.RetryAfter())
@@ -33,6 +36,9 @@
 			result = Rejection(hop.Busy, g.queue.BookReturn(ticket))
 		}
 	}
+	if result.Reason != "" {
+		g.countKey(request) // Do counts an accepted one
+	}
 	result.Load = g.Load()
 	return result
 }
--- a/internal/traffic/gate/offer_test.go
+++ b/internal/traffic/gate/offer_test.go
@@ -78,3 +78,15 @@
 	close(release)
 	<-done
 }
+
+// Guards against a hot key that the core does not see because its requests are rejected when they
+// are offered, and against a key that is counted twice.
+func TestRejectedOfferCountsAsLoadOfItsKey(t *testing.T) {
+	g := newGate("127.0.0.1:1")
+	request := newRequest(5000)
+	request.Key = 77
+	qt.Check(t, g.WeighOffer(request, 0.1).Reason, qt.Equals, hop.Reason(""))
+	qt.Check(t, g.TakeKeyLoads(), qt.HasLen, 0, qt.Commentf("counted when it is sent"))
+	qt.Check(t, g.WeighOffer(request, 0.9).Reason, qt.Equals, hop.Busy)
+	qt.Check(t, g.TakeKeyLoads(), qt.HasLen, 1)
+}
