gate: a rejected offer of a call counts as demand of calls

Calls with long bodies were rejected when they were offered and did not count as demand, so the target kept no slots for calls while runs that wait for calls filled them.

A busy rejection of an offer records the demand like Admit does; an accepted call is recorded when it is sent. TestRejectedOfferCountsAsDemandOfCalls failed before (share 0) and passes now.

--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -223,8 +223,8 @@
 	q.lastSequence++
 	t.sequence = q.lastSequence
 	decision, _ := q.judge(t, now)
-	if t.Call && decision != TooLate {
-		q.calls.recordDemand(q.expectedDuration(t), now)
+	if decision != TooLate {
+		q.countCall(t, now)
 	}
 	switch decision {
 	case Admitted:
@@ -237,6 +237,20 @@
 	return decision
 }
 
+// CountRejected counts a request that was rejected without a call of Admit. It may be a call, for
+// which slots have to be kept.
+func (q *Queue) CountRejected(t *Ticket) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.countCall(t, q.clock.Now())
+}
+
+func (q *Queue) countCall(t *Ticket, now clock.Millis) {
+	if t.Call {
+		q.calls.recordDemand(q.expectedDuration(t), now)
+	}
+}
+
 // Preview returns what Admit would decide about a request, the expected wait of a request that
 // would be queued, and when the caller of a rejected one would be asked to return. It changes
 // only the ticket, which must not be admitted afterwards.
--- a/internal/traffic/gate/offer.go
+++ b/internal/traffic/gate/offer.go
@@ -11,7 +11,7 @@
 
 // WeighOffer answers the offer of a request whose body is long for the link of this host. It
 // returns the rejection that the request would get now, or a result without a reason. A
-// rejected one counts as load of its key. Nothing else is kept for the request.
+// rejected one counts as load of its key and as demand of calls. Nothing else is kept for the request.
 func (g *Gate) WeighOffer(request *TargetRequest, linkUtilization float64) *Result {
 	now := g.options.Clock.Now()
 	result := &Result{}
@@ -39,6 +39,9 @@
 	if result.Reason != "" {
 		g.countKey(request) // Do counts an accepted one
 	}
+	if result.Reason == hop.Busy {
+		g.queue.CountRejected(newTicket(request, now))
+	}
 	result.Load = g.Load()
 	return result
 }
--- a/internal/traffic/gate/offer_test.go
+++ b/internal/traffic/gate/offer_test.go
@@ -90,3 +90,15 @@
 	qt.Check(t, g.WeighOffer(request, 0.9).Reason, qt.Equals, hop.Busy)
 	qt.Check(t, g.TakeKeyLoads(), qt.HasLen, 1)
 }
+
+// Guards against slots that are not reserved for calls because the calls are rejected when they are
+// offered.
+func TestRejectedOfferCountsAsDemandOfCalls(t *testing.T) {
+	g := newGate("127.0.0.1:1")
+	request := newRequest(5000)
+	request.Call = true
+	qt.Check(t, g.WeighOffer(request, 0.1).Reason, qt.Equals, hop.Reason(""))
+	qt.Check(t, g.CallShare(), qt.Equals, 0.0, qt.Commentf("counted when it is sent"))
+	qt.Check(t, g.WeighOffer(request, 0.9).Reason, qt.Equals, hop.Busy)
+	qt.Check(t, g.CallShare() > 0, qt.IsTrue)
+}
