ingress: an explained path may begin with two slashes

An explanation of a path that begins with two slashes named a route that the request does not take: the path was parsed a second time, as a reference whose first segment is a host name.

The request gets the path as it was parsed for a request line. TestExplainedPathBeginsWithTwoSlashes failed before (no reason given, the request gets 404 no-route) and passes now.

--- a/internal/traffic/ingress/explain.go
+++ b/internal/traffic/ingress/explain.go
@@ -160,11 +160,11 @@
 	if err != nil {
 		return nil, err
 	}
-	r, err := http.NewRequest(cmp.Or(q.Method, http.MethodGet), path.String(), nil)
+	r, err := http.NewRequest(cmp.Or(q.Method, http.MethodGet), "/", nil)
 	if err != nil {
 		return nil, err
 	}
-	r.Host, r.RequestURI = q.HostName, q.Path
+	r.Host, r.URL, r.RequestURI = q.HostName, path, q.Path
 	if q.Key != "" {
 		r.Header.Set(in.options.Names.Key, q.Key)
 	}
