ingress: an offer waits for its answer for a bounded time

A request whose offer a frozen host did not answer spent all of its time there and got 'late', though it had not been sent and other targets had room.

If any target may run the request, an offer waits for at most 1 s, and the request then goes to the next target. The owner of a key is still waited for until the deadline. TestUnansweredOfferLeavesTimeForOtherTarget failed before (503 after 5 s, nothing sent) and passes now (200, sent once).

--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -424,7 +424,7 @@
 		result = in.options.Gate.Do(ctx, targetRequest)
 	} else {
 		if in.shouldOffer(req, target) {
-			result = in.offer(ctx, targetRequest, target.Peer)
+			result = in.offer(ctx, req, targetRequest, target.Peer)
 			targetRequest.Request = in.hopRequest(req, target) // the offer has taken some of the time
 		}
 		if result == nil {
--- a/internal/traffic/ingress/offer.go
+++ b/internal/traffic/ingress/offer.go
@@ -9,8 +9,14 @@
 	"github.com/gentiansail/gentiansail/internal/exchange"
 	"github.com/gentiansail/gentiansail/internal/traffic/gate"
 	"github.com/gentiansail/gentiansail/internal/traffic/hop"
+	"github.com/gentiansail/gentiansail/pkg/clock"
 )
 
+// maxOfferWait is how long an offer waits for its answer if another target may run the request. An
+// answer takes about 1 ms; one that takes this long comes from a host that is frozen or cut off, or
+// has a full link.
+const maxOfferWait clock.Millis = 1000
+
 // shouldOffer reports whether a request is offered to a target before it is sent: its body is long
 // for the links of the hosts, and the target is not known to have free slots. Many hosts that each
 // hear little of a target send it more than it accepts, and bodies of rejected requests can fill
@@ -23,7 +29,12 @@
 // offer asks the sidecar of the target's host whether the target would accept a request. It
 // returns nil if the request should be sent, and otherwise the result of the request, which has not
 // been sent.
-func (in *Ingress) offer(ctx context.Context, targetRequest *gate.TargetRequest, peer message.Address) *gate.Result {
+func (in *Ingress) offer(ctx context.Context, req *request, targetRequest *gate.TargetRequest, peer message.Address) *gate.Result {
+	if !req.hasOwner() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, maxOfferWait.Duration())
+		defer cancel()
+	}
 	header := http.Header{}
 	header.Set(in.options.Names.RequestID, targetRequest.ID)
 	targetRequest.Request.SetOfferHeader(header)
--- a/internal/traffic/ingress/offer_wait_test.go
+++ b/internal/traffic/ingress/offer_wait_test.go
@@ -83,13 +83,12 @@
 	qt.Check(t, got.ObjectiveMillis, qt.Equals, clock.Millis(1700))
 }
 
-// serveUnansweredOffer serves a request until its time is up. Neither of the two targets answers
-// offers.
-func serveUnansweredOffer(t *testing.T) (in *Ingress, w *httptest.ResponseRecorder) {
-	block := func(r *http.Request) { <-r.Context().Done() }
-	first, _ := startOfferPeer(t, block, func(hop.Request) {})
-	second, _ := startOfferPeer(t, block, func(hop.Request) {})
-	in = newKeyedIngress(t, clock.System(), exchange.NewPool(exchange.Options{}), first)
+// newTwoTargetIngress returns an ingress for a service without keys and with two targets, see
+// startOfferPeer.
+func newTwoTargetIngress(t *testing.T, offered func(*http.Request), sent func(hop.Request)) *Ingress {
+	first, _ := startOfferPeer(t, offered, sent)
+	second, _ := startOfferPeer(t, offered, sent)
+	in := newKeyedIngress(t, clock.System(), exchange.NewPool(exchange.Options{}), first)
 	in.options.OfferedBody = 1800
 	items := []message.Item{}
 	for name, element := range map[string]any{
@@ -101,6 +100,13 @@
 		items = append(items, message.Item{Name: name, Text: string(text)})
 	}
 	qt.Assert(t, in.options.Views.Apply(message.WatchReply{Version: 2, Items: items}), qt.IsNil)
+	return in
+}
+
+// serveUnansweredOffer serves a request until its time is up. Neither of the two targets answers
+// offers.
+func serveUnansweredOffer(t *testing.T) (in *Ingress, w *httptest.ResponseRecorder) {
+	in = newTwoTargetIngress(t, func(r *http.Request) { <-r.Context().Done() }, func(hop.Request) {})
 	r := newLongBrowse(1)
 	r.Header.Set(names.RemainingMillis, "300")
 	w = httptest.NewRecorder()
@@ -131,3 +137,21 @@
 	}
 	qt.Check(t, failing, qt.Equals, 1)
 }
+
+// Guards against a request that spends all of its time on one host that does not answer offers,
+// though it has not been sent and another target is free.
+func TestUnansweredOfferLeavesTimeForOtherTarget(t *testing.T) {
+	offers, sent := atomic.Int64{}, atomic.Int64{}
+	blockFirst := func(r *http.Request) {
+		if offers.Add(1) == 1 {
+			<-r.Context().Done()
+		}
+	}
+	in := newTwoTargetIngress(t, blockFirst, func(hop.Request) { sent.Add(1) })
+	r := newLongBrowse(1)
+	r.Header.Set(names.RemainingMillis, "5000")
+	w := httptest.NewRecorder()
+	in.ServeHTTP(w, r)
+	qt.Check(t, w.Code, qt.Equals, http.StatusOK)
+	qt.Check(t, sent.Load(), qt.Equals, int64(1))
+}
