--- a/internal/traffic/ingress/ingress.go
+++ b/internal/traffic/ingress/ingress.go
@@ -269,6 +269,8 @@
 				result.RetryMillis = ownerRetryAfter
 			}
 			return result
+		case ctx.Err() != nil:
+			return result // an attempt that is not made would count as one that could not reach its target
 		default:
 			tried[target.Incarnation.ID] = true
 			if targetsTried++; targetsTried >= maxTargetsTried {
@@ -427,7 +429,8 @@
 		result = in.options.Gate.Do(ctx, targetRequest)
 	} else {
 		if in.shouldOffer(req, target) {
-			result = in.offer(ctx, targetRequest, target.Peer)
+			result = in.offer(ctx, req, targetRequest, target.Peer)
+			targetRequest.Request = in.hopRequest(req, target) // the offer has taken some of the time
 		}
 		if result == nil {
 			result = in.forward(ctx, targetRequest, target.Peer)
@@ -489,6 +492,12 @@
 		in.balancer.RecordResponse(target, result.Load, true)
 	case hop.Expired:
 		in.balancer.RecordFailure(target, false)
+	case hop.TooLate:
+		if result.Load == (hop.Load{}) {
+			in.balancer.RecordFailure(target, false) // an offer was not answered in time
+			return
+		}
+		in.balancer.RecordResponse(target, result.Load, false)
 	case hop.CallerDisconnected:
 		in.balancer.RecordCancel(target)
 	case hop.RejectedByTarget:
