coordination: a registration ends only removals that were proposed before it

Two targets could hold the same keys. A registration that is proposed after the removal of a target with an unknown outcome allows leases again, since commands are applied in the order in which they are proposed. Since leases are recorded without leadership.mu, isExpiring no longer waits for a removal that is still being proposed: a changed registration could be applied before the removal and delete its mark. Also, with and without that lock, it deleted the mark of a second removal that began after the registration had looked. In both cases a response to a heartbeat then renewed the lease, and the removal gave the keys to others while that lease was in force.

Each removal is now a value of its own. A registration ends only the removal that it saw with an unknown outcome, and only if no other one has begun since.

--- a/internal/coordination/core/leadership.go
+++ b/internal/coordination/core/leadership.go
@@ -61,8 +61,15 @@
 	// lease, and gets none from then on. It is never held during a commit. A response to a heartbeat
 	// that waited for all changes that others have queued up would arrive too late to be accepted.
 	leaseMu sync.Mutex
-	// expiring are targets whose removal was proposed, with an outcome that is not known.
-	expiring map[message.Incarnation]bool
+	// expiring are the last removals of targets that are being proposed, or were with an outcome
+	// that is not known.
+	expiring map[message.Incarnation]*expiry
+}
+
+// expiry is a removal of a target.
+type expiry struct {
+	// unknown is true once the proposal has ended without a known outcome.
+	unknown bool
 }
 
 // newLeadership returns what a leader knows at the beginning of its term. All leases count
@@ -78,7 +85,7 @@
 		unassignedSince: map[message.ServiceName]clock.Millis{}, leavingSince: map[message.Incarnation]clock.Millis{},
 		moveWantedSince: map[message.ServiceName]clock.Millis{}, loadsCommittedAt: map[message.ServiceName]clock.Millis{},
 		delayedOwners: map[message.Incarnation]bool{}, rebalancedAt: map[message.ServiceName]clock.Millis{},
-		expiring: map[message.Incarnation]bool{}, orders: map[message.FailureDomain]*evacuationOrders{},
+		expiring: map[message.Incarnation]*expiry{}, orders: map[message.FailureDomain]*evacuationOrders{},
 		evacuations: newEvacuations(),
 	}
 }
--- a/internal/coordination/core/lease.go
+++ b/internal/coordination/core/lease.go
@@ -71,7 +71,7 @@
 func (l *leadership) recordCallLease(owner message.Incarnation, arrival, duration clock.Millis) bool {
 	l.leaseMu.Lock()
 	defer l.leaseMu.Unlock()
-	if l.expiring[owner] {
+	if l.expiring[owner] != nil {
 		return false
 	}
 	l.leases.RecordCallLease(owner, arrival, duration)
--- a/internal/coordination/core/ownership.go
+++ b/internal/coordination/core/ownership.go
@@ -104,13 +104,13 @@
 	if ok && old == instance {
 		return nil
 	}
-	expiring := l.isExpiring(instance.Incarnation)
+	expiry := l.unknownExpiry(instance.Incarnation)
 	out, err := l.propose(ctx, message.Command{Register: &instance, Before: before})
 	if err == nil && out.Status != registry.Done {
 		err = &rpc.Error{Code: rpc.CodeRejected, Message: out.Reason}
 	}
-	if err == nil && expiring {
-		l.endExpiry(instance.Incarnation)
+	if err == nil && expiry != nil {
+		l.endExpiry(instance.Incarnation, expiry)
 	}
 	l.log.Info().Err(err).Str("Event", "target").Str("Service", string(instance.Service)).Str("Target", string(instance.Incarnation.ID)).Int("Born", int(instance.Incarnation.StartTime)).
 		Str("Peer", string(instance.Peer)).Int("Slots", instance.Slots).Bool("Draining", instance.Draining).Bool("Stopping", instance.Stopping).Msg("target registered")
@@ -327,7 +327,7 @@
 func (l *leadership) recordLease(owner message.Incarnation, arrival clock.Millis) bool {
 	l.leaseMu.Lock()
 	defer l.leaseMu.Unlock()
-	if l.expiring[owner] {
+	if l.expiring[owner] != nil {
 		return false
 	}
 	l.leases.RecordLease(owner, arrival)
--- a/internal/coordination/core/planner.go
+++ b/internal/coordination/core/planner.go
@@ -87,9 +87,9 @@
 	defer l.leaseMu.Unlock()
 	now := l.options.Clock.Now()
 	sinceHeartbeat = l.leases.SinceLastHeartbeat(i.Incarnation, now)
-	lost = l.expiring[i.Incarnation] || sinceHeartbeat >= deregisterAfter || hasKeys && l.leases.Expired(i.Incarnation, now, l.leaseDuration(i.Service))
+	lost = l.expiring[i.Incarnation] != nil || sinceHeartbeat >= deregisterAfter || hasKeys && l.leases.Expired(i.Incarnation, now, l.leaseDuration(i.Service))
 	if lost {
-		l.expiring[i.Incarnation] = true
+		l.beginExpiry(i.Incarnation)
 	}
 	return sinceHeartbeat, lost
 }
@@ -99,28 +99,46 @@
 // the order in which they were proposed. The caller must hold l.mu.
 func (l *leadership) expire(ctx context.Context, i message.Incarnation) error {
 	l.leaseMu.Lock()
-	l.expiring[i] = true
+	e := l.beginExpiry(i)
 	l.leaseMu.Unlock()
-	if _, err := l.propose(ctx, message.Command{Expire: &i}); err != nil {
-		return err
+	_, err := l.propose(ctx, message.Command{Expire: &i})
+	if err == nil {
+		l.endExpiry(i, e)
+		return nil
 	}
-	l.endExpiry(i)
-	return nil
+	l.leaseMu.Lock()
+	defer l.leaseMu.Unlock()
+	e.unknown = true
+	return err
 }
 
-// isExpiring reports whether the removal of a target was proposed and has no known outcome.
-func (l *leadership) isExpiring(i message.Incarnation) bool {
+// beginExpiry records that a removal of a target is about to be proposed. The caller must hold
+// l.leaseMu.
+func (l *leadership) beginExpiry(i message.Incarnation) *expiry {
+	e := &expiry{}
+	l.expiring[i] = e
+	return e
+}
+
+// unknownExpiry returns the last removal of a target if its proposal has ended without a known
+// outcome, or nil. Only then is a command that is proposed from now on applied after it.
+func (l *leadership) unknownExpiry(i message.Incarnation) *expiry {
 	l.leaseMu.Lock()
 	defer l.leaseMu.Unlock()
-	return l.expiring[i]
+	if e := l.expiring[i]; e != nil && e.unknown {
+		return e
+	}
+	return nil
 }
 
-// endExpiry records that the removal of a target, or a command that was proposed after it, was
-// applied.
-func (l *leadership) endExpiry(i message.Incarnation) {
+// endExpiry records that a removal of a target, or a command that was proposed after it, was
+// applied. It does nothing if another removal has begun since.
+func (l *leadership) endExpiry(i message.Incarnation, e *expiry) {
 	l.leaseMu.Lock()
 	defer l.leaseMu.Unlock()
-	delete(l.expiring, i)
+	if l.expiring[i] == e {
+		delete(l.expiring, i)
+	}
 }
 
 func errExpiring() error {
