inbound: bytes that arrived in time are not late because they are unread

A client that reuses a connection within idleTimeout, or sends the rest of a head within headerTimeout, was cut off or got a 408 if the process did not run meanwhile: after a freeze the check of the timeouts ran before the connections were read, and counted the time of the freeze as the client's.

--- a/internal/transport/inbound/timeouts.go
+++ b/internal/transport/inbound/timeouts.go
@@ -64,7 +64,12 @@
 		idle = defaultIdleTimeout
 	}
 	now := time.Now()
-	var late, unused, slow, reading []*Account
+	type candidate struct {
+		account *Account
+		limit   time.Duration
+	}
+	var unused []candidate
+	var late, slow, reading []*Account
 	g.mu.Lock()
 	for _, accounts := range g.accounts {
 		for a := range accounts {
@@ -82,22 +87,28 @@
 			switch {
 			case a.door.frames || a.isServing():
 			case since == 0:
-				if a.leaveIdle(limit.Duration()) {
-					unused = append(unused, a)
+				if a.stalled() > limit.Duration() {
+					unused = append(unused, candidate{a, limit.Duration()})
 				}
 			case now.Sub(time.Unix(0, since)) > header.Duration():
-				a.lateHead.Store(since)
 				late = append(late, a)
 			}
 		}
 	}
 	g.mu.Unlock()
+	// A process that was stopped or had no processor for some time finds what clients have sent in
+	// time not read yet.
 	for _, a := range late {
-		// Wakes the read that waits for the rest of the head.
-		_ = a.raw.SetReadDeadline(now)
+		if since := a.headSince.Load(); since != 0 && now.Sub(time.Unix(0, since)) > header.Duration() && !hasUnread(a.raw) {
+			a.lateHead.Store(since)
+			// Wakes the read that waits for the rest of the head.
+			_ = a.raw.SetReadDeadline(now)
+		}
 	}
-	for _, a := range unused {
-		g.closeLeaving(a, Idle)
+	for _, c := range unused {
+		if !hasUnread(c.account.raw) && c.account.leaveIdle(c.limit) {
+			g.closeLeaving(c.account, Idle)
+		}
 	}
 	for _, a := range slow {
 		g.close(a, SlowBody)
@@ -209,21 +220,41 @@
 
 // acknowledged returns how many bytes the other end of a connection has acknowledged.
 func acknowledged(c net.Conn) (int64, error) {
+	var info *unix.TCPInfo
+	err := withDescriptor(c, func(fd int) (err error) {
+		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		return err
+	})
+	if err != nil {
+		return 0, err
+	}
+	return int64(info.Bytes_acked), nil
+}
+
+// hasUnread reports whether bytes have arrived on a connection that were not read yet. It returns
+// false if that cannot be told.
+func hasUnread(c net.Conn) bool {
+	unread := 0
+	err := withDescriptor(c, func(fd int) (err error) {
+		unread, err = unix.IoctlGetInt(fd, unix.SIOCINQ)
+		return err
+	})
+	return err == nil && unread > 0
+}
+
+// withDescriptor calls f with the descriptor of a connection.
+func withDescriptor(c net.Conn, f func(fd int) error) error {
 	raw, ok := c.(syscall.Conn)
 	if !ok {
-		return 0, errors.ErrUnsupported
+		return errors.ErrUnsupported
 	}
 	control, err := raw.SyscallConn()
 	if err != nil {
-		return 0, err
+		return err
 	}
-	var info *unix.TCPInfo
-	var infoErr error
-	err = control.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	if err = errors.Join(err, infoErr); err != nil {
-		return 0, err
-	}
-	return int64(info.Bytes_acked), nil
+	var callErr error
+	err = control.Control(func(fd uintptr) { callErr = f(int(fd)) })
+	return errors.Join(err, callErr)
 }
 
 // leaveIdle is like leave if the connection has been idle for longer than limit. No request that
