keyrange: a target that keeps its last keys does not block the others

Since planned moves leave a target its last keys, a slow target with one busy bucket can stay the most overloaded one for good. Moves are only scheduled from that one, so the other overloaded targets were never relieved. The callers now take the most overloaded target among those that can give up keys. MostOverloaded is unchanged.

TestTargetWithLastKeysDoesNotBlockTheOthers failed before (no move) and passes.

--- a/internal/coordination/core/ownership.go
+++ b/internal/coordination/core/ownership.go
@@ -269,7 +269,7 @@
 			scheduled = scheduled || vacating
 		}
 	}
-	from, ok := keyrange.MostOverloaded(list, loads, targets)
+	from, ok := keyrange.MostRelievable(list, loads, targets)
 	if !ok {
 		delete(l.moveWantedSince, service)
 		return list, scheduled
--- a/internal/ownership/keyrange/by_call.go
+++ b/internal/ownership/keyrange/by_call.go
@@ -92,7 +92,7 @@
 // Rebalance schedules a move from the most overloaded target to the one with the most spare
 // capacity. It does nothing while a move from that target is under way.
 func Rebalance(assignments []message.Assignment, l *Loads, targets []Target) ([]message.Assignment, bool) {
-	from, ok := MostOverloaded(assignments, l, targets)
+	from, ok := MostRelievable(assignments, l, targets)
 	if !ok {
 		return assignments, false
 	}
--- a/internal/ownership/keyrange/keyrange.go
+++ b/internal/ownership/keyrange/keyrange.go
@@ -14,7 +14,7 @@
 // # Usage
 //
 //	assignments, ok := keyrange.AssignUnassigned(assignments, loads, targets, to)
-//	from, ok := keyrange.MostOverloaded(assignments, loads, targets)
+//	from, ok := keyrange.MostRelievable(assignments, loads, targets)
 //	assignments, ok := keyrange.RebalanceTo(assignments, loads, targets, from, to)
 package keyrange
 
@@ -240,6 +240,16 @@
 // MostOverloaded returns the target with the highest ratio of load to share, if that ratio
 // is above overloadRatio. Keys with a scheduled move count for their next owner.
 func MostOverloaded(assignments []message.Assignment, l *Loads, targets []Target) (message.Incarnation, bool) {
+	return mostOverloaded(assignments, l, targets, func(message.Incarnation) bool { return true })
+}
+
+// MostRelievable is like MostOverloaded among the targets that can give up keys. A target that
+// keeps its last keys would hide the others.
+func MostRelievable(assignments []message.Assignment, l *Loads, targets []Target) (message.Incarnation, bool) {
+	return mostOverloaded(assignments, l, targets, func(i message.Incarnation) bool { return !hasOneBucket(assignments, i) })
+}
+
+func mostOverloaded(assignments []message.Assignment, l *Loads, targets []Target, considered func(message.Incarnation) bool) (message.Incarnation, bool) {
 	l = l.Capped(targets)
 	load, share := loadsAndShares(assignments, l, targets)
 	var from message.Incarnation
@@ -248,7 +258,7 @@
 		if share[t.Incarnation] <= 0 {
 			continue
 		}
-		if ratio := load[t.Incarnation] / share[t.Incarnation]; ratio > highest {
+		if ratio := load[t.Incarnation] / share[t.Incarnation]; ratio > highest && considered(t.Incarnation) {
 			from, highest = t.Incarnation, ratio
 		}
 	}
@@ -420,6 +430,19 @@
 	return Replace(assignments, chosen), true
 }
 
+// hasOneBucket reports whether all keys of a target without a scheduled move are in one row and
+// one bucket.
+func hasOneBucket(assignments []message.Assignment, owner message.Incarnation) bool {
+	rows, buckets := 0, 0
+	for _, a := range assignments {
+		if a.Owner == owner && a.NextOwner.ID == "" {
+			rows++
+			buckets += int(a.To)/KeysPerBucket - int(a.From)/KeysPerBucket + 1
+		}
+	}
+	return rows == 1 && buckets == 1
+}
+
 // settledKeys returns the number of keys of a target without a scheduled move.
 func settledKeys(assignments []message.Assignment, owner message.Incarnation) int {
 	n := 0
