share: a forgotten member counts with the fallback part at once

A member whose only process had stated nothing for 10 minutes counted as nothing until the next SetMembers, so that the ledger granted its part to others, although the comments promise the fallback part. The ledger now remembers its members. The comment on forgetAfter claimed an exception that does not exist.

TestForgottenMemberCountsWithFallbackPart failed before (38 granted instead of 13) and passes; the package passes.

--- a/pkg/share/ledger.go
+++ b/pkg/share/ledger.go
@@ -9,8 +9,7 @@
 const (
 	// maxAsks bounds the asks and returns of one request.
 	maxAsks = 16
-	// forgetAfter is the time after which a process that states nothing is forgotten, unless it
-	// is the only one of a member. Holders in touch state their part every few seconds, and one
+	// forgetAfter is the time after which a process that states nothing is forgotten. Holders in touch state their part every few seconds, and one
 	// that is cut off for longer gets no work.
 	forgetAfter clock.Millis = 600_000
 	// maxProcesses bounds the processes that are remembered for a holder.
@@ -32,7 +31,8 @@
 	// holders counts the most holders that were known at one time.
 	holders int
 	stated  map[HolderID]*statedParts
-	// unstated are the members that have stated nothing.
+	members map[HolderID]bool
+	// unstated are the members that have stated nothing, or nothing for long.
 	unstated map[HolderID]bool
 	pools    map[Pool][]grant
 }
@@ -72,8 +72,9 @@
 func (l *Ledger) SetMembers(members []HolderID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.unstated = map[HolderID]bool{}
+	l.members, l.unstated = map[HolderID]bool{}, map[HolderID]bool{}
 	for _, m := range members {
+		l.members[m] = true
 		if l.stated[m] == nil {
 			l.unstated[m] = true
 		}
@@ -119,6 +120,9 @@
 		}
 		if len(h.byProcess) == 0 {
 			delete(l.stated, holder)
+			if l.members[holder] {
+				l.unstated[holder] = true
+			}
 		}
 	}
 }
