share: the usage example sets Holders and Process

A holder without Holders panics in Budget, and the ledger tells processes of a holder apart by Process. Found by reading; only a comment changes.

--- a/pkg/share/share.go
+++ b/pkg/share/share.go
@@ -22,7 +22,9 @@
 //
 // The holder:
 //
-//	h := share.NewHolder(share.HolderOptions{Clock: clock.System(), Terms: share.DefaultTerms, Ratio: 0.14, Limit: 163})
+//	h := share.NewHolder(share.HolderOptions{
+//		Clock: clock.System(), Terms: share.DefaultTerms, Process: startTime, Ratio: 0.14, Limit: 163, Holders: numberOfHosts,
+//	})
 //	b := h.Budget("orders")
 //	b.Deposit()           // for each request
 //	if b.Withdraw(1) {    // for each retry
