keyrange, core: loads are capped by the function that needs them only

Cause: the core capped loads and keyrange capped them again. The leader's cost for a heartbeat was not measured again.

--- a/internal/coordination/core/delayed_responses.go
+++ b/internal/coordination/core/delayed_responses.go
@@ -30,7 +30,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	list, targets := l.machine.Assignments(i.Service).List, l.targets(i.Service)
-	loads := l.leases.Loads(i.Service).Capped(targets)
+	loads := l.leases.Loads(i.Service)
 	from, ok := keyrange.MostRelievable(list, loads, targets)
 	if !ok || from != i.Incarnation || mustReleaseKeys(list, i.Incarnation) {
 		return false
--- a/internal/coordination/core/ownership.go
+++ b/internal/coordination/core/ownership.go
@@ -127,7 +127,7 @@
 	current := l.machine.Assignments(service)
 	list, released := keyrange.CompleteMoves(current.List, target, answeredVersion(h), h.Grants, h.Released)
 	targets := l.targets(service)
-	loads := l.leases.Loads(service).Capped(targets)
+	loads := l.leases.Loads(service)
 	assigned, scheduled := false, false
 	if isEligible(targets, target) && l.readyToAssign(service, current) {
 		list, assigned = keyrange.AssignUnassigned(list, loads, targets, target)
--- a/internal/ownership/keyrange/by_call.go
+++ b/internal/ownership/keyrange/by_call.go
@@ -101,7 +101,7 @@
 			return assignments, false
 		}
 	}
-	load, share := loadsAndShares(assignments, l.Capped(targets), targets)
+	load, share := loadsAndShares(assignments, l.capped(targets), targets)
 	var to message.Incarnation
 	mostSpare := 0.0
 	for _, t := range targets {
--- a/internal/ownership/keyrange/keyrange.go
+++ b/internal/ownership/keyrange/keyrange.go
@@ -78,18 +78,11 @@
 // sum of the loads, which decreases with the cap.
 const maxCapIterations = 3
 
-// capTolerance is the fraction by which a bucket may exceed the cap, so that loads that are capped
-// once are not copied again.
-const capTolerance = 0.01
-
-// Capped returns loads in which no bucket exceeds the mean share of a target. The load of
+// capped returns loads in which no bucket exceeds the mean share of a target. The load of
 // a single key above that share cannot be moved to any target. If it were counted in
 // full, the owner of the key would look overloaded no matter what else it gave up, and
 // would hide all other overloaded targets.
-//
-// The functions of this package cap the loads that they are given, which costs little if they are
-// capped already: a caller that needs several of them caps the loads first.
-func (l *Loads) Capped(targets []Target) *Loads {
+func (l *Loads) capped(targets []Target) *Loads {
 	eligible := 0
 	for _, t := range targets {
 		if t.Eligible {
@@ -103,7 +96,7 @@
 	limit := math.Inf(1)
 	for range maxCapIterations {
 		next := (sumBelow(l[:], limit) + Buckets*baseLoadPerBucket) / float64(eligible)
-		if min(largest, limit) <= next*(1+capTolerance) {
+		if min(largest, limit) <= next {
 			break
 		}
 		limit = next
@@ -187,7 +180,7 @@
 // AssignUnassigned assigns unassigned keys to a target until it has its share. It returns
 // false if it assigned none.
 func AssignUnassigned(assignments []message.Assignment, l *Loads, targets []Target, to message.Incarnation) ([]message.Assignment, bool) {
-	l = l.Capped(targets)
+	l = l.capped(targets)
 	load, share := loadsAndShares(assignments, l, targets)
 	missing := share[to]*(1+shareTolerance) - load[to]
 	var out []message.Assignment
@@ -250,7 +243,7 @@
 }
 
 func mostOverloaded(assignments []message.Assignment, l *Loads, targets []Target, considered func(message.Incarnation) bool) (message.Incarnation, bool) {
-	l = l.Capped(targets)
+	l = l.capped(targets)
 	load, share := loadsAndShares(assignments, l, targets)
 	var from message.Incarnation
 	highest := overloadRatio
@@ -294,7 +287,7 @@
 // capacity. It schedules one range if that is enough, or a few if the keys of the
 // overloaded target are fragmented.
 func RebalanceTo(assignments []message.Assignment, l *Loads, targets []Target, from, to message.Incarnation) ([]message.Assignment, bool) {
-	l = l.Capped(targets)
+	l = l.capped(targets)
 	scheduled := false
 	for range maxRangesPerDecision {
 		load, share := loadsAndShares(assignments, l, targets)
@@ -338,7 +331,7 @@
 // VacateTo schedules moves of keys of a leaving target to another target, up to the share
 // of the latter. Keys that are about to move to the leaving target go to the other one instead.
 func VacateTo(assignments []message.Assignment, l *Loads, targets []Target, from, to message.Incarnation) ([]message.Assignment, bool) {
-	l = l.Capped(targets)
+	l = l.capped(targets)
 	load, share := loadsAndShares(assignments, l, targets)
 	missing := share[to]*(1+shareTolerance) - load[to]
 	var out []message.Assignment
