node: the test of cut responses waits until they have begun

Change: the target ends once both callers have read a byte of the body. Both responses must still end with an error.

--- a/internal/node/requests_test.go
+++ b/internal/node/requests_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"testing"
@@ -220,14 +221,31 @@
 	b, _ := startNode(t, control, "b")
 	target := startTarget(t, a, "catalogue", false)
 	awaitServing(control, a, b)
-	ends := make(chan error, 2)
+	// A target that ends before its response has begun is answered with a complete 502.
+	begun, ends := make(chan error, 2), make(chan error, 2)
 	for _, n := range []*node{a, b} {
 		go func() {
-			_, _, _, err := trySendRequest(http.MethodGet, string(n.settings.CallerListen), "/catalogue/blanket?chunks=1000&delay=20", nil, "")
+			r, err := http.NewRequest(http.MethodGet, "http://"+string(n.settings.CallerListen)+"/catalogue/blanket?chunks=1000&delay=20", nil)
+			if err != nil {
+				begun <- err
+				return
+			}
+			r.Close = true
+			response, err := http.DefaultTransport.RoundTrip(r)
+			if err != nil {
+				begun <- err
+				return
+			}
+			defer response.Body.Close()
+			_, err = io.ReadFull(response.Body, make([]byte, 1))
+			begun <- err
+			_, err = io.Copy(io.Discard, response.Body)
 			ends <- err
 		}()
 	}
-	eventually(func() bool { return len(target.Runs()) == 2 })
+	c.Assert(<-begun, qt.IsNil)
+	c.Assert(<-begun, qt.IsNil)
+	c.Assert(target.Runs(), qt.HasLen, 2)
 	_ = target.server.Close()
 	c.Assert(<-ends, qt.IsNotNil)
 	c.Assert(<-ends, qt.IsNotNil)
