explain, gate: one rule for the metrics port, one search for a key's grant

Behaviour is the same. Result: make check; go test -race of gate, sidecar, settings, platform, core, the explanations of ingress and TestExplainAsksSidecar pass, tests unchanged.

--- a/internal/coordination/core/delayed_responses.go
+++ b/internal/coordination/core/delayed_responses.go
@@ -29,8 +29,7 @@
 func (l *leadership) shouldDelay(i message.Instance) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	list, targets := l.machine.Assignments(i.Service).List, l.targets(i.Service)
-	loads := l.leases.Loads(i.Service)
+	list, loads, targets := l.machine.Assignments(i.Service).List, l.leases.Loads(i.Service), l.targets(i.Service)
 	from, ok := keyrange.MostRelievable(list, loads, targets)
 	if !ok || from != i.Incarnation || mustReleaseKeys(list, i.Incarnation) {
 		return false
--- a/internal/coordination/core/ownership.go
+++ b/internal/coordination/core/ownership.go
@@ -126,8 +126,7 @@
 	target, service := h.Instance.Incarnation, h.Instance.Service
 	current := l.machine.Assignments(service)
 	list, released := keyrange.CompleteMoves(current.List, target, answeredVersion(h), h.Grants, h.Released)
-	targets := l.targets(service)
-	loads := l.leases.Loads(service)
+	loads, targets := l.leases.Loads(service), l.targets(service)
 	assigned, scheduled := false, false
 	if isEligible(targets, target) && l.readyToAssign(service, current) {
 		list, assigned = keyrange.AssignUnassigned(list, loads, targets, target)
--- a/internal/settings/host.go
+++ b/internal/settings/host.go
@@ -95,6 +95,9 @@
 // fraction of Ratio of the requests exceeds.
 const maxSecondCopiesRatio = 0.5
 
+// MetricsPort is the port for metrics and questions, the same on all hosts of a mesh.
+func (h Host) MetricsPort() int { return h.PeerPort + 1 }
+
 func (c *checker) checkSecondCopies(s HostSecondCopies) {
 	if !(s.Ratio >= 0 && s.Ratio <= maxSecondCopiesRatio) {
 		c.fail("SecondCopies.Ratio", "is not between 0 and 0.5")
--- a/internal/traffic/gate/gate.go
+++ b/internal/traffic/gate/gate.go
@@ -349,13 +349,17 @@
 
 // ownsKey reports whether the target has an unexpired grant for a key. The caller must
 // hold g.mu.
-func (g *Gate) ownsKey(key message.Key, now clock.Millis) bool {
+func (g *Gate) ownsKey(key message.Key, now clock.Millis) bool { return g.ownedFor(key, now) > 0 }
+
+// ownedFor returns how long the grant of a key lasts, 0 if there is none. The caller must hold
+// g.mu.
+func (g *Gate) ownedFor(key message.Key, now clock.Millis) clock.Millis {
 	for _, grant := range g.grants {
 		if key >= grant.From && key <= grant.To && now < grant.Expiry {
-			return true
+			return grant.Expiry - now
 		}
 	}
-	return false
+	return 0
 }
 
 func (g *Gate) countKey(request *TargetRequest) {
--- a/internal/traffic/gate/preview.go
+++ b/internal/traffic/gate/preview.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"github.com/gentiansail/gentiansail/internal/coordination/message"
 	"github.com/gentiansail/gentiansail/internal/traffic/admission"
 	"github.com/gentiansail/gentiansail/internal/traffic/hop"
 	"github.com/gentiansail/gentiansail/pkg/clock"
@@ -33,7 +34,9 @@
 		return p
 	}
 	if request.Key != hop.NoKey {
-		p.OwnedForMillis = g.ownedFor(request.Key, now)
+		g.mu.Lock()
+		p.OwnedForMillis = g.ownedFor(message.Key(request.Key), now)
+		g.mu.Unlock()
 	}
 	decision, wait, retryAfter := g.queue.Preview(newTicket(r, now))
 	switch decision {
@@ -46,15 +49,3 @@
 	}
 	return p
 }
-
-// ownedFor returns how long the grant of a key lasts, 0 if there is none.
-func (g *Gate) ownedFor(key int, now clock.Millis) clock.Millis {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, grant := range g.grants {
-		if int(grant.From) <= key && key <= int(grant.To) && now < grant.Expiry {
-			return grant.Expiry - now
-		}
-	}
-	return 0
-}
--- a/internal/traffic/sidecar/explain.go
+++ b/internal/traffic/sidecar/explain.go
@@ -5,13 +5,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
-	"strconv"
 
 	"github.com/go-chi/chi/v5"
 
 	"github.com/gentiansail/gentiansail/internal/coordination/message"
+	"github.com/gentiansail/gentiansail/internal/coordination/quorum"
 	"github.com/gentiansail/gentiansail/internal/traffic/gate"
 	"github.com/gentiansail/gentiansail/internal/traffic/hop"
 	"github.com/gentiansail/gentiansail/internal/traffic/ingress"
@@ -68,7 +67,7 @@
 		if target.Peer == s.peerAddress() {
 			return s.gate.Preview(request), nil
 		}
-		return askAdmission(ctx, target.Peer, request)
+		return s.askAdmission(ctx, target.Peer, request)
 	})
 	out := Explanation{Explanation: e, ViewAgeMillis: -1}
 	if confirmed := clock.Millis(s.viewConfirmed.Load()); confirmed > 0 {
@@ -84,21 +83,12 @@
 	return p
 }
 
-// askAdmission asks the sidecar beside a target whether it would admit a request. It listens for
-// questions on the port after the one for peers.
-func askAdmission(ctx context.Context, peer message.Address, q hop.Request) (gate.Preview, error) {
-	host, port, err := net.SplitHostPort(string(peer))
-	if err != nil {
-		return gate.Preview{}, err
-	}
-	n, err := strconv.Atoi(port)
-	if err != nil {
-		return gate.Preview{}, err
-	}
+// askAdmission asks the sidecar beside a target whether it would admit a request.
+func (s *Sidecar) askAdmission(ctx context.Context, peer message.Address, q hop.Request) (gate.Preview, error) {
 	ctx, cancel := context.WithTimeout(ctx, admissionTimeout.Duration())
 	defer cancel()
 	var p gate.Preview
-	err = Ask(ctx, net.JoinHostPort(host, strconv.Itoa(n+1)), admissionPath, q, &p)
+	err := Ask(ctx, string(quorum.PeerAddress(string(peer), s.options.Settings.MetricsPort())), admissionPath, q, &p)
 	return p, err
 }
 
