--- a/review/mesh2/main.go
+++ b/review/mesh2/main.go
@@ -16,6 +16,7 @@
 var cases = map[string]func(m *mesh, trouble bool) (broken int, err error){
 	"holds-missing": holdsMissing,
 	"born-missing":  bornMissing,
+	"seed-wiped":    seedWiped,
 }
 
 func main() {
--- a/review/mesh2/mesh.go
+++ b/review/mesh2/mesh.go
@@ -56,11 +56,9 @@
 	role, ip string
 	name     string
 	settings map[string]any
-	// keep is true while the process is started again when it ends.
-	mu      sync.Mutex
-	keep    bool
-	command *exec.Cmd
-	exited  chan struct{}
+	mu       sync.Mutex
+	command  *exec.Cmd
+	exited   chan struct{}
 }
 
 // newMesh returns a mesh without processes, which writes its record to a folder.
@@ -126,7 +124,7 @@
 	for seed := 1; seed <= 3; seed++ {
 		seeds = append(seeds, m.address(seed, m.ports.control))
 	}
-	p := &process{mesh: m, role: role, ip: m.ip(host), name: fmt.Sprintf("%s-%d", role, host), keep: true}
+	p := &process{mesh: m, role: role, ip: m.ip(host), name: fmt.Sprintf("%s-%d", role, host)}
 	p.settings = map[string]any{
 		"Name": p.name, "FailureDomain": fmt.Sprintf("zone-%c", 'a'+host%3), "IP": p.ip, "PeerPort": m.ports.peer, "Seeds": seeds, "FirstStart": true,
 		"Listen":        map[string]any{"Callers": "", "Readiness": "", "Control": m.address(host, m.ports.control)},
@@ -190,10 +188,13 @@
 	_ = p.command.Process.Signal(s)
 }
 
-// restart kills the process and starts it again after a time.
-func (p *process) restart(down time.Duration) {
+// loseDisk kills the process, as if its machine lost power, and starts it after a time with an empty
+// data folder. It is not the first start of the system any more.
+func (p *process) loseDisk(down time.Duration) {
 	p.signal(syscall.SIGKILL)
 	<-p.exited
+	must(os.RemoveAll(p.settings["DataFolder"].(string)))
+	p.mesh.note("the disk of %s is lost", p.name)
 	time.Sleep(down)
 	p.launch()
 }
@@ -240,6 +241,11 @@
 
 // replace sends a whole desired state until it is acknowledged, for 20 s at most.
 func (m *mesh) replace(sharded map[string]bool, routes []route) error {
+	return m.replaceWithin(20*time.Second, sharded, routes)
+}
+
+// replaceWithin is like replace with another limit.
+func (m *mesh) replaceWithin(limit time.Duration, sharded map[string]bool, routes []route) error {
 	base := m.version
 	m.version += 2
 	body := map[string]any{"version": m.version, "limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeout": 3000, "idleTimeout": 15000}}
@@ -258,7 +264,7 @@
 	data, err := json.Marshal(body)
 	must(err)
 	header := http.Header{"If-Match": {fmt.Sprint(base)}}
-	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
 		for host := 1; host <= cores; host++ {
 			if status, _ := call(m.address(host, m.ports.control), "call=config.replace", header, data, time.Second); status == http.StatusOK {
 				m.note("desired state %d is acknowledged", m.version)
--- a/review/mesh2/owner.go
+++ b/review/mesh2/owner.go
@@ -50,7 +50,7 @@
 	data, err := json.Marshal(forged)
 	must(err)
 	status, answer := u.mesh.sendBeat(u.host, u.id, data)
-	u.mesh.note("a copy of check-in %d of %s without %q got %d: %.200s", body["seq"], u.id, field, status, answer)
+	u.mesh.note("a copy of check-in %d of %s without %q got %d: %.200q", body["seq"], u.id, field, status, answer)
 }
 
 // holdsMissing: twice a second, another writer sends a copy of a check-in without the list of held
--- a/review/mesh2/upstream.go
+++ b/review/mesh2/upstream.go
@@ -57,9 +57,6 @@
 	onBeat   func(u *upstream, body map[string]any)
 	lateness func() time.Duration
 
-	server *http.Server
-	done   chan struct{}
-
 	mu       sync.Mutex
 	sequence int
 	state    string
@@ -78,32 +75,16 @@
 
 // addUpstream starts an upstream beside the sidecar of a host.
 func (m *mesh) addUpstream(u *upstream) *upstream {
-	u.mesh, u.born, u.state, u.running, u.done = m, time.Now().UnixMilli(), "ready", map[*work]bool{}, make(chan struct{})
+	u.mesh, u.born, u.state, u.running = m, time.Now().UnixMilli(), "ready", map[*work]bool{}
 	l, err := net.Listen("tcp", m.address(u.host, m.ports.target))
 	must(err)
-	u.server = &http.Server{Handler: u}
-	go func() { _ = u.server.Serve(l) }()
+	go func() { _ = http.Serve(l, u) }()
 	go u.sendBeats()
 	go u.watchLease()
 	m.note("%s of %s starts", u.id, u.service)
 	return u
 }
 
-// stop ends the upstream without notice.
-func (u *upstream) stop() {
-	close(u.done)
-	_ = u.server.Close()
-}
-
-func (u *upstream) ended() bool {
-	select {
-	case <-u.done:
-		return true
-	default:
-		return false
-	}
-}
-
 // ServeHTTP runs a request, or says that it did not.
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-Id")
@@ -165,9 +146,9 @@
 	return false
 }
 
-// sendBeats sends check-ins until the upstream ends.
+// sendBeats sends check-ins until the program ends.
 func (u *upstream) sendBeats() {
-	for !u.ended() {
+	for {
 		sent := time.Now()
 		u.sendBeat()
 		u.mu.Lock()
@@ -227,7 +208,7 @@
 			u.mesh.note("check-in %d of %s arrived %v late and got %d", body["seq"], u.id, late, status)
 		}
 		if status/100 != 2 || len(answer) > maxBeatReply {
-			u.mesh.note("check-in %d of %s got %d after %d ms: %.80s", body["seq"], u.id, status, time.Since(sent).Milliseconds(), answer)
+			u.mesh.note("check-in %d of %s got %d after %d ms: %.80q", body["seq"], u.id, status, time.Since(sent).Milliseconds(), answer)
 			answer = nil
 		}
 		reply <- answer
@@ -362,7 +343,7 @@
 }
 
 func (u *upstream) watchLease() {
-	for !u.ended() {
+	for {
 		u.mu.Lock()
 		u.expire(time.Now())
 		u.mu.Unlock()
