review: case 6 keeps to the work of its site

Cause: read as a doubter, its requests worked for 0.5 to 1.5 s, and the site that it named has a mean of 60 ms; its upstreams had more slots than that site's.

--- a/review/mesh2/founding.go
+++ b/review/mesh2/founding.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		m.note("the first desired state: %v", err)
 	}
-	m.addUpstream(&upstream{host: 11, id: "i-first", service: finder, duration: workBetween(50*time.Millisecond, 100*time.Millisecond)})
+	m.addUpstream(&upstream{host: 11, id: "i-first", service: finder})
 	time.Sleep(contact)
 	for i := range 5 {
 		m.send(11, "GET", "/lookup/trolley", fmt.Sprintf("after-%d", i), 7, time.Second)
--- a/review/mesh2/main.go
+++ b/review/mesh2/main.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -99,7 +100,13 @@
 	return response.StatusCode
 }
 
-// workBetween returns durations of work between two bounds.
-func workBetween(least, most time.Duration) func() time.Duration {
-	return func() time.Duration { return least + rand.N(most-least) }
+// drawWork returns how long a request takes, spread like the work of the sites: one in a hundred
+// takes five times as long.
+func (s site) drawWork() time.Duration {
+	const spread = 0.5
+	work := float64(s.work) * math.Exp(spread*rand.NormFloat64()-spread*spread/2)
+	if rand.IntN(100) == 0 {
+		work *= 5
+	}
+	return min(time.Duration(work), s.maxWork)
 }
--- a/review/mesh2/mesh.go
+++ b/review/mesh2/mesh.go
@@ -31,11 +31,26 @@
 	maxHoldMillis = 10000
 	drainMillis   = 2000
 	graceSeconds  = 6
-	beatMillis    = 870
+)
+
+// site is what differs between the two sites: the time between check-ins, the slots of an upstream, and
+// how long its work and its clients take.
+type site struct {
+	beat          time.Duration
+	slots         int
+	work, maxWork time.Duration
+	budget        time.Duration
+}
+
+// The sites, with their service that is divided by key.
+var (
+	uzijoto    = site{870 * time.Millisecond, 10, 60 * time.Millisecond, 450 * time.Millisecond, 800 * time.Millisecond}
+	wagenrueck = site{1500 * time.Millisecond, 18, 220 * time.Millisecond, 1600 * time.Millisecond, 2500 * time.Millisecond}
 )
 
 // mesh is a small deployment.
 type mesh struct {
+	site
 	folder  string
 	prefix  string // the first two numbers of all addresses
 	ports   ports
@@ -71,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m := &mesh{folder: folder, record: record, started: time.Now()}
+	m := &mesh{site: uzijoto, folder: folder, record: record, started: time.Now()}
 	for range 100 {
 		m.prefix = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
 		base := 15000 + rand.IntN(1500)*10
@@ -130,7 +145,7 @@
 		"Listen":        map[string]any{"Callers": "", "Readiness": "", "Control": m.address(host, m.ports.control)},
 		"DataFolder":    "",
 		"Target":        map[string]any{"Address": "", "Service": ""},
-		"TolerateHosts": 2, "MemoryMegabytes": 284, "MaxDescriptors": 4096, "LinkMegabits": 1000.0, "HeartbeatMillis": beatMillis,
+		"TolerateHosts": 2, "MemoryMegabytes": 284, "MaxDescriptors": 4096, "LinkMegabits": 1000.0, "HeartbeatMillis": m.beat.Milliseconds(),
 		"SecondCopies": map[string]any{"Ratio": 0, "Burst": 0},
 		"Bounds": map[string]any{
 			"MaxHoldMillis": maxHoldMillis, "DrainMillis": drainMillis, "StopSeconds": graceSeconds, "RetryRatio": 0.2, "ExtraRetries": 64,
--- a/review/mesh2/owner.go
+++ b/review/mesh2/owner.go
@@ -53,38 +53,47 @@
 	u.mesh.note("a copy of check-in %d of %s without %q got %d: %.200q", body["seq"], u.id, field, status, answer)
 }
 
-// holdsMissing: twice a second, another writer sends a copy of a check-in without the list of held
-// keys, while keys move from the first upstream to a new one.
+// replacements is how many upstreams are replaced one after the other, each replaceInterval.
+const (
+	replacements    = 4
+	replaceInterval = 8 * time.Second
+)
+
+// holdsMissing: upstreams are replaced one after the other. The new one starts first, the old one
+// drains. Another writer sends a copy of each check-in without the list of held keys.
 func holdsMissing(m *mesh, trouble bool) (int, error) {
-	first := &upstream{host: 11, id: "i-first", service: finder, duration: workBetween(500*time.Millisecond, 1500*time.Millisecond)}
-	var lastCopy time.Time
-	if trouble {
-		first.onBeat = func(u *upstream, body map[string]any) {
-			if time.Since(lastCopy) >= 500*time.Millisecond {
-				lastCopy = time.Now()
-				time.AfterFunc(30*time.Millisecond, func() { u.copyWithout(body, "holds") })
-			}
+	m.site = wagenrueck
+	copies := func(u *upstream, body map[string]any) {
+		if trouble {
+			time.AfterFunc(10*time.Millisecond, func() { u.copyWithout(body, "holds") })
 		}
 	}
-	if err := m.startFinder(first, 11, 12, 13); err != nil {
+	current := &upstream{host: 12, id: "i-12", service: finder, onBeat: copies}
+	if err := m.startFinder(current, 11, 12, 13, 14, 15, 16); err != nil {
 		return 0, err
 	}
-	load := m.load(13, 12, 2500*time.Millisecond, lookups)
-	time.Sleep(2 * time.Second)
-	second := m.addUpstream(&upstream{host: 12, id: "i-second", service: finder, duration: first.duration})
-	if err := m.await("the second upstream holds a third of the keys", func() bool { return second.heldKeys() > keys/3 }); err != nil {
-		return 0, err
+	load := m.load(11, 16, m.budget, lookups)
+	all := []*upstream{current}
+	for n := range replacements {
+		host := 13 + n
+		next := m.addUpstream(&upstream{host: host, id: fmt.Sprintf("i-%d", host), service: finder, onBeat: copies})
+		all = append(all, next)
+		time.Sleep(replaceInterval / 2)
+		m.note("%s is draining", current.id)
+		current.drain()
+		time.Sleep(replaceInterval / 2)
+		current = next
 	}
-	time.Sleep(20 * time.Second)
+	time.Sleep(3 * time.Second)
 	load.stop()
-	return m.checkOwner([]*upstream{first, second}), nil
+	return m.checkOwner(all), nil
 }
 
 // bornMissing: for some seconds the check-ins of the first upstream arrive late, and another writer
 // sends copies of them in time that lack when the upstream started. A new upstream joins meanwhile.
 func bornMissing(m *mesh, trouble bool) (int, error) {
 	var late atomic.Bool
-	first := &upstream{host: 11, id: "i-first", service: finder, duration: workBetween(100*time.Millisecond, 300*time.Millisecond)}
+	first := &upstream{host: 11, id: "i-first", service: finder}
 	first.lateness = func() time.Duration {
 		if late.Load() {
 			return 3 * time.Second
@@ -99,10 +108,10 @@
 	if err := m.startFinder(first, 11, 12, 13); err != nil {
 		return 0, err
 	}
-	load := m.load(13, 12, 2500*time.Millisecond, lookups)
+	load := m.load(13, 12, m.budget, lookups)
 	time.Sleep(2 * time.Second)
 	late.Store(trouble)
-	second := m.addUpstream(&upstream{host: 12, id: "i-second", service: finder, duration: first.duration})
+	second := m.addUpstream(&upstream{host: 12, id: "i-second", service: finder})
 	time.Sleep(4 * time.Second)
 	late.Store(false)
 	time.Sleep(15 * time.Second)
--- a/review/mesh2/upstream.go
+++ b/review/mesh2/upstream.go
@@ -14,10 +14,9 @@
 )
 
 const (
-	// beatInterval is the pause between two check-ins, releaseInterval the one while keys are
-	// being released, and beatTimeout the time after which a response is no confirmation.
-	beatInterval    = beatMillis * time.Millisecond
-	releaseInterval = 100 * time.Millisecond
+	// releaseInterval is the pause between two check-ins while keys are being released, and
+	// beatTimeout the time after which a response is no confirmation.
+	releaseInterval = 50 * time.Millisecond
 	beatTimeout     = time.Second
 	// maxBeatReply is the length up to which a response confirms a check-in.
 	maxBeatReply = 4 << 10
@@ -52,7 +51,6 @@
 	host        int
 	id, service string
 	born        int64
-	duration    func() time.Duration
 	// onBeat, if set, gets each check-in before it is sent, and lateness says how late it arrives.
 	onBeat   func(u *upstream, body map[string]any)
 	lateness func() time.Duration
@@ -109,7 +107,7 @@
 	u.mesh.note("%s begins %s for key %d", u.id, id, key)
 	_, _ = io.Copy(io.Discard, r.Body)
 	select {
-	case <-time.After(u.duration()):
+	case <-time.After(u.mesh.drawWork()):
 	case <-r.Context().Done():
 	}
 	u.mu.Lock()
@@ -152,12 +150,12 @@
 		sent := time.Now()
 		u.sendBeat()
 		u.mu.Lock()
-		pause := beatInterval
+		pause := u.mesh.beat
 		if len(u.leaving)+len(u.released) > 0 {
 			pause = releaseInterval
 		}
 		u.mu.Unlock()
-		time.Sleep(max(pause-time.Since(sent), releaseInterval/2))
+		time.Sleep(max(pause-time.Since(sent), releaseInterval))
 	}
 }
 
@@ -182,7 +180,7 @@
 		holds = append(holds, [3]int{r.from, r.to, r.fence})
 	}
 	return map[string]any{
-		"service": u.service, "address": u.mesh.address(u.host, u.mesh.ports.target), "zone": "zone-a", "version": "v1", "slots": 18, "state": u.state,
+		"service": u.service, "address": u.mesh.address(u.host, u.mesh.ports.target), "zone": "zone-a", "version": "v1", "slots": u.mesh.slots, "state": u.state,
 		"coldRemaining": 0, "seq": u.sequence, "born": u.born, "holds": holds, "released": append([][3]any{}, u.released...),
 	}, len(u.released)
 }
@@ -351,6 +349,13 @@
 	}
 }
 
+// drain makes the following check-ins report that the upstream is draining.
+func (u *upstream) drain() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.state = "draining"
+}
+
 // heldKeys returns how many keys are held.
 func (u *upstream) heldKeys() int {
 	u.mu.Lock()
