exchange: a reset that a write got ends a response as truncated

Callers got a part of an answer as a complete 200. The target had answered a long upload at once, without a length, and reset the connection while the upload was being written to it.

Cause: the kernel reports a reset, or a timeout, to one system call only. If the write of the upload gets it, the next read returns a regular end, and that is where a body without a length ends. A body in memory shows it as well, so closing the connection after a failed write is not the cause, and a target that resets while nothing is written was reported as cut before, so the relay is not either.

A read that meets the end of the connection now waits for the write in progress, whose deadline it sets to the past, and returns the error of that write if there was one. EPIPE is not such an error: the server had ended the stream before, so the response is complete.

Responses with a length and in chunks were handled before.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -36,6 +38,8 @@
 
 	wroteAny    atomic.Bool
 	cancelled   atomic.Bool
+	writeMu     sync.Mutex // held during each write
+	writeErr    error      // of the first write that failed
 	idleTimeout clock.Millis
 	keepWaiting func() bool
 	readBudget  int64 // bytes that may still be read for the current header or body
@@ -180,10 +184,29 @@
 	if err := c.cancelErr(); err != nil {
 		return 0, err
 	}
+	if err == io.EOF {
+		err = c.endOfStream()
+	}
 	c.readBudget -= int64(n)
 	return n, err
 }
 
+// endOfStream returns the error of a read that met the end of the connection. The kernel
+// reports a reset or a timeout of the connection to one system call only. If a write got it,
+// reads return a regular end although the server has not ended the stream.
+func (c *conn) endOfStream() error {
+	// Ends a write in progress, which may have got the error already.
+	_ = c.raw.SetWriteDeadline(time.Unix(1, 0))
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	var code syscall.Errno
+	// EPIPE means that the server had ended the stream before it reset the connection.
+	if errors.As(c.writeErr, &code) && code != syscall.EPIPE {
+		return c.writeErr
+	}
+	return io.EOF
+}
+
 // finalReadTimeout bounds the last read of a connection that keepWaiting reported
 // as lost. keepWaiting may ask the server over another connection, and the answer can
 // arrive before bytes that the server wrote earlier on this one. Bytes may also
@@ -209,9 +232,15 @@
 // Write implements io.Writer and records whether bytes may have reached the
 // server.
 func (w connWriter) Write(b []byte) (int, error) {
-	n, err := w.c.raw.Write(b)
+	c := w.c
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	n, err := c.raw.Write(b)
 	if n > 0 {
-		w.c.wroteAny.Store(true)
+		c.wroteAny.Store(true)
+	}
+	if c.writeErr == nil {
+		c.writeErr = err
 	}
 	return n, err
 }
