exchange: a failed write does not discard a response that has arrived

Callers got 502 for requests that had run and been answered: the target had answered an upload before its end, ended its sending direction and closed the connection. PROTOCOL.md lets an upstream answer before it has read a long body.

Cause: the failed write of a streamed body closed the connection at once, and with it the bytes of the response that had not been read. The close is for a body that cannot be read: the server must not take the part that it got for the whole.

Change: a write that failed with EPIPE or ECONNRESET does not cancel the exchange.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -227,6 +227,14 @@
 	return merry.Wrap(ErrIdleTimeout, merry.AppendMessagef("no byte for %d ms", c.idleTimeout))
 }
 
+// endedInWrite reports whether a write has failed because the server ended the connection.
+// Reads then do not block, and what the server has sent before can still be read.
+func (c *conn) endedInWrite() bool {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	return errors.Is(c.writeErr, syscall.EPIPE) || errors.Is(c.writeErr, syscall.ECONNRESET)
+}
+
 type connWriter struct{ c *conn }
 
 // Write implements io.Writer and records whether bytes may have reached the
--- a/internal/exchange/do.go
+++ b/internal/exchange/do.go
@@ -127,7 +127,7 @@
 	if err == nil {
 		err = x.conn.writer.Flush()
 	}
-	if err != nil {
+	if err != nil && !x.conn.endedInWrite() {
 		// The server must not treat an incomplete body as complete, and the reader
 		// must not wait for a response.
 		x.cancel()
--- a/internal/exchange/reset_test.go
+++ b/internal/exchange/reset_test.go
@@ -19,7 +19,8 @@
 // read does.
 type writeFirstConn struct {
 	*net.TCPConn
-	// holdWrite delays the return of the failed write until a read has met the end as well.
+	// holdWrite delays the return of the failed write until a read has met the end as well, or
+	// the connection is closed.
 	holdWrite              bool
 	writeFailed, readEnded chan struct{}
 	failWrite, endRead     func()
@@ -54,6 +55,12 @@
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *writeFirstConn) Close() error {
+	c.endRead()
+	return c.TCPConn.Close()
+}
+
 // endlessBody is a request body that never ends.
 type endlessBody struct{}
 
@@ -171,3 +178,25 @@
 		}
 	}
 }
+
+// Guards against rejecting a complete response to an upload that is still being written: the
+// server ends its sending direction after the response, and then closes the connection, which
+// resets it because of the rest of the upload.
+func TestEndDuringUploadIsComplete(t *testing.T) {
+	closeRegularly := func(c *net.TCPConn) { _ = c.CloseWrite() }
+	responses := map[string]string{
+		"no length":           "HTTP/1.1 200 OK\r\nGentiansail-Request-Id: r1\r\n\r\nwhole",
+		"no length, HTTP/1.0": "HTTP/1.0 200 OK\r\nGentiansail-Request-Id: r1\r\n\r\nwhole",
+		"length":              "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nGentiansail-Request-Id: r1\r\n\r\nwhole",
+		"chunked":             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nGentiansail-Request-Id: r1\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+	}
+	for name, response := range responses {
+		t.Run(name, func(t *testing.T) {
+			uploadForms(t, func(t *testing.T, streamed, holdWrite bool) {
+				body, err := sendUpload(t, answerUpload(t, 0, response, closeRegularly), streamed, holdWrite)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, body, qt.Equals, "whole")
+			})
+		})
+	}
+}
--- a/internal/integration/mesh/reset_test.go
+++ b/internal/integration/mesh/reset_test.go
@@ -51,9 +51,10 @@
 		length  int
 		chunked bool
 	}{
-		"in memory": {60 << 10, false},
-		"streamed":  {4 << 20, false},
-		"chunked":   {4 << 20, true},
+		"of nothing": {0, false},
+		"in memory":  {60 << 10, false},
+		"streamed":   {4 << 20, false},
+		"chunked":    {4 << 20, true},
 	}
 	s := startMesh(t, 1)
 	far, near := s.addHost(1, "pledges"), s.addHost(2, "catalogue")
@@ -91,3 +92,46 @@
 	far.target.setHandler(nil)
 	s.awaitServed(near, far)
 }
+
+// Guards against losing a complete answer whose target then closes the connection, on which an
+// upload is still being written.
+func TestCompleteAnswerDuringUpload(t *testing.T) {
+	const rounds, uploadBytes = 10, 200 << 10 // sidecars read that much after an early answer
+	const head = " 200 OK\r\nTest-Id: %s\r\nTest-Signature: s\r\n"
+	answers := map[string]string{
+		"no length":           "HTTP/1.1" + head + "\r\nwhole",
+		"no length, HTTP/1.0": "HTTP/1.0" + head + "\r\nwhole",
+		"length":              "HTTP/1.1" + head + "Content-Length: 5\r\n\r\nwhole",
+		"chunked":             "HTTP/1.1" + head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+	}
+	s := startMesh(t, 1)
+	far, near := s.addHost(1, "pledges"), s.addHost(2, "catalogue")
+	s.awaitServed(near, far)
+	number := 0
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			far.target.setHandler(func(w http.ResponseWriter, r *http.Request, _ *target) {
+				c, _, err := http.NewResponseController(w).Hijack()
+				if !qt.Check(t, err, qt.IsNil) {
+					return
+				}
+				_, _ = io.WriteString(c, strings.ReplaceAll(answer, "%s", r.Header.Get(names.RequestID)))
+				_ = c.(*idleConn).Conn.(*net.TCPConn).CloseWrite()
+				_ = c.Close()
+			})
+			for range rounds {
+				for _, h := range []*host{near, far} {
+					for _, chunked := range []bool{false, true} {
+						number++
+						a := h.upload(fmt.Sprintf("early-%d", number), uploadBytes, chunked)
+						qt.Check(t, a.err, qt.IsNil)
+						qt.Check(t, a.status, qt.Equals, http.StatusOK)
+						qt.Check(t, a.body, qt.Equals, "whole")
+					}
+				}
+			}
+		})
+	}
+	far.target.setHandler(nil)
+	s.awaitServed(near, far)
+}
