exchange: a response with an invalid field name is no response

Callers got answers in whose head the name of a field held a blank, such as "Content-Length :" or "Transfer-Encoding :", with the frame of the body as the body, or with the body of an informational answer as the final one.

Cause: http.ReadResponse accepts blanks in names, and keeps such a field under another name than the one that it may be meant to be. It also joins a line that begins with a blank to the line before. Control bytes in names it rejects.

Change: the bytes of each head, of final, informational and skipped responses, are checked as they arrive, and the names of trailers at the end of the body. The table of valid bytes moves from package inbound, which checks requests, to package header.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -43,6 +43,7 @@
 	idleTimeout clock.Millis
 	keepWaiting func() bool
 	readBudget  int64 // bytes that may still be read for the current header or body
+	head        headScanner
 }
 
 func newConn(raw net.Conn, a *addressPool) *conn {
@@ -58,6 +59,7 @@
 	c.idleTimeout = idleTimeout
 	c.keepWaiting = keepWaiting
 	c.readBudget = maxHeaderBytes
+	c.head = headScanner{}
 	if err := c.raw.SetDeadline(time.Time{}); err != nil {
 		return err
 	}
@@ -153,6 +155,9 @@
 	if c.readBudget <= 0 {
 		return 0, errHeaderTooLong
 	}
+	if c.head.err != nil {
+		return 0, c.head.err
+	}
 	for {
 		n, err := c.readWithTimeout(b, c.idleTimeout)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.cancelErr() != nil {
@@ -188,6 +193,9 @@
 		err = c.endOfStream()
 	}
 	c.readBudget -= int64(n)
+	if err := c.head.scan(b[:n]); err != nil {
+		return 0, err
+	}
 	return n, err
 }
 
--- a/internal/exchange/do.go
+++ b/internal/exchange/do.go
@@ -147,15 +147,12 @@
 func (x *exchange) readHeader() (*http.Response, error) {
 	informationalBytes := int64(0)
 	for range maxInformational + 1 {
-		err := x.conn.checkStatusLine()
-		var response *http.Response
-		if err == nil {
-			response, err = http.ReadResponse(x.conn.reader, x.request.HTTP)
-		}
+		response, err := x.readNextHeader()
 		if err != nil {
 			return nil, merry.Wrap(ErrResponse, merry.WithCause(err), merry.AppendMessage(err.Error()))
 		}
 		if response.StatusCode >= 200 {
+			response.Body = trailerChecker{response.Body, response}
 			return response, nil
 		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
@@ -176,6 +173,17 @@
 	return nil, merry.Wrap(ErrResponse, merry.AppendMessagef("more than %d informational responses", maxInformational))
 }
 
+// readNextHeader returns the next response header, which may be informational.
+func (x *exchange) readNextHeader() (*http.Response, error) {
+	if err := x.conn.beginHead(); err != nil {
+		return nil, err
+	}
+	if err := x.conn.checkStatusLine(); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(x.conn.reader, x.request.HTTP)
+}
+
 // statesBody reports whether the header of an informational response states a body. What
 // follows such a header may be that body instead of the final response. HTTP/1.0 has no
 // informational responses, and http.ReadResponse drops their Transfer-Encoding.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -16,6 +16,8 @@
 //     other connections are closed.
 //   - A response whose status code does not exist, or an informational one that states
 //     a body, is no response: its request has Progress Unknown.
+//   - Neither is one with a field name that is not valid, or with a folded line in its
+//     head. In a trailer, such a name truncates the response.
 //   - A truncated body is an error. Responses that are delimited only by closing
 //     the connection are rejected by default, because truncation of such a
 //     response cannot be detected.
--- a/internal/exchange/fuzz_test.go
+++ b/internal/exchange/fuzz_test.go
@@ -47,6 +47,9 @@
 	f.Add([]byte("HTTP/1.1 600 Odd\r\nGentiansail-Request-Id: r1\r\nContent-Length: 0\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 102 Processing\r\nContent-Length: 81\r\n\r\n" + okResponse))
 	f.Add([]byte("HTTP/1.1 204 No Content\r\nGentiansail-Request-Id: r1\r\n\r\nrest"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nGentiansail-Request-Id: r1\r\nContent-Length : 2\r\n\r\nok"))
+	f.Add([]byte("HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n" + okResponse))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nGentiansail-Request-Id: r1\r\n\r\n2\r\nok\r\n0\r\nX Odd: y\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		c := &scriptedConn{response: bytes.NewReader(data)}
 		p := NewPool(Options{Dial: func(context.Context, string) (net.Conn, error) { return c, nil }})
@@ -67,6 +70,12 @@
 			return
 		}
 		checkComplete(t, response, body)
+		for name := range response.Header {
+			qt.Assert(t, header.IsName(name), qt.IsTrue, qt.Commentf("%q", name))
+		}
+		for name, values := range response.Trailer {
+			qt.Assert(t, values == nil || header.IsName(name), qt.IsTrue, qt.Commentf("%q", name))
+		}
 		for _, idle := range p.addressPool("a").idle {
 			qt.Assert(t, idle.reader.Buffered(), qt.Equals, 0)
 			qt.Assert(t, c.response.Len(), qt.Equals, 0)
--- /dev/null
+++ b/internal/exchange/head.go
@@ -0,0 +1,113 @@
+package exchange
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/gentiansail/gentiansail/internal/header"
+)
+
+var errInvalidFieldName = merry.Sentinel("field name of a response is not valid")
+
+// headScanner checks the field names in the head of a response as its bytes arrive.
+//
+// http.ReadResponse accepts blanks in a name, and does not take "Content-Length :" or
+// "Transfer-Encoding :" for the fields that other parsers take them for. It also joins a line
+// that begins with a blank to the line before, which RFC 9112 (section 5.2) lets a gateway
+// reject. Body and next response could then begin elsewhere than the server means.
+type headScanner struct {
+	state headState
+	err   error
+}
+
+type headState int8
+
+const (
+	outsideHead headState = iota
+	inStatusLine
+	atLineStart
+	afterEmptyLineCR
+	inFieldName
+	inFieldValue
+)
+
+// scan takes the next bytes of a connection. It ignores those outside of a head. After an error
+// it returns the same error again.
+func (s *headScanner) scan(b []byte) error {
+	for i := 0; i < len(b) && s.state != outsideHead && s.err == nil; i++ {
+		c := b[i]
+		switch s.state {
+		case inStatusLine, inFieldValue:
+			end := bytes.IndexByte(b[i:], '\n')
+			if end < 0 {
+				return nil
+			}
+			i += end
+			s.state = atLineStart
+		case atLineStart:
+			switch {
+			case c == '\n':
+				s.state = outsideHead
+			case c == '\r':
+				s.state = afterEmptyLineCR
+			default:
+				s.state = inFieldName
+				s.checkNameByte(c)
+			}
+		case afterEmptyLineCR:
+			if c == '\n' {
+				s.state = outsideHead
+			} else {
+				s.checkNameByte('\r') // no empty line, but a name that begins with CR
+			}
+		case inFieldName:
+			if c == ':' {
+				s.state = inFieldValue
+			} else {
+				s.checkNameByte(c)
+			}
+		}
+	}
+	return s.err
+}
+
+func (s *headScanner) checkNameByte(c byte) {
+	if !header.IsNameByte(c) {
+		s.err = merry.Wrap(errInvalidFieldName, merry.AppendMessagef("it holds %q", c))
+	}
+}
+
+// beginHead makes the connection check the field names of the head that follows.
+func (c *conn) beginHead() error {
+	c.head = headScanner{state: inStatusLine}
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	return c.head.scan(buffered)
+}
+
+// trailerChecker is a response body that fails at its end if the name of a trailer field is
+// not valid.
+type trailerChecker struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b trailerChecker) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	for name, values := range b.response.Trailer {
+		// The values of a field that was only announced are nil.
+		if values != nil && !header.IsName(name) {
+			return n, merry.Wrap(errInvalidFieldName, merry.AppendMessagef("trailer field %q", name))
+		}
+	}
+	return n, io.EOF
+}
--- a/internal/transport/inbound/framing.go
+++ b/internal/transport/inbound/framing.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/binary"
 	"strconv"
+
+	"github.com/gentiansail/gentiansail/internal/header"
 )
 
 // framer follows the bytes of a connection from request to request, in front of net/http. net/http
@@ -146,7 +148,7 @@
 		if f.size == 0 {
 			return false
 		}
-	case !tokens[c]: // also white space at the beginning of a line or before the colon
+	case !header.IsNameByte(c): // also white space at the beginning of a line or before the colon
 		return false
 	}
 	if f.size < len(f.line) {
@@ -156,14 +158,6 @@
 	return true
 }
 
-// tokens are the bytes of field names.
-var tokens = func() (t [256]bool) {
-	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
-		t[c] = true
-	}
-	return t
-}()
-
 // endLine takes the end of a line. It returns false if the line is malformed.
 func (f *framer) endLine() bool {
 	size, name := f.size, f.name
