exchange: an HTTP/1.0 response with Transfer-Encoding is no response

A caller got the chunks of an answer, sizes and all, as the body of a 200 if the target called its version HTTP/1.0.

Cause: HTTP/1.0 has no transfer coding, and http.ReadResponse drops the field and reads the body to the end of the connection. RFC 9112 (section 6.1) calls such a message's framing faulty, also beside a Content-Length.

Change: the scanner of heads notes the field, and a response of HTTP/1.0 that has it is none. The field cannot be seen after http.ReadResponse.

Evidence: the eight cases of TestTransferEncodingInHTTP10IsNoResponse that are not valid failed before and pass now; its valid ones passed before as well.

--- a/internal/exchange/do.go
+++ b/internal/exchange/do.go
@@ -181,7 +181,12 @@
 	if err := x.conn.checkStatusLine(); err != nil {
 		return nil, err
 	}
-	return http.ReadResponse(x.conn.reader, x.request.HTTP)
+	response, err := http.ReadResponse(x.conn.reader, x.request.HTTP)
+	if err == nil && x.conn.head.hasTransferEncoding && !response.ProtoAtLeast(1, 1) {
+		// http.ReadResponse drops the field. Whether the body is chunked is not known.
+		return nil, errTransferEncodingInHTTP10
+	}
+	return response, err
 }
 
 // statesBody reports whether the header of an informational response states a body. What
--- a/internal/exchange/fields_test.go
+++ b/internal/exchange/fields_test.go
@@ -119,3 +119,40 @@
 		})
 	}
 }
+
+// Guards against chunks that are returned as the body of a response: HTTP/1.0 has no transfer
+// coding, and net/http ignores the field.
+func TestTransferEncodingInHTTP10IsNoResponse(t *testing.T) {
+	const chunks = "2\r\nok\r\n0\r\n\r\n"
+	const fields = " 200 OK\r\nGentiansail-Request-Id: r1\r\n"
+	tests := map[string]struct {
+		response string
+		valid    bool
+	}{
+		"chunked":                    {"HTTP/1.0" + fields + "Transfer-Encoding: chunked\r\n\r\n" + chunks, false},
+		"lower case":                 {"HTTP/1.0" + fields + "transfer-encoding:chunked\r\n\r\n" + chunks, false},
+		"first field":                {"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nGentiansail-Request-Id: r1\r\n\r\n" + chunks, false},
+		"with a length":              {"HTTP/1.0" + fields + "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\nok", false},
+		"other coding":               {"HTTP/1.0" + fields + "Transfer-Encoding: gzip\r\n\r\nok", false},
+		"kept connection":            {"HTTP/1.0" + fields + "Connection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks, false},
+		"skipped":                    {"HTTP/1.0 200 OK\r\nGentiansail-Request-Id: r0\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\nok" + okResponse, false},
+		"after HTTP/1.1":             {"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.0" + fields + "Transfer-Encoding: chunked\r\n\r\n" + chunks, false},
+		"HTTP/1.1":                   {"HTTP/1.1" + fields + "Transfer-Encoding: chunked\r\n\r\n" + chunks, true},
+		"name begins like the field": {"HTTP/1.0" + fields + "Transfer-Encoding-Odd: chunked\r\n\r\nok", true},
+		"field begins like the name": {"HTTP/1.0" + fields + "Transfer: chunked\r\n\r\nok", true},
+		"no length":                  {"HTTP/1.0" + fields + "\r\nok", true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			for _, oneByte := range []bool{false, true} {
+				_, body, err := receive(t, tt.response, oneByte)
+				if !tt.valid {
+					qt.Check(t, err, qt.IsNotNil, qt.Commentf("one byte at a time %t: body %q", oneByte, body))
+					continue
+				}
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, body, qt.Equals, "ok")
+			}
+		})
+	}
+}
--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -10,6 +10,8 @@
 	"github.com/gentiansail/gentiansail/internal/header"
 )
 
+var errTransferEncodingInHTTP10 = merry.Sentinel("HTTP/1.0 response with Transfer-Encoding")
+
 var errInvalidFieldName = merry.Sentinel("field name of a response is not valid")
 
 // headScanner checks the field names in the head of a response as its bytes arrive.
@@ -21,8 +23,16 @@
 type headScanner struct {
 	state headState
 	err   error
+	// matched is how many bytes of transferEncoding the current name begins with, -1 if it
+	// differs from that.
+	matched int
+	// hasTransferEncoding is true once the head has that field.
+	hasTransferEncoding bool
 }
 
+// transferEncoding is the name of a field in lower case.
+const transferEncoding = "transfer-encoding"
+
 type headState int8
 
 const (
@@ -54,30 +64,40 @@
 			case c == '\r':
 				s.state = afterEmptyLineCR
 			default:
-				s.state = inFieldName
-				s.checkNameByte(c)
+				s.state, s.matched = inFieldName, 0
+				s.takeNameByte(c)
 			}
 		case afterEmptyLineCR:
 			if c == '\n' {
 				s.state = outsideHead
 			} else {
-				s.checkNameByte('\r') // no empty line, but a name that begins with CR
+				s.takeNameByte('\r') // no empty line, but a name that begins with CR
 			}
 		case inFieldName:
-			if c == ':' {
-				s.state = inFieldValue
-			} else {
-				s.checkNameByte(c)
+			if c != ':' {
+				s.takeNameByte(c)
+				continue
 			}
+			s.state = inFieldValue
+			s.hasTransferEncoding = s.hasTransferEncoding || s.matched == len(transferEncoding)
 		}
 	}
 	return s.err
 }
 
-func (s *headScanner) checkNameByte(c byte) {
+// takeNameByte takes the next byte of a field name.
+func (s *headScanner) takeNameByte(c byte) {
 	if !header.IsNameByte(c) {
 		s.err = merry.Wrap(errInvalidFieldName, merry.AppendMessagef("it holds %q", c))
 	}
+	if c >= 'A' && c <= 'Z' {
+		c += 'a' - 'A'
+	}
+	if s.matched >= 0 && s.matched < len(transferEncoding) && c == transferEncoding[s.matched] {
+		s.matched++
+	} else {
+		s.matched = -1
+	}
 }
 
 // beginHead makes the connection check the field names of the head that follows.
