process: an incomplete response to an HTTP/1.0 request ends with a reset

Callers of HTTP/1.0 got a part of a response as a complete one, from all processes: after the upstream had broken off, or when the connection was closed for another reason in the middle of the response.

Cause: a response of unknown length ends with its connection in HTTP/1.0, and an aborted handler, a closed server and a killed process end a connection regularly.

Change: while the handler of an HTTP/1.0 request runs, SO_LINGER makes each close of the connection a reset, whoever closes it. Requests of HTTP/1.1 have chunks and are served as before.

That a killed process resets as well follows from SO_LINGER and was not run.

--- a/internal/process/serve.go
+++ b/internal/process/serve.go
@@ -19,7 +19,7 @@
 
 // ServeHTTP serves s on l until ctx ends, then shuts s down gracefully: it stops
 // accepting connections and waits up to stopTimeout for requests in flight. It replaces
-// the ConnState hook of s.
+// the ConnState hook of s and wraps its handler and its ConnContext hook.
 //
 // http.Server.Shutdown alone is not graceful enough: it closes a connection without a
 // response if the first request is read after the start of Shutdown, even if the
@@ -32,6 +32,7 @@
 // ServeHTTPWithTimeoutFunc is like ServeHTTP, but calls stopTimeout when ctx has ended
 // to get the time limit for requests in flight.
 func ServeHTTPWithTimeoutFunc(ctx context.Context, l net.Listener, s *http.Server, stopTimeout func() time.Duration) error {
+	resetIncomplete(s)
 	conns := &connTracker{states: make(map[net.Conn]http.ConnState), changed: make(chan struct{})}
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		inbound.ConnState(c, state)
@@ -60,6 +61,32 @@
 	return s.Shutdown(stopCtx)
 }
 
+type connKey struct{}
+
+// resetIncomplete makes the connection of an HTTP/1.0 request end with a reset until the
+// handler has returned. A response to it may have no length and end with the connection, so a
+// part of it would look complete if the connection ended regularly: because the handler aborts
+// the response, because something else closes the connection, or because the process ends.
+func resetIncomplete(s *http.Server) {
+	handler, connContext := s.Handler, s.ConnContext
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if connContext != nil {
+			ctx = connContext(ctx, c)
+		}
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(interface{ SetLinger(seconds int) error })
+		if r.ProtoAtLeast(1, 1) || !ok {
+			handler.ServeHTTP(w, r)
+			return
+		}
+		_ = c.SetLinger(0) // TCP connections refuse it only once they are closed
+		handler.ServeHTTP(w, r)
+		_ = c.SetLinger(-1)
+	})
+}
+
 // connTracker tracks the states of a server's open connections.
 type connTracker struct {
 	mu     sync.Mutex
--- a/internal/traffic/pipeline/pipeline.go
+++ b/internal/traffic/pipeline/pipeline.go
@@ -527,6 +527,14 @@
 // Account returns the account of the connection, or nil.
 func (c *conn) Account() *inbound.Account { return c.account }
 
+// SetLinger sets how the connection ends when it is closed, as in net.TCPConn.
+func (c *conn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return errors.ErrUnsupported
+}
+
 // CloseWrite closes the sending direction. net/http does so before it closes a connection
 // on which the caller may still be sending.
 func (c *conn) CloseWrite() error {
