--- a/internal/exchange/reset_test.go
+++ b/internal/exchange/reset_test.go
@@ -8,8 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -179,6 +181,41 @@
 	}
 }
 
+// failingConn is a scriptedConn whose writes fail after the first one.
+type failingConn struct {
+	*scriptedConn
+	err error
+}
+
+// Write implements net.Conn.
+func (c failingConn) Write(b []byte) (int, error) {
+	if c.bytesWritten > 0 {
+		return 0, &net.OpError{Op: "write", Net: "tcp", Err: os.NewSyscallError("write", c.err)}
+	}
+	return c.scriptedConn.Write(b)
+}
+
+// Guards against a connection that was lost in another way than by a reset, and whose regular
+// end completes a response.
+func TestEndAfterFailedWrite(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nGentiansail-Request-Id: r1\r\n\r\nbody"
+	tests := map[error]bool{syscall.ECONNRESET: false, syscall.ETIMEDOUT: false, syscall.EHOSTUNREACH: false, syscall.EPIPE: true}
+	for writeErr, complete := range tests {
+		t.Run(writeErr.Error(), func(t *testing.T) {
+			p := NewPool(Options{Dial: func(context.Context, string) (net.Conn, error) {
+				return failingConn{&scriptedConn{response: bytes.NewReader([]byte(response))}, writeErr}, nil
+			}})
+			r := post(t, "127.0.0.1:1")
+			r.Body, r.ContentLength = Body(make([]byte, 64<<10)), 64<<10
+			result, err := p.Do(t.Context(), Request{Address: "a", HTTP: r, RequestID: "r1", AllowCloseDelimited: true})
+			qt.Assert(t, err, qt.IsNil)
+			body, err := io.ReadAll(result.Body)
+			qt.Assert(t, err == nil, qt.Equals, complete, qt.Commentf("%v", err))
+			qt.Assert(t, string(body), qt.Equals, "body")
+		})
+	}
+}
+
 // Guards against rejecting a complete response to an upload that is still being written: the
 // server ends its sending direction after the response, and then closes the connection, which
 // resets it because of the rest of the upload.
