--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -19,10 +19,14 @@
 // http.ReadResponse accepts blanks in a name, and does not take "Content-Length :" or
 // "Transfer-Encoding :" for the fields that other parsers take them for. It also joins a line
 // that begins with a blank to the line before, which RFC 9112 (section 5.2) lets a gateway
-// reject. Body and next response could then begin elsewhere than the server means.
+// reject. Body and next response could then begin elsewhere than the server means. The scanner
+// sees the bytes before http.ReadResponse does, because folded lines and the Transfer-Encoding of
+// HTTP/1.0 are gone from the result.
 type headScanner struct {
 	state headState
-	err   error
+	// err is why the head is not valid. Reads return it until the next request, because
+	// net/textproto ignores some errors of a read.
+	err error
 	// matched is how many bytes of transferEncoding the current name begins with, -1 if it
 	// differs from that.
 	matched int
@@ -39,7 +43,7 @@
 	outsideHead headState = iota
 	inStatusLine
 	atLineStart
-	afterEmptyLineCR
+	inEmptyLine // after its CR
 	inFieldName
 	inFieldValue
 )
@@ -62,12 +66,12 @@
 			case c == '\n':
 				s.state = outsideHead
 			case c == '\r':
-				s.state = afterEmptyLineCR
+				s.state = inEmptyLine
 			default:
 				s.state, s.matched = inFieldName, 0
 				s.takeNameByte(c)
 			}
-		case afterEmptyLineCR:
+		case inEmptyLine:
 			if c == '\n' {
 				s.state = outsideHead
 			} else {
--- a/internal/process/serve.go
+++ b/internal/process/serve.go
@@ -76,14 +76,18 @@
 		return context.WithValue(ctx, connKey{}, c)
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c, ok := r.Context().Value(connKey{}).(interface{ SetLinger(seconds int) error })
-		if r.ProtoAtLeast(1, 1) || !ok {
+		if r.ProtoAtLeast(1, 1) {
 			handler.ServeHTTP(w, r)
 			return
 		}
-		_ = c.SetLinger(0) // TCP connections refuse it only once they are closed
+		c, ok := r.Context().Value(connKey{}).(interface{ SetLinger(seconds int) error })
+		if ok {
+			_ = c.SetLinger(0) // TCP connections refuse it only once they are closed
+		}
 		handler.ServeHTTP(w, r)
-		_ = c.SetLinger(-1)
+		if ok {
+			_ = c.SetLinger(-1)
+		}
 	})
 }
 
