--- a/internal/exchange/status_test.go
+++ b/internal/exchange/status_test.go
@@ -83,3 +83,29 @@
 		})
 	}
 }
+
+// Guards against a status that does not exist and is accepted in an HTTP/1.0 response, in one
+// that is skipped, or in one after that.
+func TestInvalidStatusOfSkippedResponse(t *testing.T) {
+	const other, mine = "Gentiansail-Request-Id: r0\r\nContent-Length: 2\r\n\r\nok", "Gentiansail-Request-Id: r1\r\nContent-Length: 2\r\n\r\nok"
+	for _, version := range []string{"HTTP/1.0 ", "HTTP/1.1 "} {
+		for _, status := range []string{"000", "099", "600", "+20"} {
+			tests := map[string]string{
+				"final":                      version + status + " Odd\r\n" + mine,
+				"final, no length":           version + status + " Odd\r\nGentiansail-Request-Id: r1\r\n\r\nok",
+				"skipped":                    version + status + " Odd\r\n" + other + okResponse,
+				"after skipped":              "HTTP/1.1 200 OK\r\n" + other + version + status + " Odd\r\n" + mine,
+				"informational before":       "HTTP/1.1 102 Processing\r\n\r\n" + version + status + " Odd\r\n" + mine,
+				"informational with a field": version + status + " Odd\r\nLink: </a>\r\n\r\n" + okResponse,
+			}
+			for name, data := range tests {
+				t.Run(version+status+", "+name, func(t *testing.T) {
+					for _, oneByte := range []bool{false, true} {
+						_, body, err := receive(t, data, oneByte)
+						qt.Check(t, err, qt.IsNotNil, qt.Commentf("body %q", body))
+					}
+				})
+			}
+		}
+	}
+}
