--- /dev/null
+++ b/review/mesh3/cases.go
@@ -0,0 +1,240 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// readyLimit bounds the start of a mesh.
+const readyLimit = 20 * time.Second
+
+// contact and inForce are the bounds "contact" and "config" of the site uzijoto-mesh.
+const (
+	contact = 3 * time.Second
+	inForce = 2 * time.Second
+)
+
+// deploy starts a mesh with its upstreams and its first desired state.
+func deploy(r *record, places []place, work time.Duration, first map[string]any) (*mesh, []*upstream, error) {
+	m, err := newMesh(r, places)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := m.start(); err != nil {
+		return m, nil, err
+	}
+	var upstreams []*upstream
+	for _, x := range m.sidecars {
+		u := newUpstream(x, r, work)
+		if err := u.start(); err != nil {
+			return m, nil, err
+		}
+		upstreams = append(upstreams, u)
+	}
+	if err := m.operator(0, first); err != nil {
+		return m, nil, err
+	}
+	if err := m.awaitReady(readyLimit); err != nil {
+		return m, nil, err
+	}
+	time.Sleep(contact + heartbeat) // all machines are in touch, and know all upstreams
+	return m, upstreams, nil
+}
+
+// clientsOf returns a client of each machine whose upstream is of the given service.
+func (m *mesh) clientsOf(service string) []client {
+	var out []client
+	for _, x := range m.sidecars {
+		if x.service == service {
+			out = append(out, client{m.record, x})
+		}
+	}
+	return out
+}
+
+// lossTime is how long answers are lost.
+const lossTime = 4 * time.Second
+
+// playTwice sends unsafe requests whose path has a slash in one of its segments, encoded as %2F.
+// The disruption is that three of five upstreams lose two of five answers for some seconds.
+func playTwice(r *record, trouble bool) (bool, error) {
+	services := []string{"front", "ledger"}
+	first := state(1, services,
+		route("r-pledge", "/pledge/", "unsafe", "ledger", 2*time.Second),
+		route("r-status", "/pledge/status/", "safe", "ledger", 2*time.Second))
+	places := []place{{"front", "zone-a"}, {"ledger", "zone-a"}, {"ledger", "zone-a"}, {"ledger", "zone-b"}, {"ledger", "zone-b"}, {"ledger", "zone-c"}}
+	m, upstreams, err := deploy(r, places, 40*time.Millisecond, first)
+	if m != nil {
+		defer m.stop()
+	}
+	if err != nil {
+		return false, err
+	}
+	if trouble {
+		for _, u := range upstreams[1:4] {
+			u.loses.Store(true)
+			r.add("two of five answers of %s are lost", u.id)
+			time.AfterFunc(lossTime, func() {
+				u.loses.Store(false)
+				r.add("answers of %s are lost no longer", u.id)
+			})
+		}
+	}
+	c := m.clientsOf("front")[0]
+	const each = 60
+	var pending sync.WaitGroup
+	for i := range each {
+		time.Sleep(60 * time.Millisecond)
+		pending.Go(func() {
+			// The batch has the name "status/" and its number, in one segment of the path.
+			c.do(fmt.Sprintf("batch-%05d", i), http.MethodPost, fmt.Sprintf("/pledge/status%%2F%d", i), "one batch", time.Second)
+		})
+		pending.Go(func() {
+			c.do(fmt.Sprintf("plain-%05d", i), http.MethodPost, fmt.Sprintf("/pledge/%d", i), "one batch", time.Second)
+		})
+	}
+	pending.Wait()
+	twice := map[string]int{}
+	for id, list := range r.runsByID() {
+		if len(list) > 1 {
+			r.add("%s has run %d times", id, len(list))
+			twice[id[:len("batch")]]++
+		}
+	}
+	r.add("unsafe requests that ran more than once: %d of %d POST /pledge/status%%2FN, %d of %d POST /pledge/N", twice["batch"], each, twice["plain"], each)
+	return twice["batch"]+twice["plain"] > 0, nil
+}
+
+// basePath is the path of the requests on the first route, laterPath that of those on the route
+// that is added later.
+const (
+	basePath  = "/base/list"
+	laterPath = "/later/list"
+)
+
+// steady is how long requests are compared after the last disturbance.
+const steady = 12 * time.Second
+
+// compare counts the requests on both routes in steady state, and reports whether those on the
+// later route are served less than a quarter as often.
+func compare(r *record) bool {
+	time.Sleep(contact + inForce)
+	begin := time.Now()
+	r.add("steady state begins")
+	time.Sleep(steady)
+	baseSent, baseServed := r.served(basePath, begin)
+	laterSent, laterServed := r.served(laterPath, begin)
+	r.add("steady state: %d of %d requests on the first route are served, %d of %d on the route that was added later", baseServed, baseSent, laterServed, laterSent)
+	if laterSent < 20 || baseServed == 0 {
+		return false
+	}
+	return float64(laterServed)/float64(laterSent) < float64(baseServed)/float64(baseSent)/4
+}
+
+// sendBoth sends requests on both routes until the returned function is called.
+func sendBoth(m *mesh, perSecond int, budget time.Duration) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	clients := m.clientsOf("front")
+	running.Go(func() { traffic(ctx, clients, perSecond, http.MethodGet, basePath, "base", budget) })
+	running.Go(func() { traffic(ctx, clients, perSecond, http.MethodGet, laterPath, "later", budget) })
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+// later deploys services "front", "base" and "later", and adds the route to the last one after the
+// first desired state.
+func later(r *record, places []place, work time.Duration, timeout time.Duration) (*mesh, []*upstream, error) {
+	services := []string{"front", "base", "later"}
+	base := route("r-base", "/base/", "safe", "base", timeout)
+	m, upstreams, err := deploy(r, places, work, state(1, services, base))
+	if err == nil {
+		err = m.operator(1, state(2, services, base, route("r-later", "/later/", "safe", "later", timeout)))
+		time.Sleep(inForce)
+	}
+	return m, upstreams, err
+}
+
+// playStale lets the operator lower the timeout of a route. The disruption is that the upstreams of
+// its service are slow for some seconds around that.
+func playStale(r *record, trouble bool) (bool, error) {
+	const (
+		work    = 150 * time.Millisecond
+		budget  = 3 * time.Second
+		timeout = 2500 * time.Millisecond
+		lowered = 500 * time.Millisecond
+		slowBy  = 8
+	)
+	places := []place{{"front", "zone-a"}, {"front", "zone-b"}, {"base", "zone-a"}, {"base", "zone-b"}, {"later", "zone-a"}, {"later", "zone-b"}, {"later", "zone-c"}}
+	m, upstreams, err := later(r, places, work, timeout)
+	if m != nil {
+		defer m.stop()
+	}
+	if err != nil {
+		return false, err
+	}
+	stop := sendBoth(m, 20, budget)
+	defer stop()
+	time.Sleep(2 * time.Second)
+	takes := func(factor int64) {
+		for _, u := range upstreams {
+			if trouble && u.machine.service == "later" {
+				u.work.Store(factor * int64(work))
+				r.add("work at %s takes %d times as long as usual", u.id, factor)
+			}
+		}
+	}
+	takes(slowBy)
+	time.Sleep(6 * time.Second)
+	services := []string{"front", "base", "later"}
+	lower := state(3, services, route("r-base", "/base/", "safe", "base", timeout), route("r-later", "/later/", "safe", "later", lowered))
+	if err := m.operator(2, lower); err != nil {
+		return false, err
+	}
+	time.Sleep(inForce)
+	takes(1)
+	return compare(r), nil
+}
+
+// playInnocent sends equal requests, none of which harms an upstream. The disruption is that the
+// upstreams of one zone crash at the same moment.
+func playInnocent(r *record, trouble bool) (bool, error) {
+	const (
+		work    = 300 * time.Millisecond
+		budget  = 1500 * time.Millisecond
+		timeout = time.Second
+	)
+	places := []place{
+		{"front", "zone-a"}, {"front", "zone-b"}, {"base", "zone-a"}, {"base", "zone-b"},
+		{"later", "zone-a"}, {"later", "zone-a"}, {"later", "zone-a"}, {"later", "zone-b"}, {"later", "zone-c"},
+	}
+	m, upstreams, err := later(r, places, work, timeout)
+	if m != nil {
+		defer m.stop()
+	}
+	if err != nil {
+		return false, err
+	}
+	stop := sendBoth(m, 60, budget)
+	defer stop()
+	time.Sleep(3 * time.Second)
+	var crashed []*upstream
+	for _, u := range upstreams {
+		if trouble && u.machine.service == "later" && u.machine.zone == "zone-a" {
+			u.crash()
+			crashed = append(crashed, u)
+		}
+	}
+	time.Sleep(4 * time.Second)
+	for _, u := range crashed {
+		if err := u.start(); err != nil {
+			return false, err
+		}
+	}
+	return compare(r), nil
+}
