--- a/review/mesh3/mesh.go
+++ b/review/mesh3/mesh.go
@@ -248,7 +248,7 @@
 func route(name, prefix, kind, service string, timeout time.Duration) map[string]any {
 	return map[string]any{
 		"name": name, "hostname": hostName, "pathPrefix": prefix, "kind": kind, "service": service,
-		"timeout": timeout.Milliseconds(), "targetLatency": 600, "priority": 1, "maxAttempts": 2,
+		"timeout": timeout.Milliseconds(), "targetLatency": 400, "priority": 1, "maxAttempts": 2,
 	}
 }
 
