--- a/review/mesh3/cases.go
+++ b/review/mesh3/cases.go
@@ -134,13 +134,16 @@
 	return float64(laterServed)/float64(laterSent) < float64(baseServed)/float64(baseSent)/4
 }
 
-// sendBoth sends requests on both routes until the returned function is called.
-func sendBoth(m *mesh, perSecond int, budget time.Duration) (stop func()) {
+// sendBoth sends so many requests a second on the first and on the later route, until the returned
+// function is called.
+func sendBoth(m *mesh, base, later int, budget time.Duration) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	clients := m.clientsOf("front")
-	running.Go(func() { traffic(ctx, clients, perSecond, http.MethodGet, basePath, "base", budget) })
-	running.Go(func() { traffic(ctx, clients, perSecond, http.MethodGet, laterPath, "later", budget) })
+	running.Go(func() { traffic(ctx, clients, base, http.MethodGet, basePath, "base", budget) })
+	if later > 0 {
+		running.Go(func() { traffic(ctx, clients, later, http.MethodGet, laterPath, "later", budget) })
+	}
 	return func() {
 		cancel()
 		running.Wait()
@@ -178,7 +181,7 @@
 	if err != nil {
 		return false, err
 	}
-	stop := sendBoth(m, 20, budget)
+	stop := sendBoth(m, 20, 20, budget)
 	defer stop()
 	time.Sleep(2 * time.Second)
 	takes := func(factor int64) {
@@ -201,6 +204,63 @@
 	return compare(r), nil
 }
 
+// recovery is the bound "recovery" of the site uzijoto-mesh.
+const recovery = 15 * time.Second
+
+// rounds is how often playFrozen freezes each sidecar. A sidecar that wakes may or may not count the
+// time for which it was frozen to the requests that were at its upstream.
+const rounds = 3
+
+// playFrozen freezes the sidecars beside the upstreams of a service one after the other, and wakes
+// each of them again. With and without that, the day ends with a final fault: two machines of the core
+// lose their disks after a desired state was confirmed.
+func playFrozen(r *record, trouble bool) (bool, error) {
+	const (
+		work   = 120 * time.Millisecond
+		budget = 600 * time.Millisecond
+		frozen = 4800 * time.Millisecond
+		pause  = time.Second
+		calm   = 12 * time.Second
+		rate   = 120 // each upstream works on 5 of its 10 slots
+	)
+	services := []string{"front", "base"}
+	base := route("r-base", "/base/", "safe", "base", budget)
+	places := []place{{"front", "zone-a"}, {"front", "zone-b"}, {"base", "zone-a"}, {"base", "zone-b"}, {"base", "zone-c"}}
+	m, _, err := deploy(r, places, work, state(1, services, base))
+	if m != nil {
+		defer m.stop()
+	}
+	if err != nil {
+		return false, err
+	}
+	begin := time.Now()
+	stop := sendBoth(m, rate, 0, budget)
+	defer stop()
+	time.Sleep(calm)
+	for i := range rounds * len(m.sidecars) {
+		if x := m.sidecars[i%len(m.sidecars)]; x.service == "base" {
+			if err := x.freeze(r, trouble, frozen); err != nil {
+				return false, err
+			}
+			time.Sleep(pause)
+		}
+	}
+	if err := m.operator(1, state(2, services, base, route("r-idle", "/idle/", "safe", "base", budget))); err != nil {
+		return false, err
+	}
+	sentBefore, servedBefore := r.served(basePath, begin)
+	if err := m.loseDisks(m.cores[:2]); err != nil {
+		return false, err
+	}
+	time.Sleep(recovery)
+	begin = time.Now()
+	r.add("%v after the machines were back", recovery)
+	time.Sleep(steady)
+	sent, served := r.served(basePath, begin)
+	r.add("%d of %d requests were served before the final fault, %d of %d later than %v after it", servedBefore, sentBefore, served, sent, recovery)
+	return 4*servedBefore >= sentBefore && 4*served < sent, nil
+}
+
 // playInnocent sends equal requests, none of which harms an upstream. The disruption is that the
 // upstreams of one zone crash at the same moment.
 func playInnocent(r *record, trouble bool) (bool, error) {
@@ -220,7 +280,7 @@
 	if err != nil {
 		return false, err
 	}
-	stop := sendBoth(m, 60, budget)
+	stop := sendBoth(m, 60, 60, budget)
 	defer stop()
 	time.Sleep(3 * time.Second)
 	var crashed []*upstream
@@ -265,7 +325,7 @@
 		return false, err
 	}
 	time.Sleep(inForce)
-	stop := sendBoth(m, 20, budget)
+	stop := sendBoth(m, 20, 20, budget)
 	defer stop()
 	return compare(r), nil
 }
--- a/review/mesh3/main.go
+++ b/review/mesh3/main.go
@@ -16,7 +16,7 @@
 // play is one case. It returns whether its rule was broken.
 type play func(r *record, trouble bool) (broken bool, err error)
 
-var plays = map[string]play{"twice": playTwice, "stale": playStale, "innocent": playInnocent, "blank": playBlank}
+var plays = map[string]play{"twice": playTwice, "stale": playStale, "frozen": playFrozen, "innocent": playInnocent, "blank": playBlank}
 
 func main() { os.Exit(runCase()) }
 
--- a/review/mesh3/mesh.go
+++ b/review/mesh3/mesh.go
@@ -35,6 +35,8 @@
 	name, zone, role, ip string
 	// service is that of the upstream beside a sidecar.
 	service string
+	// again is true from the second start on.
+	again   bool
 	command *exec.Cmd
 	ended   chan struct{}
 }
@@ -106,7 +108,7 @@
 	}
 	// As deploy/settings.template, with the bounds of the site uzijoto-mesh.
 	settings := map[string]any{
-		"Name": x.name, "FailureDomain": x.zone, "IP": x.ip, "PeerPort": peerPort, "Seeds": seeds, "FirstStart": true,
+		"Name": x.name, "FailureDomain": x.zone, "IP": x.ip, "PeerPort": peerPort, "Seeds": seeds, "FirstStart": !x.again,
 		"Listen": map[string]any{"Callers": "", "Readiness": "", "Control": x.address(controlPort)},
 		"Target": map[string]any{"Address": "", "Service": ""}, "DataFolder": "",
 		"TolerateHosts": 2, "MemoryMegabytes": 284, "MaxDescriptors": 4100, "LinkMegabits": 1000, "HeartbeatMillis": heartbeat.Milliseconds(),
@@ -154,6 +156,47 @@
 	return nil
 }
 
+// freeze stops the process of a machine for a time, if trouble is true, and waits as long if not.
+func (m *machine) freeze(r *record, trouble bool, d time.Duration) error {
+	if !trouble {
+		time.Sleep(d)
+		return nil
+	}
+	r.add("%s is frozen", m.name)
+	if err := m.command.Process.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	time.Sleep(d)
+	r.add("%s wakes", m.name)
+	return m.command.Process.Signal(syscall.SIGCONT)
+}
+
+// loseDisks kills the processes of machines of the core at the same moment, and starts them again
+// with empty disks.
+func (m *mesh) loseDisks(machines []*machine) error {
+	for _, x := range machines {
+		if err := x.command.Process.Kill(); err != nil {
+			return err
+		}
+	}
+	for _, x := range machines {
+		<-x.ended
+		if err := os.RemoveAll(filepath.Join(m.folder, x.name)); err != nil {
+			return err
+		}
+		m.record.add("%s has lost its disk", x.name)
+	}
+	time.Sleep(time.Second)
+	for _, x := range machines {
+		x.again = true
+		if err := m.startMachine(x); err != nil {
+			return err
+		}
+		m.record.add("%s is back", x.name)
+	}
+	return nil
+}
+
 // stop ends all processes and removes their files.
 func (m *mesh) stop() {
 	for _, x := range append(append([]*machine{}, m.cores...), m.sidecars...) {
--- a/review/mesh3/record.go
+++ b/review/mesh3/record.go
@@ -69,8 +69,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.attempts = append(r.attempts, a)
-	r.addLocked(a.sent, "sent   %s  %s %s to %s", a.id, a.method, a.path, a.machine)
-	r.addLocked(a.sent.Add(a.took), "answer %s  %d, signed %t, %s", a.id, a.status, a.signed, a.text)
+	r.addLocked(a.sent, "sent   %s  %s %s to %s, after %d ms %d, signed %t, %s", a.id, a.method, a.path, a.machine, a.took.Milliseconds(), a.status, a.signed, a.text)
 }
 
 // runsByID returns the runs of each request.
